Lay out modules, typed messages and the checks that every change runs

Protocol buffers carry only the frame of a link; payloads are typed records as CBOR (ruled out: a second set of generated types for every record, with mapping code for each).

--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/leader/LeaderOutput.java
@@ -0,0 +1,13 @@
+package org.marjoramnotch.logic.leader;
+
+import org.marjoramnotch.model.command.Command;
+import org.marjoramnotch.model.message.CellReply;
+
+/** Takes what a leader's decisions lead to. */
+public interface LeaderOutput {
+    /** Proposes a command; every duty is told once it is committed and applied. */
+    void propose(Command command);
+
+    /** Answers a request; a reply to a request that is no longer awaited is dropped. */
+    void reply(RequestHandle handle, CellReply reply);
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/leader/package-info.java
@@ -0,0 +1,5 @@
+/** What the parts of a leader's decisions have in common. */
+@NullMarked
+package org.marjoramnotch.logic.leader;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ReplicationEffects.java
@@ -0,0 +1,45 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.List;
+import java.util.Optional;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.replication.ReplicationMessage;
+
+/**
+ * What the host of a replica has to do, in the order of the components.
+ *
+ * @param writes to be stored and synced before anything else
+ * @param messages to be sent once the writes are synced
+ * @param restored a snapshot to replace the applied state with, before the committed entries
+ * @param committed entries to apply, in order
+ */
+public record ReplicationEffects(
+        List<StorageWrite> writes,
+        List<Outgoing> messages,
+        Optional<RestoredState> restored,
+        List<CommittedEntry> committed) {
+    /**
+     * A message to another replica.
+     *
+     * @param to the receiver; its identity may be unknown to the network, which routes by VM
+     * @param message the message
+     */
+    public record Outgoing(ReplicaId to, ReplicationMessage message) {}
+
+    /**
+     * An entry to apply.
+     *
+     * @param index its index
+     * @param term its term
+     * @param payload the proposed payload
+     */
+    public record CommittedEntry(long index, long term, byte[] payload) {}
+
+    /**
+     * A state that replaces all entries up to its index.
+     *
+     * @param index the index
+     * @param state the state that was given to {@link ReplicatedLog#compact}
+     */
+    public record RestoredState(long index, byte[] state) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ReplicationStatus.java
@@ -0,0 +1,30 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.List;
+import java.util.Optional;
+import org.marjoramnotch.model.identifier.ReplicaId;
+
+/**
+ * What a replica knows of its group.
+ *
+ * @param self the replica
+ * @param leading whether it leads and holds the leader lease at the asked time
+ * @param ready whether it leads, holds the lease and has applied an entry of its own term, so that
+ *     its state is up to date
+ * @param leader the leader, if known
+ * @param term the current term
+ * @param commitIndex the last committed index
+ * @param firstIndex the first index still in the log
+ * @param voters replicas that vote
+ * @param learners replicas that catch up
+ */
+public record ReplicationStatus(
+        ReplicaId self,
+        boolean leading,
+        boolean ready,
+        Optional<ReplicaId> leader,
+        long term,
+        long commitIndex,
+        long firstIndex,
+        List<ReplicaId> voters,
+        List<ReplicaId> learners) {}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/model/endpoint/package-info.java
@@ -0,0 +1,5 @@
+/** Endpoints that answer requests, and the attempts that hold their slots. */
+@NullMarked
+package org.marjoramnotch.model.endpoint;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/model/message/AnnounceEndpoint.java
@@ -0,0 +1,21 @@
+package org.marjoramnotch.model.message;
+
+import java.util.List;
+import org.marjoramnotch.model.endpoint.EndpointDescription;
+import org.marjoramnotch.model.endpoint.EndpointState;
+import org.marjoramnotch.model.identifier.AttemptId;
+
+/**
+ * Announces, renews or withdraws an endpoint.
+ *
+ * @param description what it is
+ * @param state whether it takes new work
+ * @param running attempts that it runs now
+ * @param abandoned attempts that it was told to abandon and will never start
+ */
+public record AnnounceEndpoint(
+        EndpointDescription description,
+        EndpointState state,
+        List<AttemptId> running,
+        List<AttemptId> abandoned)
+        implements CellRequest {}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/model/rule/package-info.java
@@ -0,0 +1,5 @@
+/** Operators' rules as typed data. */
+@NullMarked
+package org.marjoramnotch.model.rule;
+
+import org.jspecify.annotations.NullMarked;
