--- /dev/null
+++ b/wire/src/main/java/org/marjoramnotch/wire/Frames.java
@@ -0,0 +1,78 @@
+package org.marjoramnotch.wire;
+
+import com.google.protobuf.UnsafeByteOperations;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.wire.generated.CellReplyFrame;
+import org.marjoramnotch.wire.generated.CellRequestFrame;
+import org.marjoramnotch.wire.generated.Frame;
+import org.marjoramnotch.wire.generated.Heartbeat;
+import org.marjoramnotch.wire.generated.Hello;
+
+/** Builds and reads the frames of a link between two processes. */
+public final class Frames {
+    private final CborMapper mapper;
+
+    /** Creates frames whose payloads are written by the mapper. */
+    public Frames(CborMapper mapper) {
+        this.mapper = mapper;
+    }
+
+    /** Returns the first frame of a link. */
+    public Frame hello(VmId vm, String incarnation) {
+        return Frame.newBuilder()
+                .setHello(Hello.newBuilder().setVm(vm.value()).setIncarnation(incarnation))
+                .build();
+    }
+
+    /** Returns a heartbeat, which the accepting side returns unchanged. */
+    public Frame heartbeat(long sequence) {
+        return Frame.newBuilder()
+                .setHeartbeat(Heartbeat.newBuilder().setSequence(sequence))
+                .build();
+    }
+
+    /** Returns a frame with a replication message. */
+    public Frame replication(AddressedMessage message) {
+        byte[] bytes = mapper.write(AddressedMessage.class, message);
+        return Frame.newBuilder().setReplication(UnsafeByteOperations.unsafeWrap(bytes)).build();
+    }
+
+    /** Returns a frame with a request to the leader. */
+    public Frame request(long correlation, CellRequest request) {
+        byte[] bytes = mapper.write(CellRequest.class, request);
+        return Frame.newBuilder()
+                .setCellRequest(
+                        CellRequestFrame.newBuilder()
+                                .setCorrelation(correlation)
+                                .setRequest(UnsafeByteOperations.unsafeWrap(bytes)))
+                .build();
+    }
+
+    /** Returns a frame with the answer to the request of the same correlation. */
+    public Frame reply(long correlation, CellReply reply) {
+        byte[] bytes = mapper.write(CellReply.class, reply);
+        return Frame.newBuilder()
+                .setCellReply(
+                        CellReplyFrame.newBuilder()
+                                .setCorrelation(correlation)
+                                .setReply(UnsafeByteOperations.unsafeWrap(bytes)))
+                .build();
+    }
+
+    /** Reads the replication message of a frame. */
+    public AddressedMessage replicationOf(Frame frame) {
+        return mapper.read(AddressedMessage.class, frame.getReplication().toByteArray());
+    }
+
+    /** Reads the request of a frame. */
+    public CellRequest requestOf(CellRequestFrame frame) {
+        return mapper.read(CellRequest.class, frame.getRequest().toByteArray());
+    }
+
+    /** Reads the reply of a frame. */
+    public CellReply replyOf(CellReplyFrame frame) {
+        return mapper.read(CellReply.class, frame.getReply().toByteArray());
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/org/marjoramnotch/wire/package-info.java
@@ -0,0 +1,5 @@
+/** The form of the messages between the processes of the system. */
+@NullMarked
+package org.marjoramnotch.wire;
+
+import org.jspecify.annotations.NullMarked;
