--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/Duty.java
@@ -0,0 +1,100 @@
+package org.marjoramnotch.daemon.duty;
+
+import java.util.function.Consumer;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.marjoramnotch.model.time.Clock;
+
+/**
+ * Actor that owns a thread and does one duty on it. It waits on its bounded ring, not in its
+ * mailbox: the mailbox carries only its own next turn and the stop signal, so that an idle duty
+ * costs one wake-up for each tick.
+ *
+ * @param <T> the type of the input
+ */
+public final class Duty<T> {
+    private static final int LARGEST_BATCH = 1024;
+
+    private final DutyInput<T> input;
+    private final DutyWork<T> work;
+    private final Clock clock;
+    private final long tickMilliseconds;
+    private final Consumer<Throwable> failure;
+    private long nextTickMilliseconds;
+
+    private Duty(
+            DutyInput<T> input,
+            DutyWork<T> work,
+            Clock clock,
+            long tickMilliseconds,
+            Consumer<Throwable> failure) {
+        this.input = input;
+        this.work = work;
+        this.clock = clock;
+        this.tickMilliseconds = tickMilliseconds;
+        this.failure = failure;
+        this.nextTickMilliseconds = clock.nowMilliseconds();
+    }
+
+    /** One turn of a duty. */
+    public enum Turn {
+        /** Do what there is to do, then wait for more. */
+        NEXT
+    }
+
+    /**
+     * Returns the actor of a duty, to be started on a pinned dispatcher.
+     *
+     * @param failure is given what the work throws; the duty then stops
+     */
+    public static <T> Behavior<Turn> create(
+            DutyInput<T> input,
+            DutyWork<T> work,
+            Clock clock,
+            long tickMilliseconds,
+            Consumer<Throwable> failure) {
+        return Behaviors.setup(
+                context -> {
+                    Duty<T> duty = new Duty<>(input, work, clock, tickMilliseconds, failure);
+                    context.getSelf().tell(Turn.NEXT);
+                    return duty.turns(context);
+                });
+    }
+
+    private Behavior<Turn> turns(ActorContext<Turn> context) {
+        return Behaviors.receiveMessage(
+                turn -> {
+                    if (!runTurn()) {
+                        return Behaviors.stopped();
+                    }
+                    context.getSelf().tell(Turn.NEXT);
+                    return Behaviors.same();
+                });
+    }
+
+    /** Ticks when due, then takes a batch; returns whether the duty can go on. */
+    private boolean runTurn() {
+        try {
+            long now = clock.nowMilliseconds();
+            if (now < nextTickMilliseconds) {
+                input.await(nextTickMilliseconds - now);
+                now = clock.nowMilliseconds();
+            }
+            boolean ticked = now >= nextTickMilliseconds;
+            if (ticked) {
+                work.tick(now);
+                nextTickMilliseconds = now + tickMilliseconds;
+            }
+            long batchTime = now;
+            int taken = input.drain(value -> work.receive(batchTime, value), LARGEST_BATCH);
+            if (ticked || taken > 0) {
+                work.flush(now);
+            }
+            return true;
+        } catch (RuntimeException | Error thrown) {
+            failure.accept(thrown);
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/ProcessFailure.java
@@ -0,0 +1,22 @@
+package org.marjoramnotch.daemon.duty;
+
+import java.util.function.Consumer;
+import org.jboss.logging.Logger;
+import org.marjoramnotch.daemon.log.LogEvent;
+
+/** Ends the process when a duty fails, since its state can no longer be trusted. */
+public final class ProcessFailure implements Consumer<Throwable> {
+    /** Exit code after an invariant or the storage failed. */
+    public static final int EXIT_CODE = 70;
+
+    private static final Logger LOGGER = Logger.getLogger(ProcessFailure.class);
+
+    @Override
+    public void accept(Throwable cause) {
+        LogEvent.of("duty_failed")
+                .with("exit_code", EXIT_CODE)
+                .with("message", cause.getMessage())
+                .error(LOGGER, cause);
+        Runtime.getRuntime().halt(EXIT_CODE);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/SystemClock.java
@@ -0,0 +1,12 @@
+package org.marjoramnotch.daemon.duty;
+
+import java.util.concurrent.TimeUnit;
+import org.marjoramnotch.model.time.Clock;
+
+/** Reads the monotonic clock of the system. */
+public final class SystemClock implements Clock {
+    @Override
+    public long nowMilliseconds() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/package-info.java
@@ -0,0 +1,5 @@
+/** Links between the processes of the system, and requests to the leader over them. */
+@NullMarked
+package org.marjoramnotch.daemon.link;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/log/LogEvent.java
@@ -0,0 +1,71 @@
+package org.marjoramnotch.daemon.log;
+
+import java.util.regex.Pattern;
+import org.jboss.logging.Logger;
+
+/** Builds one log line of key=value pairs; values with other than plain characters are quoted. */
+public final class LogEvent {
+    private static final Pattern PLAIN = Pattern.compile("[A-Za-z0-9._:/#+\\[\\]-]+");
+
+    private final StringBuilder line;
+
+    private LogEvent(String name) {
+        line = new StringBuilder("event=").append(name);
+    }
+
+    /** Starts the line of an event. */
+    public static LogEvent of(String name) {
+        return new LogEvent(name);
+    }
+
+    /** Adds a pair. */
+    public LogEvent with(String key, Object value) {
+        line.append(' ').append(key).append('=').append(quoted(String.valueOf(value)));
+        return this;
+    }
+
+    /** Writes the line as information. */
+    public void info(Logger logger) {
+        logger.info(line);
+    }
+
+    /** Writes the line as a warning. */
+    public void warn(Logger logger) {
+        logger.warn(line);
+    }
+
+    /** Writes the line as an error, with the trace of its cause. */
+    public void error(Logger logger, Throwable cause) {
+        logger.error(line, cause);
+    }
+
+    @Override
+    public String toString() {
+        return line.toString();
+    }
+
+    private static String quoted(String value) {
+        if (PLAIN.matcher(value).matches()) {
+            return value;
+        }
+        StringBuilder quoted = new StringBuilder("\"");
+        value.chars().forEach(character -> appendEscaped(quoted, (char) character));
+        return quoted.append('"').toString();
+    }
+
+    private static void appendEscaped(StringBuilder quoted, char character) {
+        switch (character) {
+            case '"' -> quoted.append("\\\"");
+            case '\\' -> quoted.append("\\\\");
+            case '\n' -> quoted.append("\\n");
+            case '\r' -> quoted.append("\\r");
+            default -> {
+                if (Character.isISOControl(character)) {
+                    quoted.append(String.format("\\u%04x", (int) character));
+                } else {
+                    quoted.append(character);
+                }
+            }
+        }
+    }
+}
