Add the core of a replica that applies the log and decides while it leads

Cause: daemons need one deterministic core to host. Ruled out: letting duties answer while entries of a later leader are applied, since a replica that wakes from a pause would grant leases it no longer holds. Change: CellCore drives log, ledger and leader duties; duties end before anything is applied once the lease may have run out or a proposal was refused. Measured: library builds and lints; no behaviour test yet, the parts are being written beside it.

--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -0,0 +1,255 @@
+package org.marjoramnotch.logic.cell;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.logic.ledger.Ledger;
+import org.marjoramnotch.logic.replication.ReplicatedLog;
+import org.marjoramnotch.logic.replication.ReplicationEffects;
+import org.marjoramnotch.logic.replication.ReplicationStatus;
+import org.marjoramnotch.logic.replication.StorageWrite;
+import org.marjoramnotch.model.command.Command;
+import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.NotLeader;
+import org.marjoramnotch.model.message.ReadStatus;
+import org.marjoramnotch.model.replication.ReplicationMessage;
+
+/**
+ * A replica's whole part in a cell, as a deterministic state machine: it applies the log to the
+ * ledger and, while it leads and holds the leader lease, decides. The host calls it from one thread
+ * and takes the effects after each batch of calls.
+ */
+public final class CellCore {
+    private final CellSettings settings;
+    private final ReplicatedLog log;
+    private final PayloadCodec codec;
+    private final CellParts parts;
+    private final LeaderOutput output = new Output();
+
+    private final List<StorageWrite> writes = new ArrayList<>();
+    private final List<ReplicationEffects.Outgoing> messages = new ArrayList<>();
+    private final List<CellReplyTo> replies = new ArrayList<>();
+    private final AwaitedRequests awaited = new AwaitedRequests();
+    private final Map<Long, ProposedCommand> proposed = new HashMap<>();
+
+    private Ledger ledger = new Ledger();
+    private @Nullable LeaderDuties duties;
+    private boolean proposalRefused;
+    private boolean stopping;
+    private long now;
+    private long appliedIndex;
+    private long compactedIndex;
+
+    /** Creates the core over a log whose recovered effects have not been taken yet. */
+    public CellCore(CellSettings settings, ReplicatedLog log, PayloadCodec codec, CellParts parts) {
+        this.settings = settings;
+        this.log = log;
+        this.codec = codec;
+        this.parts = parts;
+    }
+
+    /** Advances time; called about every 20 milliseconds. */
+    public void tick(long nowMilliseconds) {
+        advance(nowMilliseconds);
+        if (duties != null) {
+            duties.onTick(now, output);
+            pump();
+        }
+    }
+
+    /** Takes a message of another replica. */
+    public void receive(long nowMilliseconds, ReplicaId from, ReplicationMessage message) {
+        now = nowMilliseconds;
+        log.receive(now, from, message);
+        pump();
+    }
+
+    /** Takes a request; its reply appears in the effects of this or a later call. */
+    public void request(long nowMilliseconds, RequestHandle handle, CellRequest request) {
+        advance(nowMilliseconds);
+        if (duties == null || stopping) {
+            replies.add(new CellReplyTo(handle, new NotLeader(otherLeader())));
+            return;
+        }
+        if (request instanceof ReadStatus) {
+            replies.add(new CellReplyTo(handle, StatusReport.of(log.status(now), ledger)));
+            return;
+        }
+        awaited.add(handle);
+        duties.onRequest(now, handle, request, output);
+        pump();
+    }
+
+    /** Forms a group of this replica; see {@link ReplicatedLog#form}. */
+    public void form(long nowMilliseconds) {
+        now = nowMilliseconds;
+        log.form(now);
+        pump();
+    }
+
+    /** Removes a VM from the group; see {@link ReplicatedLog#remove}. */
+    public void removeReplica(long nowMilliseconds, VmId vm) {
+        now = nowMilliseconds;
+        log.remove(now, vm);
+        pump();
+    }
+
+    /** Takes no more requests and hands leadership to another replica. */
+    public void prepareStop(long nowMilliseconds) {
+        now = nowMilliseconds;
+        stopping = true;
+        log.transferLeadership(now);
+        pump();
+    }
+
+    /** Returns the effects since the last call and forgets them. */
+    public CellEffects takeEffects() {
+        pump();
+        CellEffects effects =
+                new CellEffects(List.copyOf(writes), List.copyOf(messages), List.copyOf(replies));
+        writes.clear();
+        messages.clear();
+        replies.clear();
+        return effects;
+    }
+
+    /** Tells what this replica knows of its group. */
+    public ReplicationStatus status(long nowMilliseconds) {
+        return log.status(nowMilliseconds);
+    }
+
+    /** Returns the applied state, to be read only. */
+    public Ledger ledger() {
+        return ledger;
+    }
+
+    /** Lets the log notice an expired lease before anything is decided at the new time. */
+    private void advance(long nowMilliseconds) {
+        now = nowMilliseconds;
+        log.tick(now);
+        pump();
+    }
+
+    private void pump() {
+        ReplicationEffects effects = log.takeEffects();
+        boolean more = true;
+        while (more) {
+            stopDecidingUnlessReady();
+            collect(effects);
+            startDecidingIfReady();
+            effects = log.takeEffects();
+            more = !isEmpty(effects);
+        }
+        compactWhenDue();
+    }
+
+    private static boolean isEmpty(ReplicationEffects effects) {
+        return effects.writes().isEmpty()
+                && effects.messages().isEmpty()
+                && effects.restored().isEmpty()
+                && effects.committed().isEmpty();
+    }
+
+    private void collect(ReplicationEffects effects) {
+        writes.addAll(effects.writes());
+        messages.addAll(effects.messages());
+        effects.restored().ifPresent(this::restore);
+        effects.committed().forEach(this::apply);
+    }
+
+    private void restore(ReplicationEffects.RestoredState restored) {
+        ledger = Ledger.restore(codec.decodeSnapshot(restored.state()));
+        appliedIndex = restored.index();
+        compactedIndex = restored.index();
+    }
+
+    private void apply(ReplicationEffects.CommittedEntry entry) {
+        Command command = commandOf(entry);
+        CommandResult result = ledger.apply(command);
+        appliedIndex = entry.index();
+        if (duties != null) {
+            duties.onApplied(now, command, result, output);
+        }
+    }
+
+    /** Spares the leader the decoding of its own proposals. */
+    private Command commandOf(ReplicationEffects.CommittedEntry entry) {
+        ProposedCommand own = proposed.remove(entry.index());
+        return own != null && own.term() == entry.term()
+                ? own.command()
+                : codec.decode(entry.payload());
+    }
+
+    /**
+     * Ends the decisions as soon as the lease may have run out or a proposal was refused, before
+     * entries of a later leader are applied: what the duties would answer then rests on the lease.
+     */
+    private void stopDecidingUnlessReady() {
+        boolean ready = log.ready(now) && !proposalRefused;
+        if (ready || duties == null) {
+            return;
+        }
+        duties = null;
+        proposalRefused = false;
+        proposed.clear();
+        CellReply reply = new NotLeader(otherLeader());
+        awaited.takeAll().forEach(handle -> replies.add(new CellReplyTo(handle, reply)));
+    }
+
+    /** Starts the decisions anew once the ledger has all entries of earlier terms. */
+    private void startDecidingIfReady() {
+        if (duties == null && log.ready(now)) {
+            duties =
+                    new LeaderDuties(
+                            parts.configuration(ledger, now),
+                            parts.placement(ledger, now),
+                            parts.job(ledger, now));
+        }
+    }
+
+    private Optional<VmId> otherLeader() {
+        ReplicationStatus status = log.status(now);
+        return status.leader().filter(leader -> !leader.equals(status.self())).map(ReplicaId::vm);
+    }
+
+    private void compactWhenDue() {
+        if (appliedIndex - compactedIndex >= settings.snapshotEveryEntries()) {
+            log.compact(appliedIndex, codec.encodeSnapshot(ledger.snapshot()));
+            compactedIndex = appliedIndex;
+        }
+    }
+
+    /** Sends proposals to the log and replies to those who still await them. */
+    private final class Output implements LeaderOutput {
+        @Override
+        public void propose(Command command) {
+            OptionalLong index = log.propose(now, codec.encode(command));
+            if (index.isEmpty()) {
+                proposalRefused = true;
+                return;
+            }
+            long term = log.status(now).term();
+            proposed.put(index.getAsLong(), new ProposedCommand(term, command));
+        }
+
+        @Override
+        public void reply(RequestHandle handle, CellReply reply) {
+            if (awaited.remove(handle)) {
+                replies.add(new CellReplyTo(handle, reply));
+            }
+        }
+    }
+
+    /** A command that this replica appended in a term. */
+    private record ProposedCommand(long term, Command command) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellReplyTo.java
@@ -0,0 +1,12 @@
+package org.marjoramnotch.logic.cell;
+
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.message.CellReply;
+
+/**
+ * A reply on its way.
+ *
+ * @param handle the request that it answers
+ * @param reply the reply
+ */
+public record CellReplyTo(RequestHandle handle, CellReply reply) {}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/LeaderDuties.java
@@ -0,0 +1,76 @@
+package org.marjoramnotch.logic.cell;
+
+import java.util.List;
+import org.marjoramnotch.logic.leader.LeaderDuty;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.command.Command;
+import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.message.AnnounceEndpoint;
+import org.marjoramnotch.model.message.AnnounceWorker;
+import org.marjoramnotch.model.message.ApplyRules;
+import org.marjoramnotch.model.message.CancelJobRequest;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.EndAttempt;
+import org.marjoramnotch.model.message.PlaceRequest;
+import org.marjoramnotch.model.message.ReadJob;
+import org.marjoramnotch.model.message.ReadRules;
+import org.marjoramnotch.model.message.RenewEntry;
+import org.marjoramnotch.model.message.RenewWorker;
+import org.marjoramnotch.model.message.SubmitJobRequest;
+
+/** The parts of a leader's decisions for one term of leadership, and which requests are whose. */
+final class LeaderDuties implements LeaderDuty {
+    private final LeaderDuty configuration;
+    private final LeaderDuty placement;
+    private final LeaderDuty job;
+    private final List<LeaderDuty> all;
+
+    LeaderDuties(LeaderDuty configuration, LeaderDuty placement, LeaderDuty job) {
+        this.configuration = configuration;
+        this.placement = placement;
+        this.job = job;
+        this.all = List.of(configuration, placement, job);
+    }
+
+    @Override
+    public void onRequest(
+            long nowMilliseconds, RequestHandle handle, CellRequest request, LeaderOutput output) {
+        dutyOf(request).onRequest(nowMilliseconds, handle, request, output);
+    }
+
+    @Override
+    public void onApplied(
+            long nowMilliseconds, Command command, CommandResult result, LeaderOutput output) {
+        for (LeaderDuty duty : all) {
+            duty.onApplied(nowMilliseconds, command, result, output);
+        }
+    }
+
+    @Override
+    public void onTick(long nowMilliseconds, LeaderOutput output) {
+        for (LeaderDuty duty : all) {
+            duty.onTick(nowMilliseconds, output);
+        }
+    }
+
+    private LeaderDuty dutyOf(CellRequest request) {
+        if (request instanceof ApplyRules || request instanceof ReadRules) {
+            return configuration;
+        }
+        if (request instanceof PlaceRequest
+                || request instanceof EndAttempt
+                || request instanceof RenewEntry
+                || request instanceof AnnounceEndpoint) {
+            return placement;
+        }
+        if (request instanceof AnnounceWorker
+                || request instanceof RenewWorker
+                || request instanceof SubmitJobRequest
+                || request instanceof ReadJob
+                || request instanceof CancelJobRequest) {
+            return job;
+        }
+        throw new IllegalArgumentException("No duty takes " + request.getClass().getSimpleName());
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/replication/ReplicatedLog.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ReplicatedLog.java
@@ -51,6 +51,11 @@
     /** Returns the effects since the last call and forgets them. */
     ReplicationEffects takeEffects();
 
+    /** Tells whether this replica may decide now; see {@link ReplicationStatus#ready()}. */
+    default boolean ready(long nowMilliseconds) {
+        return status(nowMilliseconds).ready();
+    }
+
     /** Tells what this replica knows of the group. */
     ReplicationStatus status(long nowMilliseconds);
 }
