--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
@@ -0,0 +1,78 @@
+package org.marjoramnotch.daemon.duty;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.marjoramnotch.logic.cell.CellCore;
+import org.marjoramnotch.logic.cell.CellEffects;
+import org.marjoramnotch.logic.replication.StorageWrite;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.message.Done;
+
+/**
+ * Runs the core of a replica. The writes of a whole batch of inputs are synced at once, and nothing
+ * leaves before.
+ */
+public final class CellDuty implements DutyWork<CellInput> {
+    /** Interval of the core's timers. */
+    public static final long TICK_MILLISECONDS = 20;
+
+    private final CellCore core;
+    private final Consumer<List<StorageWrite>> storage;
+    private final CellOutput output;
+
+    /**
+     * Creates the duty.
+     *
+     * @param storage stores writes and returns once they are synced
+     */
+    public CellDuty(CellCore core, Consumer<List<StorageWrite>> storage, CellOutput output) {
+        this.core = core;
+        this.storage = storage;
+        this.output = output;
+    }
+
+    @Override
+    public void receive(long nowMilliseconds, CellInput input) {
+        if (input instanceof CellInput.Message message) {
+            core.receive(nowMilliseconds, message.from(), message.message());
+        } else if (input instanceof CellInput.Request request) {
+            core.request(nowMilliseconds, request.handle(), request.request());
+        } else if (input instanceof CellInput.Form form) {
+            attempt(form.result(), () -> core.form(nowMilliseconds));
+        } else if (input instanceof CellInput.RemoveReplica remove) {
+            attempt(remove.result(), () -> core.removeReplica(nowMilliseconds, remove.vm()));
+        } else if (input instanceof CellInput.PrepareStop stop) {
+            attempt(stop.result(), () -> core.prepareStop(nowMilliseconds));
+        } else if (input instanceof CellInput.ReadReplication read) {
+            read.result().complete(core.status(nowMilliseconds));
+        }
+    }
+
+    @Override
+    public void flush(long nowMilliseconds) {
+        CellEffects effects = core.takeEffects();
+        if (!effects.writes().isEmpty()) {
+            storage.accept(effects.writes());
+        }
+        effects.messages().forEach(output::send);
+        effects.replies().forEach(output::reply);
+    }
+
+    @Override
+    public void tick(long nowMilliseconds) {
+        core.tick(nowMilliseconds);
+    }
+
+    /** Answers a command of the operator; its refusal is no failure of the duty. */
+    private void attempt(CompletableFuture<Done> result, Runnable command) {
+        try {
+            command.run();
+        } catch (MarjoramnotchException refusal) {
+            result.completeExceptionally(refusal);
+            return;
+        }
+        flush(0);
+        result.complete(new Done());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellInput.java
@@ -0,0 +1,58 @@
+package org.marjoramnotch.daemon.duty;
+
+import java.util.concurrent.CompletableFuture;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.logic.replication.ReplicationStatus;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.replication.ReplicationMessage;
+
+/** Input of the {@link CellDuty}. */
+public sealed interface CellInput {
+    /**
+     * A message of another replica.
+     *
+     * @param from the sender
+     * @param message the message
+     */
+    record Message(ReplicaId from, ReplicationMessage message) implements CellInput {}
+
+    /**
+     * A request to the leader.
+     *
+     * @param handle names it for the reply
+     * @param request the request
+     */
+    record Request(RequestHandle handle, CellRequest request) implements CellInput {}
+
+    /**
+     * The operator's command to form a group.
+     *
+     * @param result done, or failed with the refusal
+     */
+    record Form(CompletableFuture<Done> result) implements CellInput {}
+
+    /**
+     * The operator's command to remove a replica.
+     *
+     * @param vm the VM of the replica
+     * @param result done, or failed with the refusal
+     */
+    record RemoveReplica(VmId vm, CompletableFuture<Done> result) implements CellInput {}
+
+    /**
+     * The process is about to stop.
+     *
+     * @param result done once leadership is being handed over
+     */
+    record PrepareStop(CompletableFuture<Done> result) implements CellInput {}
+
+    /**
+     * Asks what the replica knows of its group.
+     *
+     * @param result the answer
+     */
+    record ReadReplication(CompletableFuture<ReplicationStatus> result) implements CellInput {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellOutput.java
@@ -0,0 +1,13 @@
+package org.marjoramnotch.daemon.duty;
+
+import org.marjoramnotch.logic.cell.CellReplyTo;
+import org.marjoramnotch.logic.replication.ReplicationEffects;
+
+/** Takes what leaves a replica once its writes are synced. */
+public interface CellOutput {
+    /** Sends a message to another replica; it may be lost. */
+    void send(ReplicationEffects.Outgoing message);
+
+    /** Sends a reply by the link that the request came by; it may be lost. */
+    void reply(CellReplyTo reply);
+}
--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/Duty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/Duty.java
@@ -81,16 +81,13 @@
                 input.await(nextTickMilliseconds - now);
                 now = clock.nowMilliseconds();
             }
-            boolean ticked = now >= nextTickMilliseconds;
-            if (ticked) {
+            if (now >= nextTickMilliseconds) {
                 work.tick(now);
                 nextTickMilliseconds = now + tickMilliseconds;
             }
             long batchTime = now;
-            int taken = input.drain(value -> work.receive(batchTime, value), LARGEST_BATCH);
-            if (ticked || taken > 0) {
-                work.flush(now);
-            }
+            input.drain(value -> work.receive(batchTime, value), LARGEST_BATCH);
+            work.flush(now);
             return true;
         } catch (RuntimeException | Error thrown) {
             failure.accept(thrown);
--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/DutyInput.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/DutyInput.java
@@ -33,8 +33,8 @@
         return true;
     }
 
-    /** Makes an idle duty return from its wait. */
-    void wake() {
+    /** Makes an idle duty return from its wait and flush. */
+    public void wake() {
         Thread idle = parked.getAndSet(null);
         if (idle != null) {
             LockSupport.unpark(idle);
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClient.java
@@ -0,0 +1,53 @@
+package org.marjoramnotch.daemon.link;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.marjoramnotch.daemon.duty.DutyInput;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.Refusal;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.Refused;
+
+/** Sends requests to the leader of the cell, wherever it is, until their deadlines. */
+public final class CellClient {
+    private final DutyInput<ClientInput> input;
+
+    /** Creates a client that hands requests to the duty of the ring. */
+    CellClient(DutyInput<ClientInput> input) {
+        this.input = input;
+    }
+
+    /**
+     * Sends a request; it is sent again, unchanged, when a link or leader is lost.
+     *
+     * @param deadlineMilliseconds time of the process's clock at which a reply is no longer awaited
+     * @return the leader's reply; never {@code NotLeader}, and refused with {@code NO_LEADER} at
+     *     the deadline or {@code OVERLOADED} if too many wait
+     */
+    public CompletionStage<CellReply> send(CellRequest request, long deadlineMilliseconds) {
+        CompletableFuture<CellReply> result = new CompletableFuture<>();
+        if (!input.offer(new ClientInput.Submit(request, deadlineMilliseconds, result))) {
+            result.complete(overloaded());
+        }
+        return result;
+    }
+
+    /** Takes a reply that came from a replica; false if it had to be dropped. */
+    boolean onReply(VmId from, long correlation, CellReply reply) {
+        return input.offer(new ClientInput.Reply(from, correlation, reply));
+    }
+
+    /** Sends the requests of a lost link elsewhere; false if their own timeouts must do it. */
+    boolean onLinkLost(VmId replica) {
+        return input.offer(new ClientInput.LinkLost(replica));
+    }
+
+    static Refused overloaded() {
+        return new Refused(
+                Refusal.notRun(
+                        ErrorCode.OVERLOADED,
+                        "Too many requests wait for the leader; retry after a pause."));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClientDuty.java
@@ -0,0 +1,196 @@
+package org.marjoramnotch.daemon.link;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.marjoramnotch.daemon.duty.DutyWork;
+import org.marjoramnotch.daemon.metrics.CountedEvent;
+import org.marjoramnotch.daemon.metrics.DaemonMetrics;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.ExecutionOutcome;
+import org.marjoramnotch.model.error.Refusal;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.EndAttempt;
+import org.marjoramnotch.model.message.NotLeader;
+import org.marjoramnotch.model.message.PlaceRequest;
+import org.marjoramnotch.model.message.ReadJob;
+import org.marjoramnotch.model.message.ReadRules;
+import org.marjoramnotch.model.message.ReadStatus;
+import org.marjoramnotch.model.message.Refused;
+
+/** Finds the leader and keeps each request going until a reply or its deadline. */
+final class CellClientDuty implements DutyWork<ClientInput> {
+    static final long TICK_MILLISECONDS = 50;
+    private static final long RETRY_PAUSE_MILLISECONDS = 50;
+    private static final long REPLY_TIMEOUT_MILLISECONDS = 2_000;
+
+    private final List<VmId> replicas;
+    private final CellTransport transport;
+    private final DaemonMetrics metrics;
+    private final int largestPending;
+    private final Map<Long, PendingRequest> byCorrelation = new HashMap<>();
+    private final Set<PendingRequest> pending = new LinkedHashSet<>();
+    private long nextCorrelation = 1;
+    private int leaderGuess;
+
+    CellClientDuty(
+            List<VmId> replicas,
+            CellTransport transport,
+            DaemonMetrics metrics,
+            int largestPending) {
+        this.replicas = List.copyOf(replicas);
+        this.transport = transport;
+        this.metrics = metrics;
+        this.largestPending = largestPending;
+    }
+
+    @Override
+    public void receive(long nowMilliseconds, ClientInput input) {
+        if (input instanceof ClientInput.Submit submit) {
+            submit(nowMilliseconds, submit);
+        } else if (input instanceof ClientInput.Reply reply) {
+            onReply(nowMilliseconds, reply);
+        } else if (input instanceof ClientInput.LinkLost lost) {
+            onLinkLost(nowMilliseconds, lost.replica());
+        }
+    }
+
+    @Override
+    public void flush(long nowMilliseconds) {}
+
+    @Override
+    public void tick(long nowMilliseconds) {
+        for (PendingRequest request : new ArrayList<>(pending)) {
+            if (nowMilliseconds >= request.deadlineMilliseconds) {
+                finish(request, unanswered(request));
+            } else if (nowMilliseconds >= request.nextTryMilliseconds) {
+                if (request.target != null) {
+                    guessAfter(request.target);
+                }
+                send(nowMilliseconds, request);
+            }
+        }
+    }
+
+    private void submit(long nowMilliseconds, ClientInput.Submit submit) {
+        if (pending.size() >= largestPending) {
+            submit.result().complete(CellClient.overloaded());
+            return;
+        }
+        PendingRequest request =
+                new PendingRequest(
+                        submit.request(), submit.deadlineMilliseconds(), submit.result());
+        pending.add(request);
+        send(nowMilliseconds, request);
+    }
+
+    /** Sends to the supposed leader, or to the next replica whose link takes the request. */
+    private void send(long nowMilliseconds, PendingRequest request) {
+        long correlation = nextCorrelation++;
+        for (int tries = 0; tries < replicas.size(); tries++) {
+            VmId target = replicas.get(leaderGuess);
+            if (transport.send(target, correlation, request.request)) {
+                request.target = target;
+                request.correlations.add(correlation);
+                byCorrelation.put(correlation, request);
+                request.nextTryMilliseconds =
+                        nowMilliseconds + request.holdMilliseconds() + REPLY_TIMEOUT_MILLISECONDS;
+                return;
+            }
+            guessAfter(target);
+        }
+        request.target = null;
+        request.nextTryMilliseconds = nowMilliseconds + RETRY_PAUSE_MILLISECONDS;
+    }
+
+    private void onReply(long nowMilliseconds, ClientInput.Reply reply) {
+        PendingRequest request = byCorrelation.get(reply.correlation());
+        if (request == null) {
+            metrics.count(CountedEvent.ANSWER_DISCARDED);
+            return;
+        }
+        if (reply.reply() instanceof NotLeader notLeader) {
+            followHint(nowMilliseconds, request, reply.from(), notLeader);
+            return;
+        }
+        if (wasNotTaken(reply.reply()) && request.correlations.size() > 1) {
+            request.target = null;
+            request.nextTryMilliseconds = nowMilliseconds + RETRY_PAUSE_MILLISECONDS;
+            return;
+        }
+        finish(request, reply.reply());
+    }
+
+    /** Tells whether a replica was too busy to look at the request; earlier tries may have been. */
+    private static boolean wasNotTaken(CellReply reply) {
+        return reply instanceof Refused refused
+                && refused.refusal().code() == ErrorCode.OVERLOADED
+                && refused.refusal().outcome() == ExecutionOutcome.NOT_RUN;
+    }
+
+    private void followHint(
+            long nowMilliseconds, PendingRequest request, VmId from, NotLeader notLeader) {
+        if (!from.equals(request.target)) {
+            return;
+        }
+        int hinted = notLeader.leader().map(replicas::indexOf).orElse(-1);
+        request.target = null;
+        if (hinted >= 0 && !replicas.get(hinted).equals(from)) {
+            leaderGuess = hinted;
+            boolean firstHint = request.correlations.size() <= 1;
+            if (firstHint) {
+                send(nowMilliseconds, request);
+                return;
+            }
+        } else {
+            guessAfter(from);
+        }
+        request.nextTryMilliseconds = nowMilliseconds + RETRY_PAUSE_MILLISECONDS;
+    }
+
+    private void onLinkLost(long nowMilliseconds, VmId replica) {
+        guessAfter(replica);
+        for (PendingRequest request : new ArrayList<>(pending)) {
+            if (replica.equals(request.target)) {
+                send(nowMilliseconds, request);
+            }
+        }
+    }
+
+    private void guessAfter(VmId replica) {
+        if (replicas.get(leaderGuess).equals(replica)) {
+            leaderGuess = (leaderGuess + 1) % replicas.size();
+        }
+    }
+
+    private void finish(PendingRequest request, CellReply reply) {
+        pending.remove(request);
+        request.correlations.forEach(byCorrelation::remove);
+        request.result.complete(reply);
+    }
+
+    private static Refused unanswered(PendingRequest request) {
+        boolean without = request.correlations.isEmpty() || hasNoEffectOfItsOwn(request.request);
+        ExecutionOutcome outcome = without ? ExecutionOutcome.NOT_RUN : ExecutionOutcome.UNKNOWN;
+        return new Refused(
+                new Refusal(
+                        ErrorCode.NO_LEADER,
+                        outcome,
+                        "No leader answered in time; send the same request again, and have an"
+                                + " operator look at the replicas if this goes on."));
+    }
+
+    /** Tells whether nothing that the caller asked for can have come of the request alone. */
+    private static boolean hasNoEffectOfItsOwn(CellRequest request) {
+        return request instanceof PlaceRequest
+                || request instanceof EndAttempt
+                || request instanceof ReadJob
+                || request instanceof ReadRules
+                || request instanceof ReadStatus;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/GrpcLinkConnection.java
@@ -0,0 +1,102 @@
+package org.marjoramnotch.daemon.link;
+
+import io.grpc.ManagedChannel;
+import io.grpc.stub.ClientCallStreamObserver;
+import io.grpc.stub.ClientResponseObserver;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.model.time.Clock;
+import org.marjoramnotch.wire.generated.Frame;
+import org.marjoramnotch.wire.generated.PeerLinkGrpc;
+
+/** Connection of a link on a gRPC channel of its own. */
+final class GrpcLinkConnection implements LinkConnection, ClientResponseObserver<Frame, Frame> {
+    private final ManagedChannel channel;
+    private final Clock clock;
+    private final Consumer<Frame> received;
+    private final Runnable ready;
+    private volatile @Nullable ClientCallStreamObserver<Frame> requests;
+    private volatile long lastHeardMilliseconds;
+    private volatile boolean heardAnything;
+    private volatile boolean closed;
+
+    private GrpcLinkConnection(
+            ManagedChannel channel, Clock clock, Consumer<Frame> received, Runnable ready) {
+        this.channel = channel;
+        this.clock = clock;
+        this.received = received;
+        this.ready = ready;
+        this.lastHeardMilliseconds = clock.nowMilliseconds();
+    }
+
+    /** Starts the exchange on a channel, which this connection owns from now on. */
+    static GrpcLinkConnection start(
+            ManagedChannel channel,
+            Clock clock,
+            Frame hello,
+            Consumer<Frame> received,
+            Runnable ready) {
+        GrpcLinkConnection connection = new GrpcLinkConnection(channel, clock, received, ready);
+        PeerLinkGrpc.newStub(channel).exchange(connection);
+        connection.send(hello);
+        return connection;
+    }
+
+    @Override
+    public void beforeStart(ClientCallStreamObserver<Frame> stream) {
+        requests = stream;
+        stream.setOnReadyHandler(ready);
+    }
+
+    @Override
+    public void onNext(Frame frame) {
+        lastHeardMilliseconds = clock.nowMilliseconds();
+        heardAnything = true;
+        received.accept(frame);
+    }
+
+    @Override
+    public void onError(Throwable failure) {
+        closed = true;
+    }
+
+    @Override
+    public void onCompleted() {
+        closed = true;
+    }
+
+    @Override
+    public boolean isReady() {
+        ClientCallStreamObserver<Frame> stream = requests;
+        return stream != null && !closed && stream.isReady();
+    }
+
+    @Override
+    public void send(Frame frame) {
+        ClientCallStreamObserver<Frame> stream = requests;
+        if (stream != null && !closed) {
+            stream.onNext(frame);
+        }
+    }
+
+    @Override
+    public long lastHeardMilliseconds() {
+        return lastHeardMilliseconds;
+    }
+
+    @Override
+    public boolean heardAnything() {
+        return heardAnything;
+    }
+
+    @Override
+    public boolean isClosed() {
+        return closed;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        channel.shutdownNow();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/PeerLink.java
@@ -0,0 +1,133 @@
+package org.marjoramnotch.daemon.link;
+
+import java.util.ArrayDeque;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.daemon.duty.DutyInput;
+import org.marjoramnotch.daemon.duty.DutyWork;
+import org.marjoramnotch.daemon.log.LogEvent;
+import org.marjoramnotch.daemon.metrics.CountedEvent;
+import org.marjoramnotch.daemon.metrics.DaemonMetrics;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.wire.Frames;
+import org.marjoramnotch.wire.generated.Frame;
+
+/**
+ * Keeps a link to one replica: opens it, sends heartbeats, and replaces it by a new connection when
+ * nothing was heard within the deadline.
+ */
+final class PeerLink implements DutyWork<Frame> {
+    static final long HEARTBEAT_INTERVAL_MILLISECONDS = 300;
+    private static final int LARGEST_BACKLOG_FRAMES = 4096;
+    private static final Logger LOGGER = Logger.getLogger(PeerLink.class);
+
+    private final VmId replica;
+    private final DutyInput<Frame> input;
+    private final LinkConnector connector;
+    private final Frames frames;
+    private final DaemonMetrics metrics;
+    private final Runnable lost;
+    private final long deadlineMilliseconds;
+    private final ArrayDeque<Frame> backlog = new ArrayDeque<>();
+    private volatile @Nullable LinkConnection connection;
+    private long openedMilliseconds;
+    private long heartbeatSequence;
+    private boolean loggedDown;
+
+    PeerLink(
+            VmId replica,
+            DutyInput<Frame> input,
+            LinkConnector connector,
+            Frames frames,
+            DaemonMetrics metrics,
+            Runnable lost,
+            long deadlineMilliseconds) {
+        this.replica = replica;
+        this.input = input;
+        this.connector = connector;
+        this.frames = frames;
+        this.metrics = metrics;
+        this.lost = lost;
+        this.deadlineMilliseconds = deadlineMilliseconds;
+    }
+
+    /** Takes a frame for sending; false if the link is down or full. Any thread may call it. */
+    boolean offer(Frame frame) {
+        LinkConnection current = connection;
+        return current != null && current.heardAnything() && input.offer(frame);
+    }
+
+    @Override
+    public void receive(long nowMilliseconds, Frame frame) {
+        if (backlog.size() >= LARGEST_BACKLOG_FRAMES) {
+            backlog.removeFirst();
+            metrics.count(CountedEvent.MESSAGE_DROPPED);
+        }
+        backlog.add(frame);
+    }
+
+    @Override
+    public void flush(long nowMilliseconds) {
+        LinkConnection current = connection;
+        if (current == null) {
+            dropBacklog();
+            return;
+        }
+        while (!backlog.isEmpty() && current.isReady()) {
+            current.send(backlog.removeFirst());
+        }
+    }
+
+    @Override
+    public void tick(long nowMilliseconds) {
+        LinkConnection current = connection;
+        if (current != null && isBroken(nowMilliseconds, current)) {
+            replace(current);
+            current = null;
+        }
+        if (current == null) {
+            connection = connector.open(input::wake);
+            openedMilliseconds = nowMilliseconds;
+        } else if (current.isReady()) {
+            current.send(frames.heartbeat(++heartbeatSequence));
+        }
+        if (loggedDown && current != null && current.heardAnything()) {
+            loggedDown = false;
+            LogEvent.of("link_up").with("replica", replica).info(LOGGER);
+        }
+    }
+
+    /** Closes the link for good. */
+    void close() {
+        LinkConnection current = connection;
+        connection = null;
+        if (current != null) {
+            current.close();
+        }
+    }
+
+    private boolean isBroken(long nowMilliseconds, LinkConnection current) {
+        long heard = Math.max(openedMilliseconds, current.lastHeardMilliseconds());
+        return current.isClosed() || nowMilliseconds - heard > deadlineMilliseconds;
+    }
+
+    private void replace(LinkConnection broken) {
+        connection = null;
+        broken.close();
+        dropBacklog();
+        metrics.count(CountedEvent.LINK_REPLACED);
+        lost.run();
+        if (!loggedDown) {
+            loggedDown = true;
+            LogEvent.of("link_replaced")
+                    .with("replica", replica)
+                    .with("cause", broken.isClosed() ? "closed" : "silent")
+                    .warn(LOGGER);
+        }
+    }
+
+    private void dropBacklog() {
+        backlog.forEach(frame -> metrics.count(CountedEvent.MESSAGE_DROPPED));
+        backlog.clear();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/PeerLinkService.java
@@ -0,0 +1,97 @@
+package org.marjoramnotch.daemon.link;
+
+import io.grpc.stub.ServerCallStreamObserver;
+import io.grpc.stub.StreamObserver;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.marjoramnotch.daemon.duty.CellInput;
+import org.marjoramnotch.daemon.duty.DutyInput;
+import org.marjoramnotch.daemon.metrics.CountedEvent;
+import org.marjoramnotch.daemon.metrics.DaemonMetrics;
+import org.marjoramnotch.logic.cell.CellReplyTo;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.time.Clock;
+import org.marjoramnotch.wire.AddressedMessage;
+import org.marjoramnotch.wire.Frames;
+import org.marjoramnotch.wire.generated.CellRequestFrame;
+import org.marjoramnotch.wire.generated.Frame;
+import org.marjoramnotch.wire.generated.PeerLinkGrpc;
+
+/** Accepts links to this replica and hands their frames to its core. */
+final class PeerLinkService extends PeerLinkGrpc.PeerLinkImplBase implements AcceptedFrames {
+    private final DutyInput<CellInput> cell;
+    private final Frames frames;
+    private final DaemonMetrics metrics;
+    private final Clock clock;
+    private final AtomicLong accepted = new AtomicLong();
+    private final Map<String, AcceptedLink> links = new ConcurrentHashMap<>();
+
+    PeerLinkService(DutyInput<CellInput> cell, Frames frames, DaemonMetrics metrics, Clock clock) {
+        this.cell = cell;
+        this.frames = frames;
+        this.metrics = metrics;
+        this.clock = clock;
+    }
+
+    @Override
+    public StreamObserver<Frame> exchange(StreamObserver<Frame> responses) {
+        AcceptedLink link =
+                new AcceptedLink(
+                        "accepted-" + accepted.incrementAndGet(),
+                        (ServerCallStreamObserver<Frame>) responses,
+                        this,
+                        metrics,
+                        clock);
+        links.put(link.name(), link);
+        return link;
+    }
+
+    @Override
+    public void accept(AcceptedLink link, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case HEARTBEAT -> link.send(frame);
+            case REPLICATION -> acceptReplication(frame);
+            case CELL_REQUEST -> acceptRequest(link, frame.getCellRequest());
+            default -> {
+                // Hello needs no answer, and frames of later releases are passed over.
+            }
+        }
+    }
+
+    @Override
+    public void ended(AcceptedLink link) {
+        links.remove(link.name());
+    }
+
+    /** Sends a reply by the link that its request came by, if it is still there. */
+    void reply(CellReplyTo reply) {
+        AcceptedLink link = links.get(reply.handle().link());
+        if (link == null) {
+            metrics.count(CountedEvent.REPLY_DROPPED);
+            return;
+        }
+        link.send(frames.reply(reply.handle().correlation(), reply.reply()));
+    }
+
+    /** Ends the links that were not heard of within the deadline. */
+    void closeSilentLinks(long nowMilliseconds, long deadlineMilliseconds) {
+        links.values().forEach(link -> link.closeIfSilent(nowMilliseconds, deadlineMilliseconds));
+    }
+
+    private void acceptReplication(Frame frame) {
+        AddressedMessage message = frames.replicationOf(frame);
+        if (!cell.offer(new CellInput.Message(message.from(), message.message()))) {
+            metrics.count(CountedEvent.MESSAGE_DROPPED);
+        }
+    }
+
+    private void acceptRequest(AcceptedLink link, CellRequestFrame frame) {
+        CellRequest request = frames.requestOf(frame);
+        RequestHandle handle = new RequestHandle(link.name(), frame.getCorrelation());
+        if (!cell.offer(new CellInput.Request(handle, request))) {
+            link.send(frames.reply(frame.getCorrelation(), CellClient.overloaded()));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/PendingRequest.java
@@ -0,0 +1,43 @@
+package org.marjoramnotch.daemon.link;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.PlaceRequest;
+import org.marjoramnotch.model.message.ReadJob;
+import org.marjoramnotch.model.message.RenewWorker;
+
+/** A request that awaits the leader's reply, with the tries that were made. */
+final class PendingRequest {
+    final CellRequest request;
+    final long deadlineMilliseconds;
+    final CompletableFuture<CellReply> result;
+    final List<Long> correlations = new ArrayList<>();
+    @Nullable VmId target;
+    long nextTryMilliseconds;
+
+    PendingRequest(
+            CellRequest request, long deadlineMilliseconds, CompletableFuture<CellReply> result) {
+        this.request = request;
+        this.deadlineMilliseconds = deadlineMilliseconds;
+        this.result = result;
+    }
+
+    /** Returns how long the leader may hold the reply on purpose. */
+    long holdMilliseconds() {
+        if (request instanceof PlaceRequest place) {
+            return place.waitMilliseconds();
+        }
+        if (request instanceof ReadJob read) {
+            return read.waitMilliseconds();
+        }
+        if (request instanceof RenewWorker renew) {
+            return renew.waitMilliseconds();
+        }
+        return 0;
+    }
+}
