Read daemon settings from a JSON file that is checked as a whole

Cause: a daemon has no settings yet; a typing error in one must be told before the daemon starts. Ruled out: Jackson's own unknown-field errors, which stop at the first.

--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/DaemonSettings.java
@@ -0,0 +1,173 @@
+package org.marjoramnotch.daemon.settings;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.databind.annotation.JsonDeserialize;
+import com.fasterxml.jackson.databind.annotation.JsonPOJOBuilder;
+import java.nio.file.Path;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.model.identifier.AvailabilityZone;
+import org.marjoramnotch.model.identifier.VmId;
+
+/**
+ * All settings of one daemon.
+ *
+ * @param vm the VM it runs on
+ * @param availabilityZone the availability zone of the VM
+ * @param roles its parts in the cell, at least one
+ * @param httpHost the IP number that callers, endpoints, workers and operators reach it at
+ * @param httpPort the TCP port for them; 0 lets the system choose
+ * @param linkHost the IP number that other daemons reach it at
+ * @param linkPort the TCP port for them; 0 lets the system choose
+ * @param replicas the link addresses of all replicas of the cell, this one included if it is one
+ * @param dataFolder where a replica keeps its log; present for the role {@link DaemonRole#REPLICA}
+ * @param operatorKeySha256File the file with the SHA-256 of the operator key, see {@link
+ *     OperatorKeyHash}
+ * @param logLevel the least severe log level that is written
+ * @param limits bounds and intervals
+ */
+@JsonDeserialize(builder = DaemonSettings.Builder.class)
+public record DaemonSettings(
+        VmId vm,
+        AvailabilityZone availabilityZone,
+        Set<DaemonRole> roles,
+        String httpHost,
+        int httpPort,
+        String linkHost,
+        int linkPort,
+        List<ReplicaAddress> replicas,
+        Optional<Path> dataFolder,
+        Path operatorKeySha256File,
+        Logger.Level logLevel,
+        DaemonLimits limits) {
+
+    /** Copies the collections, so that the settings stay as they are. */
+    public DaemonSettings {
+        roles = Set.copyOf(roles);
+        replicas = List.copyOf(replicas);
+    }
+
+    /** Tells whether the daemon plays this part. */
+    public boolean has(DaemonRole role) {
+        return roles.contains(role);
+    }
+
+    /** Returns a builder without the required settings. */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /** Collects settings; what has a default may be left out. */
+    @JsonPOJOBuilder(withPrefix = "")
+    @JsonIgnoreProperties("$schema")
+    public static final class Builder {
+        private @Nullable VmId vm;
+        private @Nullable AvailabilityZone availabilityZone;
+        private Set<DaemonRole> roles = EnumSet.of(DaemonRole.ENTRY);
+        private @Nullable String httpHost;
+        private int httpPort;
+        private @Nullable String linkHost;
+        private int linkPort;
+        private List<ReplicaAddress> replicas = List.of();
+        private @Nullable Path dataFolder;
+        private @Nullable Path operatorKeySha256File;
+        private Logger.Level logLevel = Logger.Level.INFO;
+        private DaemonLimits limits = DaemonLimits.defaults();
+
+        private Builder() {}
+
+        /** Sets the VM. */
+        public Builder vm(VmId value) {
+            vm = value;
+            return this;
+        }
+
+        /** Sets the availability zone. */
+        public Builder availabilityZone(AvailabilityZone value) {
+            availabilityZone = value;
+            return this;
+        }
+
+        /** Sets the parts in the cell. */
+        public Builder roles(Set<DaemonRole> value) {
+            roles = value;
+            return this;
+        }
+
+        /** Sets the IP number for HTTP. */
+        public Builder httpHost(String value) {
+            httpHost = value;
+            return this;
+        }
+
+        /** Sets the TCP port for HTTP. */
+        public Builder httpPort(int value) {
+            httpPort = value;
+            return this;
+        }
+
+        /** Sets the IP number for links. */
+        public Builder linkHost(String value) {
+            linkHost = value;
+            return this;
+        }
+
+        /** Sets the TCP port for links. */
+        public Builder linkPort(int value) {
+            linkPort = value;
+            return this;
+        }
+
+        /** Sets the link addresses of all replicas. */
+        public Builder replicas(List<ReplicaAddress> value) {
+            replicas = value;
+            return this;
+        }
+
+        /** Sets the folder of a replica's log. */
+        public Builder dataFolder(Path value) {
+            dataFolder = value;
+            return this;
+        }
+
+        /** Sets the file with the SHA-256 of the operator key. */
+        public Builder operatorKeySha256File(Path value) {
+            operatorKeySha256File = value;
+            return this;
+        }
+
+        /** Sets the log level. */
+        public Builder logLevel(Logger.Level value) {
+            logLevel = value;
+            return this;
+        }
+
+        /** Sets bounds and intervals. */
+        public Builder limits(DaemonLimits value) {
+            limits = value;
+            return this;
+        }
+
+        /** Returns the settings; the required ones must have been set. */
+        public DaemonSettings build() {
+            return new DaemonSettings(
+                    Objects.requireNonNull(vm, "vm"),
+                    Objects.requireNonNull(availabilityZone, "availabilityZone"),
+                    roles,
+                    Objects.requireNonNull(httpHost, "httpHost"),
+                    httpPort,
+                    Objects.requireNonNull(linkHost, "linkHost"),
+                    linkPort,
+                    replicas,
+                    Optional.ofNullable(dataFolder),
+                    Objects.requireNonNull(operatorKeySha256File, "operatorKeySha256File"),
+                    logLevel,
+                    limits);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/SettingsConsistency.java
@@ -0,0 +1,57 @@
+package org.marjoramnotch.daemon.settings;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.marjoramnotch.model.identifier.VmId;
+
+/** Checks settings against each other, beyond what the JSON schema can say of each. */
+final class SettingsConsistency {
+    private SettingsConsistency() {}
+
+    /** Returns every problem with its remedy. */
+    static List<String> problems(DaemonSettings settings) {
+        List<String> problems = new ArrayList<>();
+        checkReplicas(settings, problems);
+        checkIntervals(settings.limits(), problems);
+        return problems;
+    }
+
+    private static void checkReplicas(DaemonSettings settings, List<String> problems) {
+        Set<VmId> seen = new HashSet<>();
+        for (ReplicaAddress replica : settings.replicas()) {
+            if (!seen.add(replica.vm())) {
+                problems.add(
+                        "replicas: VM " + replica.vm() + " is listed twice; keep one address.");
+            }
+        }
+        if (settings.has(DaemonRole.REPLICA) && !seen.contains(settings.vm())) {
+            problems.add(
+                    "replicas: this VM "
+                            + settings.vm()
+                            + " has the role replica but is not listed; add its link address.");
+        }
+    }
+
+    private static void checkIntervals(DaemonLimits limits, List<String> problems) {
+        if (limits.electionTimeoutMaximumMilliseconds()
+                <= limits.electionTimeoutMinimumMilliseconds()) {
+            problems.add(
+                    "limits.electionTimeoutMaximumMilliseconds: must be above"
+                            + " electionTimeoutMinimumMilliseconds, so that elections spread.");
+        }
+        if (limits.heartbeatIntervalMilliseconds() * 2L
+                > limits.electionTimeoutMinimumMilliseconds()) {
+            problems.add(
+                    "limits.heartbeatIntervalMilliseconds: must be at most half of"
+                            + " electionTimeoutMinimumMilliseconds, so that one lost heartbeat"
+                            + " starts no election.");
+        }
+        if (limits.linkDeadlineMilliseconds() <= limits.heartbeatIntervalMilliseconds()) {
+            problems.add(
+                    "limits.linkDeadlineMilliseconds: must be above"
+                            + " heartbeatIntervalMilliseconds, so that a live link is kept.");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/SettingsReader.java
@@ -0,0 +1,85 @@
+package org.marjoramnotch.daemon.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+
+/** Reads a settings file; relative paths in it count from the folder that the file is in. */
+public final class SettingsReader {
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
+    private static final List<String> PATH_FIELDS = List.of("dataFolder", "operatorKeySha256File");
+
+    private SettingsReader() {}
+
+    /**
+     * Returns the settings of a file.
+     *
+     * @throws MarjoramnotchException with {@code INVALID_SETTINGS}, naming every problem at once
+     */
+    public static DaemonSettings read(Path file) {
+        JsonNode document = parse(file);
+        refuse(file, new SettingsSchema().problems(document));
+        resolvePaths(file, (ObjectNode) document);
+        DaemonSettings settings = MAPPER.convertValue(document, DaemonSettings.class);
+        refuse(file, SettingsConsistency.problems(settings));
+        return settings;
+    }
+
+    private static JsonNode parse(Path file) {
+        try {
+            return MAPPER.readTree(Files.readString(file));
+        } catch (JsonProcessingException e) {
+            throw invalid(
+                    file + " is not JSON: " + e.getOriginalMessage() + at(e) + "; correct it.");
+        } catch (IOException e) {
+            throw invalid(
+                    file
+                            + " cannot be read ("
+                            + e.getClass().getSimpleName()
+                            + "); check the path and its permissions.");
+        }
+    }
+
+    private static String at(JsonProcessingException error) {
+        return error.getLocation() == null
+                ? ""
+                : " at line "
+                        + error.getLocation().getLineNr()
+                        + ", column "
+                        + error.getLocation().getColumnNr();
+    }
+
+    private static void refuse(Path file, List<String> problems) {
+        if (!problems.isEmpty()) {
+            throw invalid(file + " is not valid; correct:\n  " + String.join("\n  ", problems));
+        }
+    }
+
+    private static void resolvePaths(Path file, ObjectNode document) {
+        Path folder = file.toAbsolutePath().normalize().getParent();
+        for (String field : PATH_FIELDS) {
+            if (document.hasNonNull(field)) {
+                Path path = folder.resolve(document.get(field).asText()).normalize();
+                document.put(field, path.toString());
+            }
+        }
+    }
+
+    private static MarjoramnotchException invalid(String message) {
+        return new MarjoramnotchException(ErrorCode.INVALID_SETTINGS, message);
+    }
+}
