--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/entry/EndReports.java
@@ -0,0 +1,66 @@
+package org.marjoramnotch.daemon.entry;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import org.marjoramnotch.daemon.link.CellClient;
+import org.marjoramnotch.daemon.metrics.CountedEvent;
+import org.marjoramnotch.daemon.metrics.DaemonMetrics;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.message.EndAttempt;
+
+/** Reports the ends of attempts to the leader until each one is answered. Used by one thread. */
+final class EndReports {
+    private static final long REPORT_TIMEOUT_MILLISECONDS = 5_000;
+    private static final int LARGEST_WAITING = 100_000;
+
+    private final CellClient client;
+    private final Consumer<EntryEvent> events;
+    private final DaemonMetrics metrics;
+    private final Queue<EndAttempt> unanswered = new ArrayDeque<>();
+    private final AtomicInteger open = new AtomicInteger();
+
+    EndReports(CellClient client, Consumer<EntryEvent> events, DaemonMetrics metrics) {
+        this.client = client;
+        this.events = events;
+        this.metrics = metrics;
+    }
+
+    /** Reports an end. */
+    void report(long nowMilliseconds, EndAttempt end) {
+        if (open.get() >= LARGEST_WAITING) {
+            metrics.count(CountedEvent.END_REPORT_DROPPED);
+            return;
+        }
+        open.incrementAndGet();
+        send(nowMilliseconds, end);
+    }
+
+    /** Sends again what the leader has not answered. */
+    void tick(long nowMilliseconds) {
+        int count = unanswered.size();
+        for (int sent = 0; sent < count; sent++) {
+            send(nowMilliseconds, unanswered.remove());
+        }
+    }
+
+    /** Returns how many reports have had no answer; any thread may ask. */
+    int open() {
+        return open.get();
+    }
+
+    private void send(long nowMilliseconds, EndAttempt end) {
+        client.send(end, nowMilliseconds + REPORT_TIMEOUT_MILLISECONDS)
+                .thenAccept(reply -> events.accept(now -> onReply(end, reply)));
+    }
+
+    private void onReply(EndAttempt end, CellReply reply) {
+        if (reply instanceof Done) {
+            open.decrementAndGet();
+        } else {
+            unanswered.add(end);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/entry/EndpointCall.java
@@ -0,0 +1,169 @@
+package org.marjoramnotch.daemon.entry;
+
+import java.util.Optional;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.util.ByteString;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.daemon.endpoint.AnswerReader;
+import org.marjoramnotch.daemon.endpoint.EndpointAddress;
+import org.marjoramnotch.daemon.endpoint.EndpointConnection;
+import org.marjoramnotch.daemon.endpoint.WholeAnswer;
+import org.marjoramnotch.daemon.metrics.CountedEvent;
+import org.marjoramnotch.model.message.Granted;
+
+/** One granted attempt at its endpoint. Used by the entry's duty. */
+final class EndpointCall {
+    private static final int OK = 200;
+
+    private final ActiveRequest owner;
+    private final EntryHost host;
+    private final HttpRequest request;
+    private final EndpointAddress address;
+    private final boolean feed;
+    private @Nullable EndpointConnection connection;
+    private boolean reserved;
+    private boolean over;
+
+    EndpointCall(
+            ActiveRequest owner,
+            EntryHost host,
+            HttpRequest forwarded,
+            Granted grant,
+            boolean feed) {
+        this.owner = owner;
+        this.host = host;
+        this.request =
+                forwarded
+                        .addHeader(
+                                HttpHeader.parse("Marjoramnotch-Attempt", grant.attempt().text()))
+                        .addHeader(HttpHeader.parse("Marjoramnotch-Team", grant.team().value()));
+        this.address = new EndpointAddress(grant.host(), grant.port());
+        this.feed = feed;
+    }
+
+    /** Takes an idle connection or opens one, then sends. */
+    void start(long nowMilliseconds) {
+        if (!feed) {
+            if (!host.connections().tryReserve(address)) {
+                owner.onConnectFailed(nowMilliseconds);
+                return;
+            }
+            reserved = true;
+            Optional<EndpointConnection> idle =
+                    host.connections().takeIdle(nowMilliseconds, address);
+            if (idle.isPresent()) {
+                send(nowMilliseconds, idle.get());
+                return;
+            }
+        }
+        host.whenDone(host.connector().open(address), this::send, this::onConnectFailed);
+    }
+
+    /** Closes the connection; nothing more is reported of it. */
+    void disconnect() {
+        over = true;
+        if (connection != null) {
+            connection.close();
+        }
+        release();
+    }
+
+    /** Closes the connection of an answer that is awaited no more. */
+    void abandon(long nowMilliseconds) {
+        onBroken(nowMilliseconds);
+    }
+
+    private void onConnectFailed(long nowMilliseconds) {
+        release();
+        owner.onConnectFailed(nowMilliseconds);
+    }
+
+    private void send(long nowMilliseconds, EndpointConnection opened) {
+        connection = opened;
+        if (!owner.beginSending(nowMilliseconds)) {
+            disconnect();
+            owner.onGrantTooLate(nowMilliseconds);
+            return;
+        }
+        host.whenDone(opened.exchange(request), this::onResponse, this::onBroken);
+    }
+
+    private void onResponse(long nowMilliseconds, HttpResponse response) {
+        if (over) {
+            host.metrics().count(CountedEvent.ANSWER_DISCARDED);
+            return;
+        }
+        if (AnswerReader.saysNotRun(response)) {
+            disconnect();
+            owner.onEndpointRefused(nowMilliseconds);
+        } else if (feed && response.status().intValue() == OK) {
+            owner.onFeedOpened(new CallerAnswer.Feed(FeedBody.watch(response, this::onFeedEvent)));
+        } else {
+            host.whenDone(
+                    host.reader().read(response),
+                    (now, whole) -> onWhole(now, response, whole),
+                    this::onBroken);
+        }
+    }
+
+    private void onFeedEvent(FeedBody.End end) {
+        host.events().accept(now -> onFeedEnd(now, end));
+    }
+
+    private void onFeedEnd(long nowMilliseconds, FeedBody.End end) {
+        boolean first = !over;
+        disconnect();
+        if (!first) {
+            return;
+        }
+        switch (end) {
+            case COMPLETE ->
+                    owner.onAnswerComplete(
+                            nowMilliseconds,
+                            new WholeAnswer(
+                                    OK,
+                                    ContentTypes.APPLICATION_OCTET_STREAM,
+                                    ByteString.emptyByteString()));
+            case BROKEN -> owner.onAnswerBroken(nowMilliseconds);
+            case CANCELLED -> owner.onCallerGone(nowMilliseconds);
+            default -> throw new IllegalArgumentException("Unknown end " + end);
+        }
+    }
+
+    private void onWhole(long nowMilliseconds, HttpResponse response, WholeAnswer whole) {
+        EndpointConnection used = connection;
+        if (over) {
+            host.metrics().count(CountedEvent.ANSWER_DISCARDED);
+            return;
+        }
+        over = true;
+        if (used != null && reserved && AnswerReader.keepsConnection(response)) {
+            used.prepareNext();
+            reserved = false;
+            host.connections().releaseIdle(nowMilliseconds, address, used);
+        } else {
+            disconnect();
+        }
+        owner.onAnswerComplete(nowMilliseconds, whole);
+    }
+
+    private void onBroken(long nowMilliseconds) {
+        if (over) {
+            return;
+        }
+        host.metrics().count(CountedEvent.ENDPOINT_CONNECTION_CLOSED);
+        disconnect();
+        host.connections().closeIdle(address);
+        owner.onAnswerBroken(nowMilliseconds);
+    }
+
+    private void release() {
+        if (reserved) {
+            reserved = false;
+            host.connections().release(address);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/entry/EntryEvent.java
@@ -0,0 +1,8 @@
+package org.marjoramnotch.daemon.entry;
+
+/** Something that happened to a request of this entry, applied on the entry's duty. */
+@FunctionalInterface
+interface EntryEvent {
+    /** Applies the event. */
+    void apply(long nowMilliseconds);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/entry/FeedBody.java
@@ -0,0 +1,57 @@
+package org.marjoramnotch.daemon.entry;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+
+/** Streams the body of a feed and tells how it ended. */
+final class FeedBody {
+    private FeedBody() {}
+
+    /** How a feed ended. */
+    enum End {
+        /** The endpoint ended it. */
+        COMPLETE,
+        /** The connection to the endpoint broke. */
+        BROKEN,
+        /** The caller listens no more. */
+        CANCELLED
+    }
+
+    /** Returns the response with a body that reports its end once. */
+    static HttpResponse watch(HttpResponse response, Consumer<End> end) {
+        AtomicBoolean complete = new AtomicBoolean();
+        Source<ByteString, NotUsed> marksCompletion =
+                Source.lazySource(
+                                () -> {
+                                    complete.set(true);
+                                    return Source.<ByteString>empty();
+                                })
+                        .mapMaterializedValue(ignored -> NotUsed.getInstance());
+        Source<ByteString, Object> body =
+                response.entity()
+                        .getDataBytes()
+                        .concatLazy(marksCompletion)
+                        .watchTermination(
+                                (materialized, done) -> {
+                                    done.whenComplete(
+                                            (ignored, failure) ->
+                                                    end.accept(endOf(failure, complete.get())));
+                                    return materialized;
+                                });
+        return HttpResponse.create()
+                .withStatus(response.status())
+                .withEntity(HttpEntities.create(response.entity().getContentType(), body));
+    }
+
+    private static End endOf(Throwable failure, boolean complete) {
+        if (failure != null) {
+            return End.BROKEN;
+        }
+        return complete ? End.COMPLETE : End.CANCELLED;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/entry/RetryBudgets.java
@@ -0,0 +1,34 @@
+package org.marjoramnotch.daemon.entry;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.marjoramnotch.logic.entry.EntryRequest;
+import org.marjoramnotch.logic.entry.RetryBudget;
+
+/**
+ * Keeps a retry budget for each key, or queue where no key came, since an entry learns a caller's
+ * team only from a grant. Forgets those that were not used for longest. Used by one thread.
+ */
+final class RetryBudgets {
+    private static final int LARGEST_COUNT = 10_000;
+    private static final float LOAD_FACTOR = 0.75f;
+
+    private final Map<String, RetryBudget> budgets =
+            new LinkedHashMap<>(16, LOAD_FACTOR, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<String, RetryBudget> eldest) {
+                    return size() > LARGEST_COUNT;
+                }
+            };
+
+    /** Returns the budget that a request draws on. */
+    RetryBudget of(EntryRequest request) {
+        String name =
+                request.credential()
+                        .map(credential -> "key " + credential.key())
+                        .orElseGet(() -> "queue " + request.queue());
+        return budgets.computeIfAbsent(name, ignored -> RetryBudget.withDefaults());
+    }
+}
