--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/entry/CallerRefusals.java
@@ -0,0 +1,40 @@
+package org.marjoramnotch.logic.entry;
+
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.ExecutionOutcome;
+import org.marjoramnotch.model.error.Refusal;
+
+/** The refusals that an entry itself tells callers; each names the remedy. */
+final class CallerRefusals {
+    private CallerRefusals() {}
+
+    static Refusal grantTooLate(ExecutionOutcome outcome) {
+        return new Refusal(
+                ErrorCode.OVERLOADED,
+                outcome,
+                "The entry was too slow to use the granted slot; retry.");
+    }
+
+    static Refusal unreachable(ExecutionOutcome outcome) {
+        return new Refusal(
+                ErrorCode.ENDPOINT_UNREACHABLE,
+                outcome,
+                "The endpoint could not be reached or refused the request; retry.");
+    }
+
+    static Refusal answerLost() {
+        return new Refusal(
+                ErrorCode.ENDPOINT_ANSWER_LOST,
+                ExecutionOutcome.UNKNOWN,
+                "The endpoint's answer was lost and the work may have run; look its effect up"
+                        + " before sending it again.");
+    }
+
+    static Refusal deadlineExceeded(ExecutionOutcome outcome) {
+        return new Refusal(
+                ErrorCode.DEADLINE_EXCEEDED,
+                outcome,
+                "No answer came within the deadline; resend with a longer one if the outcome"
+                        + " allows it.");
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/EndpointSlots.java
@@ -0,0 +1,121 @@
+package org.marjoramnotch.logic.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.marjoramnotch.model.endpoint.EndpointDescription;
+import org.marjoramnotch.model.endpoint.EndpointState;
+import org.marjoramnotch.model.endpoint.OpenAttempt;
+import org.marjoramnotch.model.endpoint.RegisteredEndpoint;
+import org.marjoramnotch.model.endpoint.SlotKind;
+import org.marjoramnotch.model.error.Invariant;
+import org.marjoramnotch.model.identifier.AttemptId;
+
+/** A registered endpoint and the attempts that hold its slots. */
+public final class EndpointSlots {
+    private static final int RETIRED_INCARNATIONS_KEPT = 8;
+
+    private final Map<AttemptId, OpenAttempt> attempts = new LinkedHashMap<>();
+    private final List<String> retiredIncarnations;
+    private EndpointDescription description;
+    private EndpointState state;
+    private int requests;
+    private int feeds;
+
+    EndpointSlots(RegisteredEndpoint registered) {
+        this.description = registered.description();
+        this.state = registered.state();
+        this.retiredIncarnations = new ArrayList<>(registered.retiredIncarnations());
+    }
+
+    /** Returns what the endpoint announced. */
+    public EndpointDescription description() {
+        return description;
+    }
+
+    /** Returns whether it takes new work. */
+    public EndpointState state() {
+        return state;
+    }
+
+    /** Returns how many attempts of this kind hold something of it. */
+    public int inUse(SlotKind kind) {
+        return kind == SlotKind.REQUEST ? requests : feeds;
+    }
+
+    /** Returns how many attempts of this kind it may hold. */
+    public int capacity(SlotKind kind) {
+        return capacity(description, kind);
+    }
+
+    /** Returns the attempts that hold its slots. */
+    public Collection<OpenAttempt> attempts() {
+        return Collections.unmodifiableCollection(attempts.values());
+    }
+
+    static int capacity(EndpointDescription description, SlotKind kind) {
+        return kind == SlotKind.REQUEST
+                ? description.slots()
+                : Math.max(0, description.connections() - description.slots());
+    }
+
+    boolean isRetired(String incarnation) {
+        return retiredIncarnations.contains(incarnation);
+    }
+
+    boolean hasRoom(SlotKind kind) {
+        return inUse(kind) < capacity(kind);
+    }
+
+    void reserve(OpenAttempt attempt) {
+        Invariant.check(hasRoom(attempt.kind()), "An endpoint is given more than its slots");
+        hold(attempt);
+    }
+
+    /** Takes an attempt in without regard to the slots, which may have been lowered since. */
+    void hold(OpenAttempt attempt) {
+        Invariant.check(
+                attempts.put(attempt.attempt(), attempt) == null, "An attempt holds two slots");
+        count(attempt.kind(), 1);
+    }
+
+    void release(OpenAttempt attempt) {
+        Invariant.check(
+                attempts.remove(attempt.attempt()) != null, "A slot is freed that is not held");
+        count(attempt.kind(), -1);
+    }
+
+    private void count(SlotKind kind, int change) {
+        if (kind == SlotKind.REQUEST) {
+            requests += change;
+        } else {
+            feeds += change;
+        }
+    }
+
+    void changeState(EndpointState newState) {
+        state = newState;
+    }
+
+    void describe(EndpointDescription newDescription) {
+        description = newDescription;
+    }
+
+    /** Replaces the incarnation; all attempts of the one before must have been released. */
+    void restart(EndpointDescription newDescription) {
+        Invariant.check(attempts.isEmpty(), "An endpoint restarts with attempts of its past");
+        retiredIncarnations.add(description.incarnation());
+        if (retiredIncarnations.size() > RETIRED_INCARNATIONS_KEPT) {
+            retiredIncarnations.remove(0);
+        }
+        description = newDescription;
+        state = EndpointState.ACTIVE;
+    }
+
+    RegisteredEndpoint snapshot() {
+        return new RegisteredEndpoint(description, state, List.copyOf(retiredIncarnations));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/IdempotencyClaims.java
@@ -0,0 +1,206 @@
+package org.marjoramnotch.logic.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.endpoint.ClaimRecord;
+import org.marjoramnotch.model.endpoint.ClaimState;
+import org.marjoramnotch.model.endpoint.IdempotencyClaim;
+import org.marjoramnotch.model.endpoint.StoredAnswer;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.ExecutionOutcome;
+import org.marjoramnotch.model.error.Invariant;
+import org.marjoramnotch.model.error.Refusal;
+import org.marjoramnotch.model.identifier.AttemptId;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.rule.Repetition;
+
+/**
+ * Keeps which request of a team claimed which idempotency key, and how it ended.
+ *
+ * <p>A claim whose request was not run is dropped, so that the key may be claimed again. Answers
+ * are kept up to {@link #LARGEST_ANSWERS_BYTES} in all; beyond, the oldest ones are dropped first.
+ */
+final class IdempotencyClaims {
+    static final int LARGEST_ANSWERS_BYTES = 16 * 1024 * 1024;
+
+    private final Map<ClaimKey, ClaimRecord> running = new HashMap<>();
+    private final LinkedHashMap<ClaimKey, ClaimRecord> ended = new LinkedHashMap<>();
+    private final LinkedHashSet<ClaimKey> answered = new LinkedHashSet<>();
+    private int answerBytes;
+
+    private record ClaimKey(TeamName team, String keyDigest) {}
+
+    /** Returns how many claims of ended requests are kept. */
+    int endedCount() {
+        return ended.size();
+    }
+
+    /** Returns what stands against running a request with this claim now; empty if nothing does. */
+    Optional<CommandResult> obstacle(TeamName team, IdempotencyClaim claim, Repetition repetition) {
+        ClaimKey key = new ClaimKey(team, claim.keyDigest());
+        ClaimRecord known = running.getOrDefault(key, ended.get(key));
+        if (known == null) {
+            return Optional.empty();
+        }
+        if (!known.claim().requestDigest().equals(claim.requestDigest())) {
+            return Optional.of(
+                    rejected(
+                            ErrorCode.IDEMPOTENCY_KEY_REUSED,
+                            ExecutionOutcome.NOT_RUN,
+                            "The idempotency key belongs to another request; use a new key."));
+        }
+        return switch (known.state()) {
+            case RUNNING ->
+                    Optional.of(
+                            rejected(
+                                    ErrorCode.IDEMPOTENT_REQUEST_RUNNING,
+                                    ExecutionOutcome.UNKNOWN,
+                                    "The first request of this idempotency key has not ended;"
+                                            + " resend it later."));
+            case RAN -> Optional.of(ran(known));
+            case UNKNOWN -> mayHaveRun(repetition);
+        };
+    }
+
+    private static CommandResult ran(ClaimRecord known) {
+        return known.answer()
+                .<CommandResult>map(CommandResult.AnsweredBefore::new)
+                .orElseGet(
+                        () ->
+                                rejected(
+                                        ErrorCode.ANSWER_NOT_KEPT,
+                                        ExecutionOutcome.RAN,
+                                        "The request ran and its answer was not kept; look the"
+                                                + " effect up in place of resending it."));
+    }
+
+    private static Optional<CommandResult> mayHaveRun(Repetition repetition) {
+        if (repetition == Repetition.IDEMPOTENT) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                rejected(
+                        ErrorCode.ENDPOINT_ANSWER_LOST,
+                        ExecutionOutcome.UNKNOWN,
+                        "The first request of this idempotency key may have run; look its effect up"
+                                + " before using a new key."));
+    }
+
+    private static CommandResult.Rejected rejected(
+            ErrorCode code, ExecutionOutcome outcome, String message) {
+        return new CommandResult.Rejected(new Refusal(code, outcome, message));
+    }
+
+    /** Stores the claim of a request that starts; there must be no obstacle. */
+    void start(TeamName team, IdempotencyClaim claim, AttemptId attempt) {
+        ClaimKey key = new ClaimKey(team, claim.keyDigest());
+        ended.remove(key);
+        ClaimRecord before =
+                running.put(
+                        key,
+                        new ClaimRecord(
+                                team, claim, attempt, ClaimState.RUNNING, Optional.empty()));
+        Invariant.check(before == null, "Two attempts run for one idempotency key");
+    }
+
+    /** Records how the request of a claim ended. */
+    void end(
+            TeamName team,
+            IdempotencyClaim claim,
+            AttemptId attempt,
+            ExecutionOutcome outcome,
+            Optional<StoredAnswer> answer) {
+        ClaimKey key = new ClaimKey(team, claim.keyDigest());
+        ClaimRecord record = running.remove(key);
+        Invariant.check(
+                record != null && record.attempt().equals(attempt),
+                "An attempt ends without the claim that it started with");
+        if (outcome == ExecutionOutcome.RAN) {
+            keep(key, claim, attempt, ClaimState.RAN, answer);
+        } else if (outcome == ExecutionOutcome.UNKNOWN) {
+            keep(key, claim, attempt, ClaimState.UNKNOWN, Optional.empty());
+        }
+    }
+
+    private void keep(
+            ClaimKey key,
+            IdempotencyClaim claim,
+            AttemptId attempt,
+            ClaimState state,
+            Optional<StoredAnswer> answer) {
+        Optional<StoredAnswer> kept =
+                answer.filter(whole -> whole.body().length <= StoredAnswer.LONGEST_BODY_BYTES);
+        putEnded(key, new ClaimRecord(key.team(), claim, attempt, state, kept));
+        while (answerBytes > LARGEST_ANSWERS_BYTES) {
+            dropOldestAnswer();
+        }
+    }
+
+    private void putEnded(ClaimKey key, ClaimRecord record) {
+        ended.put(key, record);
+        record.answer()
+                .ifPresent(
+                        answer -> {
+                            answered.add(key);
+                            answerBytes += answer.body().length;
+                        });
+    }
+
+    private void dropOldestAnswer() {
+        ClaimKey key = answered.iterator().next();
+        ClaimRecord record = ended.get(key);
+        dropAnswer(key, record);
+        ended.replace(
+                key,
+                new ClaimRecord(
+                        record.team(),
+                        record.claim(),
+                        record.attempt(),
+                        record.state(),
+                        Optional.empty()));
+    }
+
+    private void dropAnswer(ClaimKey key, ClaimRecord record) {
+        if (answered.remove(key)) {
+            answerBytes -= record.answer().orElseThrow().body().length;
+        }
+    }
+
+    /** Forgets the oldest claims of ended requests. */
+    void forget(int count) {
+        Iterator<Map.Entry<ClaimKey, ClaimRecord>> oldest = ended.entrySet().iterator();
+        for (int forgotten = 0; forgotten < count && oldest.hasNext(); forgotten++) {
+            Map.Entry<ClaimKey, ClaimRecord> entry = oldest.next();
+            dropAnswer(entry.getKey(), entry.getValue());
+            oldest.remove();
+        }
+    }
+
+    List<ClaimRecord> snapshot() {
+        List<ClaimRecord> all = new ArrayList<>(running.values());
+        all.addAll(ended.values());
+        return all;
+    }
+
+    void restore(List<ClaimRecord> all) {
+        running.clear();
+        ended.clear();
+        answered.clear();
+        answerBytes = 0;
+        for (ClaimRecord record : all) {
+            ClaimKey key = new ClaimKey(record.team(), record.claim().keyDigest());
+            if (record.state() == ClaimState.RUNNING) {
+                running.put(key, record);
+            } else {
+                putEnded(key, record);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/PlacementChecks.java
@@ -0,0 +1,56 @@
+package org.marjoramnotch.logic.placement;
+
+import org.marjoramnotch.model.command.ReserveSlot;
+import org.marjoramnotch.model.endpoint.EndpointState;
+import org.marjoramnotch.model.endpoint.SlotKind;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.ServiceName;
+import org.marjoramnotch.model.rule.QueuePolicy;
+import org.marjoramnotch.model.rule.QueueRule;
+
+/** Checks that a request and its queue, and a reservation and its endpoint, go together. */
+final class PlacementChecks {
+    private PlacementChecks() {}
+
+    /**
+     * Returns the service that answers requests of this kind on the queue.
+     *
+     * @throws MarjoramnotchException with {@code WRONG_QUEUE_POLICY} if the queue takes none
+     */
+    static ServiceName requireService(QueueRule queue, SlotKind kind) {
+        QueuePolicy wanted = kind == SlotKind.REQUEST ? QueuePolicy.QUICK : QueuePolicy.FEED;
+        if (queue.policy() != wanted) {
+            throw new MarjoramnotchException(
+                    ErrorCode.WRONG_QUEUE_POLICY,
+                    "Queue "
+                            + queue.queue()
+                            + " does not take this kind of work; use a queue of policy "
+                            + wanted
+                            + ".");
+        }
+        return queue.service().orElseThrow();
+    }
+
+    /**
+     * Returns the endpoint of a reservation.
+     *
+     * @throws MarjoramnotchException with {@code NO_ENDPOINT} if it cannot take the attempt
+     */
+    static EndpointSlots requireEndpoint(
+            PlacementState state, ReserveSlot command, QueueRule queue) {
+        ServiceName service = requireService(queue, command.kind());
+        return state.endpoint(command.endpoint())
+                .filter(slots -> slots.description().incarnation().equals(command.incarnation()))
+                .filter(slots -> slots.description().service().equals(service))
+                .filter(slots -> slots.state() == EndpointState.ACTIVE)
+                .filter(slots -> slots.hasRoom(command.kind()))
+                .orElseThrow(
+                        () ->
+                                new MarjoramnotchException(
+                                        ErrorCode.NO_ENDPOINT,
+                                        "Endpoint "
+                                                + command.endpoint()
+                                                + " takes no more work; ask for another one."));
+    }
+}
