--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Election.java
@@ -0,0 +1,141 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.replication.TimeoutNow;
+import org.marjoramnotch.model.replication.VoteKind;
+import org.marjoramnotch.model.replication.VoteReply;
+import org.marjoramnotch.model.replication.VoteRequest;
+
+/** Asks for votes when the leader is lost, and answers those who ask. */
+final class Election {
+    private final ReplicaState state;
+    private final Set<ReplicaId> granted = new HashSet<>();
+
+    Election(ReplicaState state) {
+        this.state = state;
+    }
+
+    void tick() {
+        if (state.role() != Role.LEADER && state.votes() && state.electionDue()) {
+            state.askPreVotes();
+            awaitRetry();
+            ask(VoteKind.PRE_VOTE, state.term() + 1);
+        }
+    }
+
+    /** Starts an election because the leader has given up its lease. */
+    void onTimeoutNow(ReplicaId from, TimeoutNow message) {
+        boolean fromLeader = state.leader().filter(from::equals).isPresent();
+        if (message.term() == state.term() && fromLeader && state.votes()) {
+            campaign(VoteKind.TRANSFER);
+        }
+    }
+
+    void onRequest(ReplicaId from, VoteRequest request) {
+        if (request.kind() == VoteKind.PRE_VOTE) {
+            boolean grant =
+                    request.term() > state.term() && !supportsLeader() && isUpToDate(request);
+            reply(from, request, grant);
+            return;
+        }
+        if (request.term() < state.term()
+                || (request.kind() == VoteKind.ELECTION && supportsLeader())) {
+            reply(from, request, false);
+            return;
+        }
+        if (request.term() > state.term()) {
+            state.follow(request.term(), null);
+        }
+        boolean free =
+                state.leader().isEmpty()
+                        && state.hardState().votedFor().map(from::equals).orElse(true);
+        boolean grant = free && isUpToDate(request);
+        if (grant) {
+            state.vote(from);
+            state.follow(state.term(), null);
+            awaitTimeout();
+        }
+        reply(from, request, grant);
+    }
+
+    void onReply(ReplicaId from, VoteReply reply) {
+        if (reply.term() > state.term()) {
+            state.follow(reply.term(), null);
+            return;
+        }
+        if (!reply.granted()) {
+            return;
+        }
+        boolean preVote = reply.kind() == VoteKind.PRE_VOTE;
+        Role awaitedRole = preVote ? Role.PRE_CANDIDATE : Role.CANDIDATE;
+        long awaitedTerm = preVote ? state.term() + 1 : state.term();
+        if (state.role() == awaitedRole && reply.requestTerm() == awaitedTerm) {
+            granted.add(from);
+            evaluate(reply.kind());
+        }
+    }
+
+    private void campaign(VoteKind kind) {
+        state.campaign();
+        awaitRetry();
+        ask(kind, state.term());
+    }
+
+    private void ask(VoteKind kind, long term) {
+        granted.clear();
+        granted.add(state.self());
+        VoteRequest request =
+                new VoteRequest(
+                        state.group(), kind, term, state.log().lastIndex(), state.log().lastTerm());
+        state.membership().voters().stream()
+                .filter(voter -> !voter.equals(state.self()))
+                .forEach(voter -> state.send(voter, request));
+        evaluate(kind);
+    }
+
+    private void evaluate(VoteKind kind) {
+        long votes = state.membership().voters().stream().filter(granted::contains).count();
+        if (votes < state.membership().quorum()) {
+            return;
+        }
+        if (kind == VoteKind.PRE_VOTE) {
+            campaign(VoteKind.ELECTION);
+        } else {
+            state.lead();
+        }
+    }
+
+    /** Tells whether a vote could let a second leader hold a lease at the same time. */
+    private boolean supportsLeader() {
+        return state.leadership()
+                .map(Leadership::mayHoldLease)
+                .orElse(
+                        state.millisecondsSinceLeader()
+                                < state.settings().electionTimeoutMinimumMilliseconds());
+    }
+
+    private boolean isUpToDate(VoteRequest request) {
+        if (request.lastTerm() != state.log().lastTerm()) {
+            return request.lastTerm() > state.log().lastTerm();
+        }
+        return request.lastIndex() >= state.log().lastIndex();
+    }
+
+    private void reply(ReplicaId to, VoteRequest request, boolean grant) {
+        state.send(to, new VoteReply(state.term(), request.kind(), request.term(), grant));
+    }
+
+    /** Votes bind nobody before the timeout, so a failed attempt may be repeated sooner. */
+    private void awaitRetry() {
+        long minimum = state.settings().electionTimeoutMinimumMilliseconds();
+        state.awaitElection(minimum / 4, minimum / 2 + 1);
+    }
+
+    private void awaitTimeout() {
+        state.awaitElection(
+                state.settings().electionTimeoutMinimumMilliseconds(),
+                state.settings().electionTimeoutMaximumMilliseconds());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/EntrySender.java
@@ -0,0 +1,106 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.replication.AppendEntries;
+import org.marjoramnotch.model.replication.LogEntry;
+import org.marjoramnotch.model.replication.Snapshot;
+import org.marjoramnotch.model.replication.SnapshotChunk;
+import org.marjoramnotch.model.replication.SnapshotChunkReply;
+
+/** Sends entries, heartbeats and snapshots from a leader to a member. */
+final class EntrySender {
+    private final ReplicaState state;
+
+    EntrySender(ReplicaState state) {
+        this.state = state;
+    }
+
+    void sendDue(ReplicaId member, Progress progress) {
+        boolean heartbeatDue =
+                state.now() - progress.sentAt() >= state.settings().heartbeatIntervalMilliseconds();
+        if (heartbeatDue) {
+            progress.retryProbe();
+            progress.snapshot().ifPresent(SnapshotTransfer::retry);
+        }
+        startSnapshotIfBehind(progress);
+        if (progress.snapshot().isPresent()) {
+            sendSnapshotPart(member, progress);
+            return;
+        }
+        while (progress.nextIndex() <= state.log().lastIndex()
+                && progress.maySendEntries(state.settings().batchesInFlight())) {
+            sendEntries(member, progress);
+            heartbeatDue = false;
+        }
+        if (heartbeatDue) {
+            send(member, progress, List.of());
+        }
+    }
+
+    void onSnapshotReply(Progress progress, SnapshotChunkReply reply) {
+        progress.snapshot()
+                .filter(transfer -> transfer.snapshot().index() == reply.snapshotIndex())
+                .ifPresent(
+                        transfer -> {
+                            transfer.onAnswer(reply.nextOffset());
+                            if (reply.nextOffset() == transfer.totalBytes()) {
+                                progress.endSnapshot(reply.snapshotIndex());
+                            }
+                        });
+    }
+
+    private void startSnapshotIfBehind(Progress progress) {
+        boolean behind = state.log().termAt(progress.nextIndex() - 1).isEmpty();
+        if (behind && progress.snapshot().isEmpty()) {
+            progress.startSnapshot(state.log().snapshot().orElseThrow());
+        }
+    }
+
+    private void sendSnapshotPart(ReplicaId member, Progress progress) {
+        SnapshotTransfer transfer = progress.snapshot().orElseThrow();
+        if (transfer.awaitsAnswer()) {
+            return;
+        }
+        Snapshot snapshot = transfer.snapshot();
+        long offset = transfer.offset();
+        byte[] part = transfer.nextPart(state.settings().snapshotChunkBytes());
+        progress.onSent(state.now());
+        state.send(
+                member,
+                new SnapshotChunk(
+                        state.group(),
+                        state.term(),
+                        snapshot.index(),
+                        snapshot.term(),
+                        snapshot.membership(),
+                        offset,
+                        transfer.totalBytes(),
+                        part,
+                        state.now()));
+    }
+
+    private void sendEntries(ReplicaId member, Progress progress) {
+        List<LogEntry> batch =
+                state.log().batch(progress.nextIndex(), state.settings().batchBytes());
+        send(member, progress, batch);
+        progress.onEntriesSent(batch.get(batch.size() - 1).index());
+    }
+
+    private void send(ReplicaId member, Progress progress, List<LogEntry> entries) {
+        long previousIndex = progress.nextIndex() - 1;
+        OptionalLong previousTerm = state.log().termAt(previousIndex);
+        progress.onSent(state.now());
+        state.send(
+                member,
+                new AppendEntries(
+                        state.group(),
+                        state.term(),
+                        previousIndex,
+                        previousTerm.orElseThrow(),
+                        entries,
+                        state.commitIndex(),
+                        state.now()));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/JoinDuty.java
@@ -0,0 +1,57 @@
+package org.marjoramnotch.logic.replication;
+
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.replication.JoinReply;
+import org.marjoramnotch.model.replication.JoinRequest;
+
+/**
+ * Asks the other VMs to let this replica join while it is no member or hears no leader; a member
+ * that only its own log knows is added again by this. Never forms a group.
+ */
+final class JoinDuty {
+    private final ReplicaState state;
+    private long nextRequestAt;
+
+    JoinDuty(ReplicaState state) {
+        this.state = state;
+        this.nextRequestAt = state.now();
+    }
+
+    void tick() {
+        if (state.now() < nextRequestAt || isServed()) {
+            return;
+        }
+        nextRequestAt = state.now() + state.settings().joinIntervalMilliseconds();
+        state.settings().replicaVms().stream()
+                .filter(vm -> !vm.equals(state.self().vm()))
+                .sorted()
+                .map(vm -> new ReplicaId(vm, ""))
+                .forEach(peer -> state.send(peer, new JoinRequest(state.self())));
+    }
+
+    void onRequest(ReplicaId from, JoinRequest request) {
+        if (!state.membership().exists()) {
+            return;
+        }
+        state.leadership()
+                .ifPresent(leadership -> leadership.changes().onJoinRequest(request.replica()));
+        state.send(from, new JoinReply(state.group()));
+    }
+
+    /** Remembers that a group exists, so that this replica cannot form a second one. */
+    void onReply(JoinReply reply) {
+        if (state.hardState().group().isEmpty()) {
+            state.joinGroup(reply.group());
+        }
+    }
+
+    private boolean isServed() {
+        if (state.role() == Role.LEADER) {
+            return true;
+        }
+        boolean heard =
+                state.millisecondsSinceLeader()
+                        < 2 * state.settings().electionTimeoutMaximumMilliseconds();
+        return heard && state.membership().contains(state.self());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Leadership.java
@@ -0,0 +1,181 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.replication.AppendAccepted;
+import org.marjoramnotch.model.replication.AppendRejected;
+import org.marjoramnotch.model.replication.LogEntry;
+import org.marjoramnotch.model.replication.Membership;
+import org.marjoramnotch.model.replication.SnapshotChunkReply;
+
+/** What a replica does and knows as leader; lives for one term. */
+final class Leadership {
+    private final ReplicaState state;
+    private final Map<ReplicaId, Progress> members = new TreeMap<>();
+    private final EntrySender sender;
+    private final MembershipChanges changes;
+    private final LeadershipTransfer transfer;
+    private final long startedAt;
+    private long firstOwnIndex;
+
+    Leadership(ReplicaState state) {
+        this.state = state;
+        this.sender = new EntrySender(state);
+        this.changes = new MembershipChanges(state, this);
+        this.transfer = new LeadershipTransfer(state, this);
+        this.startedAt = state.now();
+    }
+
+    /** Appends the entry that starts the term; entries of earlier terms are committed with it. */
+    void start() {
+        trackMembers();
+        firstOwnIndex = state.log().lastIndex() + 1;
+        state.log().append(LogEntry.noOp(firstOwnIndex, state.term()));
+        members.values().forEach(Progress::retryProbe);
+        advanceCommit();
+    }
+
+    Map<ReplicaId, Progress> members() {
+        return members;
+    }
+
+    MembershipChanges changes() {
+        return changes;
+    }
+
+    LeadershipTransfer transfer() {
+        return transfer;
+    }
+
+    /** Returns the index of the entry that started the term. */
+    long firstOwnIndex() {
+        return firstOwnIndex;
+    }
+
+    void tick() {
+        long quorumAt = Math.max(startedAt, quorumSupportedAt());
+        long patience = state.settings().electionTimeoutMaximumMilliseconds();
+        if (state.now() - quorumAt >= patience) {
+            state.follow(state.term(), null);
+            return;
+        }
+        changes.tick();
+        transfer.tick();
+    }
+
+    /** Sends what the members lack and the heartbeats that are due. */
+    void flush() {
+        members.forEach(sender::sendDue);
+    }
+
+    OptionalLong propose(byte[] payload) {
+        if (transfer.active()) {
+            return OptionalLong.empty();
+        }
+        long index = state.log().lastIndex() + 1;
+        state.log().append(LogEntry.payload(index, state.term(), payload));
+        advanceCommit();
+        return OptionalLong.of(index);
+    }
+
+    /** Appends a new membership; it is in force at once. */
+    void propose(Membership membership) {
+        long index = state.log().lastIndex() + 1;
+        state.log().append(LogEntry.membership(index, state.term(), membership));
+        trackMembers();
+        advanceCommit();
+    }
+
+    void onAccepted(ReplicaId from, AppendAccepted message) {
+        onAnswer(
+                from,
+                message.sentAtMilliseconds(),
+                progress -> progress.onMatch(message.matchIndex()));
+    }
+
+    void onRejected(ReplicaId from, AppendRejected message) {
+        onAnswer(
+                from,
+                message.sentAtMilliseconds(),
+                progress -> progress.onRejected(message.previousIndex(), message.nextIndexHint()));
+    }
+
+    void onSnapshotReply(ReplicaId from, SnapshotChunkReply message) {
+        onAnswer(
+                from,
+                message.sentAtMilliseconds(),
+                progress -> sender.onSnapshotReply(progress, message));
+    }
+
+    /** Returns until when no other replica can lead. */
+    long leaseEnd() {
+        return quorumSupportedAt() + state.settings().leaderLeaseMilliseconds();
+    }
+
+    boolean holdsLease() {
+        return state.now() < leaseEnd();
+    }
+
+    /** Tells whether this leader has the lease or is new and may soon have it. */
+    boolean mayHoldLease() {
+        return holdsLease()
+                || state.now() - startedAt < state.settings().electionTimeoutMinimumMilliseconds();
+    }
+
+    private void onAnswer(ReplicaId from, long sentAt, Consumer<Progress> change) {
+        Progress progress = members.get(from);
+        if (progress == null) {
+            return;
+        }
+        progress.onAnswer(sentAt, state.now());
+        change.accept(progress);
+        advanceCommit();
+        transfer.tick();
+    }
+
+    private void trackMembers() {
+        Membership membership = state.membership();
+        members.keySet().removeIf(member -> !membership.contains(member));
+        membership
+                .members()
+                .filter(member -> !member.equals(state.self()))
+                .forEach(
+                        member ->
+                                members.computeIfAbsent(
+                                        member,
+                                        added ->
+                                                new Progress(
+                                                        state.log().lastIndex(), state.now())));
+    }
+
+    /** Counts only entries of the own term; earlier ones are committed with them. */
+    private void advanceCommit() {
+        long index = quorumOf(state.log().lastIndex(), Progress::matchIndex);
+        if (index > state.commitIndex()
+                && state.log().termAt(index).equals(OptionalLong.of(state.term()))) {
+            state.commit(index);
+        }
+    }
+
+    private long quorumSupportedAt() {
+        return quorumOf(state.now(), Progress::supportedAt);
+    }
+
+    /** Returns the highest value that a majority of the voters has reached. */
+    private long quorumOf(long ownValue, java.util.function.ToLongFunction<Progress> value) {
+        long[] values =
+                state.membership().voters().stream()
+                        .mapToLong(
+                                voter ->
+                                        Optional.ofNullable(members.get(voter))
+                                                .map(value::applyAsLong)
+                                                .orElse(ownValue))
+                        .sorted()
+                        .toArray();
+        return values[values.length - state.membership().quorum()];
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/LeadershipTransfer.java
@@ -0,0 +1,63 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.Comparator;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.replication.TimeoutNow;
+
+/**
+ * Hands leadership to another voter: takes no new entries, waits until the voter has all, gives up
+ * the lease for the rest of the term and asks the voter to start an election.
+ */
+final class LeadershipTransfer {
+    private final ReplicaState state;
+    private final Leadership leadership;
+    private @Nullable ReplicaId target;
+    private long startedAt;
+
+    LeadershipTransfer(ReplicaState state, Leadership leadership) {
+        this.state = state;
+        this.leadership = leadership;
+    }
+
+    boolean active() {
+        return target != null;
+    }
+
+    void start() {
+        if (active()) {
+            return;
+        }
+        startedAt = state.now();
+        target = furthestVoter().orElse(null);
+        tick();
+    }
+
+    void tick() {
+        if (target == null) {
+            return;
+        }
+        Progress progress = leadership.members().get(target);
+        boolean late =
+                state.now() - startedAt >= state.settings().electionTimeoutMinimumMilliseconds();
+        if (late || progress == null) {
+            target = null;
+            return;
+        }
+        if (progress.matchIndex() == state.log().lastIndex()) {
+            state.send(target, new TimeoutNow(state.group(), state.term()));
+            state.follow(state.term(), null);
+        }
+    }
+
+    private Optional<ReplicaId> furthestVoter() {
+        long since = state.now() - state.settings().electionTimeoutMinimumMilliseconds();
+        return state.membership().voters().stream()
+                .filter(voter -> !voter.equals(state.self()))
+                .filter(voter -> leadership.members().get(voter).heardAt() > since)
+                .max(
+                        Comparator.comparingLong(
+                                voter -> leadership.members().get(voter).matchIndex()));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/LogReceiver.java
@@ -0,0 +1,119 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.OptionalLong;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.replication.AppendAccepted;
+import org.marjoramnotch.model.replication.AppendEntries;
+import org.marjoramnotch.model.replication.AppendRejected;
+import org.marjoramnotch.model.replication.LogEntry;
+import org.marjoramnotch.model.replication.SnapshotChunk;
+import org.marjoramnotch.model.replication.SnapshotChunkReply;
+
+/** Takes entries and snapshots from the leader. */
+final class LogReceiver {
+    private final ReplicaState state;
+    private final SnapshotAssembly assembly = new SnapshotAssembly();
+
+    LogReceiver(ReplicaState state) {
+        this.state = state;
+    }
+
+    void onAppend(ReplicaId from, AppendEntries message) {
+        if (message.term() < state.term()) {
+            reject(from, message, state.log().lastIndex() + 1);
+            return;
+        }
+        hearLeader(from, message.group(), message.term());
+        if (!matches(message)) {
+            reject(from, message, nextIndexHint(message));
+            return;
+        }
+        message.entries().forEach(this::store);
+        long matchIndex = message.previousIndex() + message.entries().size();
+        state.commit(Math.max(state.commitIndex(), Math.min(message.commitIndex(), matchIndex)));
+        state.send(
+                from, new AppendAccepted(state.term(), matchIndex, message.sentAtMilliseconds()));
+    }
+
+    void onSnapshotChunk(ReplicaId from, SnapshotChunk chunk) {
+        if (chunk.term() < state.term()) {
+            reply(from, chunk, 0);
+            return;
+        }
+        hearLeader(from, chunk.group(), chunk.term());
+        if (chunk.snapshotIndex() <= state.commitIndex()) {
+            reply(from, chunk, chunk.totalBytes());
+            return;
+        }
+        boolean complete =
+                assembly.add(from, chunk)
+                        .map(
+                                snapshot -> {
+                                    state.install(snapshot);
+                                    return true;
+                                })
+                        .orElse(false);
+        reply(from, chunk, complete ? chunk.totalBytes() : assembly.nextOffset());
+    }
+
+    private void hearLeader(ReplicaId from, String group, long term) {
+        state.joinGroup(group);
+        state.follow(term, from);
+        state.hearLeader();
+    }
+
+    /** Committed entries equal those of every leader, so only later ones are compared. */
+    private boolean matches(AppendEntries message) {
+        return message.previousIndex() <= state.commitIndex()
+                || state.log()
+                        .termAt(message.previousIndex())
+                        .equals(OptionalLong.of(message.previousTerm()));
+    }
+
+    private void store(LogEntry entry) {
+        if (entry.index() <= state.commitIndex()) {
+            return;
+        }
+        OptionalLong ownTerm = state.log().termAt(entry.index());
+        if (ownTerm.equals(OptionalLong.of(entry.term()))) {
+            return;
+        }
+        if (ownTerm.isPresent()) {
+            state.truncateFrom(entry.index());
+        }
+        state.log().append(entry);
+    }
+
+    private long nextIndexHint(AppendEntries message) {
+        OptionalLong conflictingTerm = state.log().termAt(message.previousIndex());
+        if (conflictingTerm.isEmpty()) {
+            return state.log().lastIndex() + 1;
+        }
+        long first = message.previousIndex();
+        while (first - 1 > state.commitIndex()
+                && state.log().termAt(first - 1).equals(conflictingTerm)) {
+            first--;
+        }
+        return first;
+    }
+
+    private void reject(ReplicaId to, AppendEntries message, long nextIndexHint) {
+        state.send(
+                to,
+                new AppendRejected(
+                        state.term(),
+                        message.previousIndex(),
+                        nextIndexHint,
+                        message.sentAtMilliseconds()));
+    }
+
+    private void reply(ReplicaId to, SnapshotChunk chunk, long nextOffset) {
+        state.send(
+                to,
+                new SnapshotChunkReply(
+                        state.term(),
+                        chunk.snapshotIndex(),
+                        nextOffset,
+                        chunk.sentAtMilliseconds()));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/MembershipChanges.java
@@ -0,0 +1,129 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.replication.Membership;
+
+/**
+ * Changes the membership by one replica at a time: removes identities that their VM has lost, adds
+ * those that ask as learners and promotes learners that have caught up.
+ */
+final class MembershipChanges {
+    private static final int JOIN_REQUEST_INTERVALS = 3;
+
+    private record Join(ReplicaId replica, long askedAt) {}
+
+    private final ReplicaState state;
+    private final Leadership leadership;
+    private final Map<VmId, Join> joins = new TreeMap<>();
+
+    MembershipChanges(ReplicaState state, Leadership leadership) {
+        this.state = state;
+        this.leadership = leadership;
+    }
+
+    void onJoinRequest(ReplicaId replica) {
+        Membership membership = state.membership();
+        boolean unwanted =
+                !state.settings().replicaVms().contains(replica.vm())
+                        || membership.contains(replica)
+                        || membership.removed().contains(replica);
+        if (!unwanted) {
+            joins.put(replica.vm(), new Join(replica, state.now()));
+        }
+    }
+
+    void tick() {
+        if (!mayChange()) {
+            return;
+        }
+        long oldest =
+                state.now() - JOIN_REQUEST_INTERVALS * state.settings().joinIntervalMilliseconds();
+        joins.values().removeIf(join -> join.askedAt() < oldest);
+        nextChange().ifPresent(leadership::propose);
+    }
+
+    /** Removes a VM's member, asked for by an operator. */
+    void remove(VmId vm) {
+        ReplicaId member =
+                state.membership()
+                        .membersOn(vm)
+                        .findFirst()
+                        .orElseThrow(
+                                () ->
+                                        groupState(
+                                                "VM "
+                                                        + vm
+                                                        + " has no replica in the group; read the"
+                                                        + " status for those that have."));
+        if (member.equals(state.self())) {
+            throw groupState(
+                    "VM "
+                            + vm
+                            + " leads the group; stop its daemon first, then ask the new leader.");
+        }
+        if (!mayChange()) {
+            throw groupState("Another change of the members is under way; repeat this one later.");
+        }
+        joins.remove(vm);
+        leadership.propose(state.membership().without(member));
+    }
+
+    /** Tells whether the last change is committed, and an entry of this term with it. */
+    private boolean mayChange() {
+        return state.commitIndex() >= state.log().membershipIndex()
+                && state.commitIndex() >= leadership.firstOwnIndex()
+                && !leadership.transfer().active();
+    }
+
+    private Optional<Membership> nextChange() {
+        for (Join join : joins.values()) {
+            Optional<Membership> change = changeFor(join.replica());
+            if (change.isPresent()) {
+                return change;
+            }
+        }
+        return state.membership().learners().stream()
+                .filter(this::mayPromote)
+                .findFirst()
+                .map(state.membership()::withPromoted);
+    }
+
+    private Optional<Membership> changeFor(ReplicaId joining) {
+        Membership membership = state.membership();
+        if (membership.contains(joining) || membership.removed().contains(joining)) {
+            return Optional.empty();
+        }
+        Optional<ReplicaId> former = membership.membersOn(joining.vm()).findFirst();
+        if (former.isEmpty()) {
+            return Optional.of(membership.withLearner(joining));
+        }
+        boolean alive = former.get().equals(state.self()) || answersLately(former.get());
+        return alive ? Optional.empty() : Optional.of(membership.without(former.get()));
+    }
+
+    private boolean mayPromote(ReplicaId learner) {
+        return answersLately(learner)
+                && leadership
+                        .members()
+                        .get(learner)
+                        .caughtUp(
+                                state.log().lastIndex(),
+                                state.now(),
+                                state.settings().electionTimeoutMinimumMilliseconds());
+    }
+
+    private boolean answersLately(ReplicaId member) {
+        return state.now() - leadership.members().get(member).heardAt()
+                < state.settings().electionTimeoutMaximumMilliseconds();
+    }
+
+    private static MarjoramnotchException groupState(String message) {
+        return new MarjoramnotchException(ErrorCode.GROUP_STATE, message);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Progress.java
@@ -0,0 +1,143 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import org.marjoramnotch.model.replication.Snapshot;
+
+/** What a leader knows of one other member's log. Times are of the leader's clock. */
+final class Progress {
+    private static final long NEVER = Long.MIN_VALUE / 4;
+
+    private final Deque<Long> inFlight = new ArrayDeque<>();
+    private long matchIndex;
+    private long nextIndex;
+    private boolean probing = true;
+    private boolean probeSent;
+    private long sentAt = NEVER;
+    private long supportedAt = NEVER;
+    private long heardAt = NEVER;
+    private Optional<SnapshotTransfer> snapshot = Optional.empty();
+    private long roundTarget;
+    private long roundStartedAt;
+
+    Progress(long lastIndex, long now) {
+        nextIndex = lastIndex + 1;
+        startRound(lastIndex, now);
+    }
+
+    long matchIndex() {
+        return matchIndex;
+    }
+
+    long nextIndex() {
+        return nextIndex;
+    }
+
+    long sentAt() {
+        return sentAt;
+    }
+
+    /** Returns when the latest message was sent that the member has answered. */
+    long supportedAt() {
+        return supportedAt;
+    }
+
+    /** Returns when the member last answered. */
+    long heardAt() {
+        return heardAt;
+    }
+
+    Optional<SnapshotTransfer> snapshot() {
+        return snapshot;
+    }
+
+    boolean maySendEntries(int batchesInFlight) {
+        if (snapshot.isPresent()) {
+            return false;
+        }
+        return probing ? !probeSent : inFlight.size() < batchesInFlight;
+    }
+
+    /** Allows a probe again whose answer may be lost. */
+    void retryProbe() {
+        probeSent = false;
+    }
+
+    void onSent(long now) {
+        sentAt = now;
+    }
+
+    void onEntriesSent(long lastIndex) {
+        if (probing) {
+            probeSent = true;
+            return;
+        }
+        nextIndex = lastIndex + 1;
+        inFlight.addLast(lastIndex);
+    }
+
+    void onAnswer(long answeredSentAt, long now) {
+        supportedAt = Math.max(supportedAt, answeredSentAt);
+        heardAt = now;
+    }
+
+    void onMatch(long index) {
+        if (index > matchIndex) {
+            matchIndex = index;
+        }
+        nextIndex = Math.max(nextIndex, matchIndex + 1);
+        while (!inFlight.isEmpty() && inFlight.peekFirst() <= index) {
+            inFlight.removeFirst();
+        }
+        if (probing && nextIndex == matchIndex + 1) {
+            probing = false;
+        }
+        probeSent = false;
+    }
+
+    /** Steps back to where the logs may agree; an answer to an older message changes nothing. */
+    void onRejected(long previousIndex, long nextIndexHint) {
+        boolean outdated =
+                previousIndex <= matchIndex || (probing && previousIndex != nextIndex - 1);
+        if (outdated) {
+            return;
+        }
+        nextIndex = Math.max(matchIndex + 1, Math.min(nextIndexHint, previousIndex));
+        probing = true;
+        probeSent = false;
+        inFlight.clear();
+    }
+
+    void startSnapshot(Snapshot sent) {
+        snapshot = Optional.of(new SnapshotTransfer(sent));
+    }
+
+    void endSnapshot(long snapshotIndex) {
+        snapshot = Optional.empty();
+        inFlight.clear();
+        nextIndex = snapshotIndex + 1;
+        probing = true;
+        onMatch(snapshotIndex);
+    }
+
+    /**
+     * Tells whether the member caught up with all entries of a round that took less than a limit;
+     * starts the next round if it took longer.
+     */
+    boolean caughtUp(long lastIndex, long now, long limitMilliseconds) {
+        if (matchIndex < roundTarget) {
+            return false;
+        }
+        boolean quick = now - roundStartedAt <= limitMilliseconds;
+        if (!quick) {
+            startRound(lastIndex, now);
+        }
+        return quick;
+    }
+
+    private void startRound(long lastIndex, long now) {
+        roundTarget = lastIndex;
+        roundStartedAt = now;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
@@ -0,0 +1,212 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.OptionalLong;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.Invariant;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.replication.AppendAccepted;
+import org.marjoramnotch.model.replication.AppendEntries;
+import org.marjoramnotch.model.replication.AppendRejected;
+import org.marjoramnotch.model.replication.JoinReply;
+import org.marjoramnotch.model.replication.JoinRequest;
+import org.marjoramnotch.model.replication.LogEntry;
+import org.marjoramnotch.model.replication.Membership;
+import org.marjoramnotch.model.replication.ReplicationMessage;
+import org.marjoramnotch.model.replication.SnapshotChunk;
+import org.marjoramnotch.model.replication.SnapshotChunkReply;
+import org.marjoramnotch.model.replication.TimeoutNow;
+import org.marjoramnotch.model.replication.VoteReply;
+import org.marjoramnotch.model.replication.VoteRequest;
+
+/**
+ * A replica of a log that follows the Raft algorithm with pre-vote, a quorum check, a leader lease,
+ * leadership transfer and changes of one member at a time.
+ *
+ * <p>The first effects after a start hold the recovered snapshot, if any, as the restored state.
+ * The time of a message must be read after the message was taken from the network: an earlier
+ * reading would shorten the time for which a vote is refused, and with it the leader lease.
+ */
+public final class Replica implements ReplicatedLog {
+    private final ReplicaState state;
+    private final Election election;
+    private final LogReceiver receiver;
+    private final JoinDuty join;
+    private long handedOutIndex;
+
+    /**
+     * Creates a replica from what its storage holds.
+     *
+     * @param settings the settings
+     * @param recovered what the storage holds
+     * @param random draws election timeouts
+     * @param nowMilliseconds the time
+     */
+    public Replica(
+            ReplicaSettings settings,
+            RecoveredState recovered,
+            UniformRandomProvider random,
+            long nowMilliseconds) {
+        state = new ReplicaState(settings, recovered, random, nowMilliseconds);
+        election = new Election(state);
+        receiver = new LogReceiver(state);
+        join = new JoinDuty(state);
+    }
+
+    @Override
+    public void tick(long nowMilliseconds) {
+        state.advance(nowMilliseconds);
+        state.leadership().ifPresent(Leadership::tick);
+        election.tick();
+        join.tick();
+    }
+
+    @Override
+    public void receive(long nowMilliseconds, ReplicaId from, ReplicationMessage message) {
+        state.advance(nowMilliseconds);
+        if (message instanceof VoteRequest request) {
+            if (isOfGroup(request.group()) && !isRemoved()) {
+                election.onRequest(from, request);
+            }
+        } else if (message instanceof VoteReply reply) {
+            election.onReply(from, reply);
+        } else if (message instanceof AppendEntries append) {
+            if (isOfGroupOrNew(append.group())) {
+                receiver.onAppend(from, append);
+            }
+        } else if (message instanceof SnapshotChunk chunk) {
+            if (isOfGroupOrNew(chunk.group())) {
+                receiver.onSnapshotChunk(from, chunk);
+            }
+        } else if (message instanceof TimeoutNow timeoutNow) {
+            if (isOfGroup(timeoutNow.group())) {
+                election.onTimeoutNow(from, timeoutNow);
+            }
+        } else if (message instanceof JoinRequest request) {
+            join.onRequest(from, request);
+        } else if (message instanceof JoinReply reply) {
+            join.onReply(reply);
+        } else {
+            receiveAsLeader(from, message);
+        }
+    }
+
+    @Override
+    public OptionalLong propose(long nowMilliseconds, byte[] payload) {
+        state.advance(nowMilliseconds);
+        return state.leadership()
+                .map(leadership -> leadership.propose(payload))
+                .orElseGet(OptionalLong::empty);
+    }
+
+    @Override
+    public void form(long nowMilliseconds) {
+        state.advance(nowMilliseconds);
+        if (!state.group().isEmpty()) {
+            throw new MarjoramnotchException(
+                    ErrorCode.GROUP_STATE,
+                    "A group is already formed, and this replica joins it by itself; read the"
+                            + " status of the group instead.");
+        }
+        Membership membership = Membership.formedBy(state.self());
+        state.log().append(LogEntry.membership(1, 0, membership));
+        state.joinGroup(membership.group());
+        state.campaign();
+        state.lead();
+    }
+
+    @Override
+    public void remove(long nowMilliseconds, VmId vm) {
+        state.advance(nowMilliseconds);
+        requireLeadership().changes().remove(vm);
+    }
+
+    @Override
+    public void transferLeadership(long nowMilliseconds) {
+        state.advance(nowMilliseconds);
+        state.leadership().ifPresent(leadership -> leadership.transfer().start());
+    }
+
+    @Override
+    public void compact(long index, byte[] newState) {
+        Invariant.check(index <= handedOutIndex, "A snapshot of entries that were not applied");
+        if (index > state.log().snapshotIndex()) {
+            state.log().compact(index, newState);
+        }
+    }
+
+    @Override
+    public ReplicationEffects takeEffects() {
+        state.leadership().ifPresent(Leadership::flush);
+        handedOutIndex = state.commitIndex();
+        return state.effects().take();
+    }
+
+    @Override
+    public ReplicationStatus status(long nowMilliseconds) {
+        state.advance(nowMilliseconds);
+        boolean leading = state.leadership().map(Leadership::holdsLease).orElse(false);
+        boolean ready =
+                leading && handedOutIndex >= state.leadership().orElseThrow().firstOwnIndex();
+        return new ReplicationStatus(
+                state.self(),
+                leading,
+                ready,
+                state.leader(),
+                state.term(),
+                state.commitIndex(),
+                state.log().firstIndex(),
+                state.membership().voters(),
+                state.membership().learners());
+    }
+
+    private void receiveAsLeader(ReplicaId from, ReplicationMessage message) {
+        long term = 0;
+        if (message instanceof AppendAccepted accepted) {
+            term = accepted.term();
+        } else if (message instanceof AppendRejected rejected) {
+            term = rejected.term();
+        } else if (message instanceof SnapshotChunkReply reply) {
+            term = reply.term();
+        }
+        if (term > state.term()) {
+            state.follow(term, null);
+            return;
+        }
+        if (term < state.term() || state.leadership().isEmpty()) {
+            return;
+        }
+        Leadership leadership = state.leadership().orElseThrow();
+        if (message instanceof AppendAccepted accepted) {
+            leadership.onAccepted(from, accepted);
+        } else if (message instanceof AppendRejected rejected) {
+            leadership.onRejected(from, rejected);
+        } else if (message instanceof SnapshotChunkReply reply) {
+            leadership.onSnapshotReply(from, reply);
+        }
+    }
+
+    private Leadership requireLeadership() {
+        return state.leadership()
+                .orElseThrow(
+                        () ->
+                                new MarjoramnotchException(
+                                        ErrorCode.NOT_LEADER,
+                                        "This replica does not lead the group; repeat the request"
+                                                + " at the leader."));
+    }
+
+    private boolean isOfGroup(String group) {
+        return !group.isEmpty() && state.group().equals(group);
+    }
+
+    private boolean isOfGroupOrNew(String group) {
+        return !group.isEmpty() && (state.group().isEmpty() || state.group().equals(group));
+    }
+
+    private boolean isRemoved() {
+        return state.membership().removed().contains(state.self());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ReplicaState.java
@@ -0,0 +1,225 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.model.error.Invariant;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.replication.EntryKind;
+import org.marjoramnotch.model.replication.LogEntry;
+import org.marjoramnotch.model.replication.Membership;
+import org.marjoramnotch.model.replication.ReplicationMessage;
+import org.marjoramnotch.model.replication.Snapshot;
+
+/** The state that all parts of a replica share, and the steps that change it safely. */
+final class ReplicaState {
+    private final ReplicaSettings settings;
+    private final UniformRandomProvider random;
+    private final EffectBuffer effects = new EffectBuffer();
+    private final ReplicaLog log;
+    private HardState hardState;
+    private Role role = Role.FOLLOWER;
+    private @Nullable ReplicaId leader;
+    private @Nullable Leadership leadership;
+    private long now;
+    private long leaderHeardAt;
+    private long electionDeadline;
+    private long commitIndex;
+
+    ReplicaState(
+            ReplicaSettings settings,
+            RecoveredState recovered,
+            UniformRandomProvider random,
+            long now) {
+        this.settings = settings;
+        this.random = random;
+        this.hardState = recovered.hardState();
+        this.log = new ReplicaLog(recovered, settings.trailingEntries(), effects);
+        this.now = now;
+        this.commitIndex = log.snapshotIndex();
+        recovered.snapshot().ifPresent(taken -> effects.restore(taken.index(), taken.state()));
+        if (membership().exists()) {
+            joinGroup(membership().group());
+        }
+        // A vote may have been refused, or a lease supported, just before the restart.
+        hearLeader();
+    }
+
+    /** Moves the time on; a time before the last one is ignored. */
+    void advance(long nowMilliseconds) {
+        now = Math.max(now, nowMilliseconds);
+    }
+
+    long now() {
+        return now;
+    }
+
+    ReplicaSettings settings() {
+        return settings;
+    }
+
+    ReplicaId self() {
+        return settings.self();
+    }
+
+    ReplicaLog log() {
+        return log;
+    }
+
+    EffectBuffer effects() {
+        return effects;
+    }
+
+    HardState hardState() {
+        return hardState;
+    }
+
+    long term() {
+        return hardState.term();
+    }
+
+    String group() {
+        return hardState.group().orElse("");
+    }
+
+    Role role() {
+        return role;
+    }
+
+    Optional<ReplicaId> leader() {
+        return Optional.ofNullable(leader);
+    }
+
+    Optional<Leadership> leadership() {
+        return Optional.ofNullable(leadership);
+    }
+
+    long commitIndex() {
+        return commitIndex;
+    }
+
+    Membership membership() {
+        return log.membership();
+    }
+
+    boolean votes() {
+        return membership().voters().contains(self());
+    }
+
+    boolean electionDue() {
+        return now >= electionDeadline;
+    }
+
+    long millisecondsSinceLeader() {
+        return now - leaderHeardAt;
+    }
+
+    void send(ReplicaId to, ReplicationMessage message) {
+        effects.send(to, message);
+    }
+
+    /** Notes that the leader of the current term was heard; votes are refused for a while. */
+    void hearLeader() {
+        leaderHeardAt = now;
+        awaitElection(
+                settings.electionTimeoutMinimumMilliseconds(),
+                settings.electionTimeoutMaximumMilliseconds());
+    }
+
+    /** Sets the next election to a random time from now. */
+    void awaitElection(long minimumMilliseconds, long maximumMilliseconds) {
+        electionDeadline = now + random.nextLong(minimumMilliseconds, maximumMilliseconds);
+    }
+
+    /** Follows the leader of a term, or waits for one. */
+    void follow(long term, @Nullable ReplicaId newLeader) {
+        Invariant.check(term >= term(), "The term went back");
+        if (term > term()) {
+            setHardState(hardState.withTerm(term));
+            leader = null;
+        }
+        if (role == Role.LEADER) {
+            awaitElection(
+                    settings.electionTimeoutMinimumMilliseconds(),
+                    settings.electionTimeoutMaximumMilliseconds());
+        }
+        role = Role.FOLLOWER;
+        leadership = null;
+        if (newLeader != null) {
+            Invariant.check(
+                    leader == null || leader.equals(newLeader),
+                    "Two replicas lead in term " + term);
+        }
+        leader = newLeader;
+    }
+
+    void askPreVotes() {
+        role = Role.PRE_CANDIDATE;
+        leader = null;
+    }
+
+    /** Starts a term of its own with its own vote. */
+    void campaign() {
+        setHardState(hardState.withTerm(term() + 1));
+        vote(self());
+        role = Role.CANDIDATE;
+        leader = null;
+    }
+
+    void vote(ReplicaId candidate) {
+        Optional<ReplicaId> before = hardState.votedFor();
+        Invariant.check(
+                before.isEmpty() || before.get().equals(candidate),
+                "A second vote in term " + term());
+        if (before.isEmpty()) {
+            setHardState(hardState.withVote(candidate));
+        }
+    }
+
+    void lead() {
+        Invariant.check(role == Role.CANDIDATE, "Only a candidate can become leader");
+        role = Role.LEADER;
+        leader = self();
+        leadership = new Leadership(this);
+        leadership.start();
+    }
+
+    void joinGroup(String group) {
+        Invariant.check(
+                hardState.group().isEmpty() || group().equals(group),
+                "A replica would change its group");
+        if (hardState.group().isEmpty()) {
+            setHardState(hardState.withGroup(group));
+        }
+    }
+
+    /** Hands on the entries up to an index that a quorum has stored. */
+    void commit(long index) {
+        Invariant.check(index >= commitIndex, "The commit index went back");
+        Invariant.check(index <= log.lastIndex(), "An entry was committed that is not in the log");
+        for (long next = commitIndex + 1; next <= index; next++) {
+            LogEntry entry = log.entry(next);
+            if (entry.kind() == EntryKind.PAYLOAD) {
+                effects.commit(entry);
+            }
+        }
+        commitIndex = index;
+    }
+
+    void truncateFrom(long index) {
+        Invariant.check(index > commitIndex, "A committed entry would be removed");
+        log.truncateFrom(index);
+    }
+
+    void install(Snapshot snapshot) {
+        Invariant.check(snapshot.index() > commitIndex, "A snapshot would move the state back");
+        log.install(snapshot);
+        commitIndex = snapshot.index();
+        effects.restore(snapshot.index(), snapshot.state());
+    }
+
+    private void setHardState(HardState newState) {
+        hardState = newState;
+        effects.write(new StorageWrite.SaveHardState(newState));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/SnapshotTransfer.java
@@ -0,0 +1,52 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.Arrays;
+import org.marjoramnotch.model.replication.Snapshot;
+
+/** The sending of one snapshot to one member, one part at a time. */
+final class SnapshotTransfer {
+    private final Snapshot snapshot;
+    private long offset;
+    private boolean awaitsAnswer;
+
+    SnapshotTransfer(Snapshot snapshot) {
+        this.snapshot = snapshot;
+    }
+
+    Snapshot snapshot() {
+        return snapshot;
+    }
+
+    long offset() {
+        return offset;
+    }
+
+    long totalBytes() {
+        return snapshot.state().length;
+    }
+
+    boolean awaitsAnswer() {
+        return awaitsAnswer;
+    }
+
+    /** Returns the next part; it is sent again if no answer comes. */
+    byte[] nextPart(int maximumBytes) {
+        awaitsAnswer = true;
+        int from = Math.toIntExact(offset);
+        int to = Math.toIntExact(Math.min(totalBytes(), offset + maximumBytes));
+        return Arrays.copyOfRange(snapshot.state(), from, to);
+    }
+
+    void retry() {
+        awaitsAnswer = false;
+    }
+
+    /** Goes on at the offset that the member asks for. */
+    void onAnswer(long nextOffset) {
+        if (nextOffset < 0 || nextOffset > totalBytes()) {
+            return;
+        }
+        offset = nextOffset;
+        awaitsAnswer = false;
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/replication/StorageWrite.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/StorageWrite.java
@@ -1,4 +1,37 @@
 package org.marjoramnotch.logic.replication;
 
-/** A change of a replica's stored state. */
-public interface StorageWrite {}
+import java.util.List;
+import org.marjoramnotch.model.replication.LogEntry;
+import org.marjoramnotch.model.replication.Snapshot;
+
+/** A change of a replica's stored state. Each one is atomic; they are stored in their order. */
+public sealed interface StorageWrite {
+    /**
+     * Replaces term, vote and group.
+     *
+     * @param state the new values
+     */
+    record SaveHardState(HardState state) implements StorageWrite {}
+
+    /**
+     * Appends entries to the log.
+     *
+     * @param entries consecutive entries that follow the last stored one
+     */
+    record AppendLog(List<LogEntry> entries) implements StorageWrite {}
+
+    /**
+     * Removes all entries from an index on.
+     *
+     * @param fromIndex the first index to remove
+     */
+    record TruncateLog(long fromIndex) implements StorageWrite {}
+
+    /**
+     * Replaces the snapshot and all entries up to its index.
+     *
+     * @param snapshot the new snapshot
+     * @param retained the entries that remain in the log after it
+     */
+    record SaveSnapshot(Snapshot snapshot, List<LogEntry> retained) implements StorageWrite {}
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/model/replication/Membership.java
@@ -0,0 +1,77 @@
+package org.marjoramnotch.model.replication;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
+
+/**
+ * The members of a group. Two successive memberships differ by one replica, so that any quorum of
+ * one overlaps any quorum of the other.
+ *
+ * @param group names the group for its whole life; empty before one is known
+ * @param voters replicas whose acknowledgement counts
+ * @param learners replicas that receive the log without a vote
+ * @param removed former members, which must not join again under the same identity
+ */
+public record Membership(
+        String group, List<ReplicaId> voters, List<ReplicaId> learners, List<ReplicaId> removed) {
+    /** Returns the membership of a replica that belongs to no group. */
+    public static Membership none() {
+        return new Membership("", List.of(), List.of(), List.of());
+    }
+
+    /** Returns the membership of a group of one voter. */
+    public static Membership formedBy(ReplicaId founder) {
+        return new Membership(founder.toString(), List.of(founder), List.of(), List.of());
+    }
+
+    /** Tells whether there is a group. */
+    public boolean exists() {
+        return !group.isEmpty();
+    }
+
+    /** Returns how many voters make a majority. */
+    public int quorum() {
+        return voters.size() / 2 + 1;
+    }
+
+    /** Tells whether a replica votes or learns. */
+    public boolean contains(ReplicaId replica) {
+        return voters.contains(replica) || learners.contains(replica);
+    }
+
+    /** Returns voters and learners. */
+    public Stream<ReplicaId> members() {
+        return Stream.concat(voters.stream(), learners.stream());
+    }
+
+    /** Returns the members on a VM. */
+    public Stream<ReplicaId> membersOn(VmId vm) {
+        return members().filter(member -> member.vm().equals(vm));
+    }
+
+    /** Returns this membership with one more learner. */
+    public Membership withLearner(ReplicaId replica) {
+        return new Membership(group, voters, plus(learners, replica), removed);
+    }
+
+    /** Returns this membership with a learner made a voter. */
+    public Membership withPromoted(ReplicaId learner) {
+        return new Membership(group, plus(voters, learner), minus(learners, learner), removed);
+    }
+
+    /** Returns this membership without a member. */
+    public Membership without(ReplicaId member) {
+        return new Membership(
+                group, minus(voters, member), minus(learners, member), plus(removed, member));
+    }
+
+    private static List<ReplicaId> plus(List<ReplicaId> replicas, ReplicaId replica) {
+        return Stream.concat(replicas.stream(), Stream.of(replica)).toList();
+    }
+
+    private static List<ReplicaId> minus(List<ReplicaId> replicas, ReplicaId replica) {
+        return replicas.stream().filter(other -> !other.equals(replica)).toList();
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/model/replication/ReplicationMessage.java
+++ b/library/src/main/java/org/marjoramnotch/model/replication/ReplicationMessage.java
@@ -1,4 +1,30 @@
 package org.marjoramnotch.model.replication;
 
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
 /** A message between two replicas of a log. */
-public interface ReplicationMessage {}
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = VoteRequest.class, name = "vote-request"),
+    @JsonSubTypes.Type(value = VoteReply.class, name = "vote-reply"),
+    @JsonSubTypes.Type(value = AppendEntries.class, name = "append"),
+    @JsonSubTypes.Type(value = AppendAccepted.class, name = "append-accepted"),
+    @JsonSubTypes.Type(value = AppendRejected.class, name = "append-rejected"),
+    @JsonSubTypes.Type(value = SnapshotChunk.class, name = "snapshot-chunk"),
+    @JsonSubTypes.Type(value = SnapshotChunkReply.class, name = "snapshot-chunk-reply"),
+    @JsonSubTypes.Type(value = TimeoutNow.class, name = "timeout-now"),
+    @JsonSubTypes.Type(value = JoinRequest.class, name = "join-request"),
+    @JsonSubTypes.Type(value = JoinReply.class, name = "join-reply")
+})
+public sealed interface ReplicationMessage
+        permits VoteRequest,
+                VoteReply,
+                AppendEntries,
+                AppendAccepted,
+                AppendRejected,
+                SnapshotChunk,
+                SnapshotChunkReply,
+                TimeoutNow,
+                JoinRequest,
+                JoinReply {}
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/Coverage.java
@@ -0,0 +1,26 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.EnumMap;
+import java.util.Map;
+
+/** Counts what simulated runs met. */
+final class Coverage {
+    private final Map<Covered, Long> counts = new EnumMap<>(Covered.class);
+
+    void count(Covered covered) {
+        counts.merge(covered, 1L, Long::sum);
+    }
+
+    void add(Coverage other) {
+        other.counts.forEach((covered, count) -> counts.merge(covered, count, Long::sum));
+    }
+
+    long of(Covered covered) {
+        return counts.getOrDefault(covered, 0L);
+    }
+
+    @Override
+    public String toString() {
+        return counts.toString();
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/Covered.java
@@ -0,0 +1,25 @@
+package org.marjoramnotch.logic.replication;
+
+/** What a simulated run must have met to prove anything. */
+enum Covered {
+    ELECTION,
+    TERM,
+    SNAPSHOT_INSTALLED,
+    COMPACTION,
+    MEMBERSHIP_CHANGE,
+    TRUNCATION,
+    TRANSFER,
+    ONE_WAY_CUT,
+    TWO_WAY_CUT,
+    ISOLATION,
+    DEATH_DURING_SYNC,
+    DEATH_BEFORE_SEND,
+    DEATH_BEFORE_APPLY,
+    PAUSE_PAST_LEASE,
+    DISK_LOSS,
+    LOSS_RIGHT_AFTER_REPAIR,
+    MESSAGE_CUT,
+    MESSAGE_DROPPED,
+    MESSAGE_DELAYED,
+    MESSAGE_DUPLICATED
+}
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/FaultPlan.java
@@ -0,0 +1,170 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.replication.Membership;
+
+/** Brings random faults into a simulation, as many at once as the group must survive. */
+final class FaultPlan {
+    private static final long RESTART_MILLISECONDS = 4_000;
+
+    private final ReplicationSimulation simulation;
+    private final UniformRandomProvider random;
+    private final Coverage coverage;
+    private final List<Runnable> faults;
+    private long nextFaultAt;
+    private long healAt;
+    private long repairedAt = -1;
+    private boolean repairing;
+
+    FaultPlan(ReplicationSimulation simulation) {
+        this.simulation = simulation;
+        this.random = simulation.random();
+        this.coverage = simulation.coverage();
+        this.faults =
+                List.of(
+                        this::cutOneWay,
+                        this::cutTwoWay,
+                        this::isolate,
+                        this::kill,
+                        this::kill,
+                        this::pause,
+                        this::transfer,
+                        this::loseDisk,
+                        this::loseDisk);
+    }
+
+    void step() {
+        simulation.step();
+        noteRepair();
+        restartDead();
+        if (simulation.time() >= healAt) {
+            simulation.network().heal();
+        }
+        if (simulation.time() >= nextFaultAt) {
+            nextFaultAt = simulation.time() + random.nextLong(100, 2_500);
+            simulation.network().faultRate(random.nextDouble() < 0.5 ? 0 : 0.03);
+            faults.get(random.nextInt(faults.size())).run();
+        }
+    }
+
+    private void cutOneWay() {
+        SimulatedReplica from = any();
+        others(from, other -> simulation.network().cut(from.id().vm(), other.id().vm()));
+        cut(Covered.ONE_WAY_CUT);
+    }
+
+    private void cutTwoWay() {
+        SimulatedReplica one = any();
+        SimulatedReplica other = any();
+        simulation.network().cut(one.id().vm(), other.id().vm());
+        simulation.network().cut(other.id().vm(), one.id().vm());
+        cut(Covered.TWO_WAY_CUT);
+    }
+
+    private void isolate() {
+        SimulatedReplica one = any();
+        others(
+                one,
+                other -> {
+                    simulation.network().cut(one.id().vm(), other.id().vm());
+                    simulation.network().cut(other.id().vm(), one.id().vm());
+                });
+        cut(Covered.ISOLATION);
+    }
+
+    private void cut(Covered covered) {
+        coverage.count(covered);
+        healAt = simulation.time() + random.nextLong(200, 6_000);
+    }
+
+    private void kill() {
+        SimulatedReplica.Death[] deaths = SimulatedReplica.Death.values();
+        any().dieAt(deaths[1 + random.nextInt(deaths.length - 1)]);
+    }
+
+    private void pause() {
+        SimulatedReplica target = leaderOrAny();
+        long milliseconds = random.nextLong(50, 4_000);
+        if (milliseconds > SimulationSettings.ELECTION_TIMEOUT_MILLISECONDS) {
+            coverage.count(Covered.PAUSE_PAST_LEASE);
+        }
+        target.pause(simulation.time() + milliseconds);
+    }
+
+    private void transfer() {
+        simulation
+                .readyLeader()
+                .ifPresent(leader -> leader.replica().transferLeadership(leader.local(now())));
+    }
+
+    /** Loses a disk unless the group would then have lost more identities than it survives. */
+    private void loseDisk() {
+        if (lostIdentities() * 2 + 2 >= simulation.replicas().size()) {
+            return;
+        }
+        coverage.count(Covered.DISK_LOSS);
+        if (repairedAt >= 0 && now() - repairedAt < 500) {
+            coverage.count(Covered.LOSS_RIGHT_AFTER_REPAIR);
+        }
+        repairing = true;
+        repairedAt = -1;
+        any().loseDisk();
+    }
+
+    /** Loses a second VM soon after the first one was replaced. */
+    private void noteRepair() {
+        if (repairing && lostIdentities() == 0) {
+            repairing = false;
+            repairedAt = now();
+            if (random.nextBoolean()) {
+                loseDisk();
+            }
+        }
+    }
+
+    /** Counts VMs without a voter in the committed membership; all while no leader is ready. */
+    private int lostIdentities() {
+        int size = simulation.replicas().size();
+        return simulation
+                .readyLeader()
+                .map(
+                        leader -> {
+                            Membership committed =
+                                    leader.storage()
+                                            .membershipAt(leader.status(now()).commitIndex());
+                            List<ReplicaId> present =
+                                    simulation.replicas().stream()
+                                            .map(SimulatedReplica::id)
+                                            .filter(committed.voters()::contains)
+                                            .toList();
+                            return size - present.size();
+                        })
+                .orElse(size);
+    }
+
+    private void restartDead() {
+        simulation.replicas().stream()
+                .filter(replica -> !replica.isRunning())
+                .filter(replica -> random.nextLong(RESTART_MILLISECONDS) == 0)
+                .forEach(replica -> replica.start(now()));
+    }
+
+    private void others(SimulatedReplica one, Consumer<SimulatedReplica> action) {
+        simulation.replicas().stream().filter(other -> other != one).forEach(action);
+    }
+
+    private SimulatedReplica any() {
+        return simulation.replicas().get(random.nextInt(simulation.replicas().size()));
+    }
+
+    private SimulatedReplica leaderOrAny() {
+        return simulation.readyLeader().filter(leader -> random.nextBoolean()).orElseGet(this::any);
+    }
+
+    private long now() {
+        return simulation.time();
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/ReplicationSimulation.java
@@ -0,0 +1,184 @@
+package org.marjoramnotch.logic.replication;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.replication.ReplicationEnvelope;
+
+/**
+ * Runs replicas in virtual time, one millisecond a step, with a network, disks and processes that
+ * fail. Reusable by other tests: start it, call {@link #step()}, and end with {@link #settle()}.
+ */
+final class ReplicationSimulation {
+    private static final long TICK_MILLISECONDS = 10;
+    private static final long PROPOSAL_MILLISECONDS = 25;
+    private static final long SETTLE_MILLISECONDS = 30_000;
+    private static final long LAST_COMMIT_MILLISECONDS = 1_000;
+    private static final long PROMOTION_MILLISECONDS = 1_100;
+    private static final double CLOCK_DRIFT = 0.01;
+
+    private final SimulationSettings settings;
+    private final UniformRandomProvider random;
+    private final Coverage coverage = new Coverage();
+    private final SafetyChecker checker = new SafetyChecker(coverage);
+    private final SimulatedNetwork network;
+    private final List<SimulatedReplica> replicas = new ArrayList<>();
+    private long time;
+    private long proposals;
+    private boolean proposing = true;
+
+    ReplicationSimulation(SimulationSettings settings) {
+        this.settings = settings;
+        this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(settings.seed());
+        this.network = new SimulatedNetwork(random, coverage);
+        Set<VmId> vms =
+                IntStream.range(0, settings.replicas())
+                        .mapToObj(number -> new VmId("vm-" + number))
+                        .collect(Collectors.toSet());
+        vms.stream()
+                .sorted()
+                .forEach(
+                        vm ->
+                                replicas.add(
+                                        new SimulatedReplica(
+                                                vm,
+                                                vms,
+                                                settings,
+                                                drawClockRate(),
+                                                random,
+                                                checker,
+                                                coverage)));
+        replicas.forEach(replica -> replica.start(time));
+    }
+
+    List<SimulatedReplica> replicas() {
+        return replicas;
+    }
+
+    SimulatedNetwork network() {
+        return network;
+    }
+
+    Coverage coverage() {
+        return coverage;
+    }
+
+    UniformRandomProvider random() {
+        return random;
+    }
+
+    long time() {
+        return time;
+    }
+
+    void form() {
+        SimulatedReplica founder = replicas.get(0);
+        founder.replica().form(founder.local(time));
+    }
+
+    /** Moves the time on by one millisecond. */
+    void step() {
+        time++;
+        for (ReplicationEnvelope envelope : network.due(time)) {
+            deliver(envelope);
+        }
+        for (SimulatedReplica replica : replicas) {
+            if (isActive(replica) && time % TICK_MILLISECONDS == 0) {
+                replica.replica().tick(replica.local(time));
+            }
+        }
+        if (proposing && time % PROPOSAL_MILLISECONDS == 0) {
+            propose();
+        }
+        for (SimulatedReplica replica : replicas) {
+            if (isActive(replica)) {
+                replica.carryOut(time, network);
+            }
+        }
+        checker.checkNow(time, replicas, PROMOTION_MILLISECONDS);
+    }
+
+    void run(long milliseconds) {
+        for (long end = time + milliseconds; time < end; ) {
+            step();
+        }
+    }
+
+    /** Ends all faults and checks that the group works again and agrees. */
+    void settle() {
+        network.heal();
+        network.faultRate(0);
+        replicas.forEach(replica -> replica.pause(0));
+        replicas.forEach(replica -> replica.dieAt(SimulatedReplica.Death.NONE));
+        replicas.stream()
+                .filter(replica -> !replica.isRunning())
+                .forEach(replica -> replica.start(time));
+        run(SETTLE_MILLISECONDS);
+        proposing = false;
+        run(LAST_COMMIT_MILLISECONDS);
+        ReplicationStatus leader = readyLeader().orElseThrow().status(time);
+        assertThat(leader.voters())
+                .as("voters at the end")
+                .containsExactlyInAnyOrderElementsOf(
+                        replicas.stream().map(SimulatedReplica::id).toList());
+        assertThat(replicas)
+                .as("state at the end")
+                .allSatisfy(
+                        replica ->
+                                assertThat(replica.hash())
+                                        .isEqualTo(checker.agreedHash(leader.commitIndex())));
+    }
+
+    Optional<SimulatedReplica> readyLeader() {
+        return replicas.stream()
+                .filter(this::isActive)
+                .filter(replica -> replica.status(time).ready())
+                .findFirst();
+    }
+
+    private boolean isActive(SimulatedReplica replica) {
+        return replica.isRunning() && !replica.isPaused(time);
+    }
+
+    /** Delivers to a paused process later, as the kernel keeps what was received. */
+    private void deliver(ReplicationEnvelope envelope) {
+        replicas.stream()
+                .filter(replica -> envelope.to().vm().equals(replica.id().vm()))
+                .filter(SimulatedReplica::isRunning)
+                .forEach(
+                        replica -> {
+                            if (replica.isPaused(time)) {
+                                network.keep(time + 1, envelope);
+                            } else {
+                                replica.receive(time, envelope);
+                            }
+                        });
+    }
+
+    private void propose() {
+        replicas.stream()
+                .filter(this::isActive)
+                .filter(replica -> replica.status(time).leading())
+                .forEach(
+                        replica ->
+                                replica.replica()
+                                        .propose(
+                                                replica.local(time),
+                                                ByteBuffer.allocate(Long.BYTES)
+                                                        .putLong(++proposals)
+                                                        .array()));
+    }
+
+    private double drawClockRate() {
+        return 1 + CLOCK_DRIFT * (2 * random.nextDouble() - 1);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/ReplicationSoak.java
@@ -0,0 +1,48 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.List;
+
+/**
+ * Runs the simulation from the command line for as many seeds as wanted: {@code --seed FIRST
+ * --steps MILLISECONDS --runs COUNT}.
+ */
+public final class ReplicationSoak {
+    private ReplicationSoak() {}
+
+    /** Runs seeds one after the other and stops at the first that fails. */
+    public static void main(String[] arguments) {
+        List<String> given = List.of(arguments);
+        long first = option(given, "--seed", 1);
+        long steps = option(given, "--steps", 600_000);
+        long runs = option(given, "--runs", 1);
+        Coverage total = new Coverage();
+        for (long seed = first; seed < first + runs; seed++) {
+            int replicas = seed % 2 == 0 ? 3 : 5;
+            long spread = seed % 3 == 0 ? 20 : 1_000;
+            total.add(run(new SimulationSettings(seed, replicas, steps, spread)));
+        }
+        System.out.println("event=soak_passed runs=" + runs + " coverage=" + total);
+    }
+
+    static Coverage run(SimulationSettings settings) {
+        ReplicationSimulation simulation = new ReplicationSimulation(settings);
+        try {
+            simulation.form();
+            FaultPlan faults = new FaultPlan(simulation);
+            while (simulation.time() < settings.steps()) {
+                faults.step();
+            }
+            simulation.settle();
+        } catch (RuntimeException | AssertionError e) {
+            throw new AssertionError(
+                    "Failed at " + simulation.time() + " ms of " + settings + ": " + e.getMessage(),
+                    e);
+        }
+        return simulation.coverage();
+    }
+
+    private static long option(List<String> arguments, String name, long otherwise) {
+        int position = arguments.indexOf(name);
+        return position < 0 ? otherwise : Long.parseLong(arguments.get(position + 1));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/SimulatedReplica.java
@@ -0,0 +1,210 @@
+package org.marjoramnotch.logic.replication;
+
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.marjoramnotch.logic.replication.ReplicationEffects.CommittedEntry;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.replication.ReplicationEnvelope;
+
+/** A replica with its storage, its clock and the state that it applied, on one simulated VM. */
+final class SimulatedReplica {
+    /** Where in the handling of effects a process dies. */
+    enum Death {
+        NONE,
+        DURING_SYNC,
+        BEFORE_SEND,
+        BEFORE_APPLY
+    }
+
+    private static final int STATE_BYTES = 700;
+
+    private final VmId vm;
+    private final Set<VmId> vms;
+    private final SimulationSettings settings;
+    private final UniformRandomProvider random;
+    private final SafetyChecker checker;
+    private final Coverage coverage;
+    private final double clockRate;
+    private long clockOffset;
+    private int identities;
+    private boolean seenAsVoter;
+    private SimulatedStorage storage = new SimulatedStorage();
+    private Optional<Replica> replica = Optional.empty();
+    private long pausedUntil;
+    private Death death = Death.NONE;
+    private long appliedIndex;
+    private long hash;
+    private int appliedSinceCompaction;
+
+    SimulatedReplica(
+            VmId vm,
+            Set<VmId> vms,
+            SimulationSettings settings,
+            double clockRate,
+            UniformRandomProvider random,
+            SafetyChecker checker,
+            Coverage coverage) {
+        this.vm = vm;
+        this.vms = vms;
+        this.settings = settings;
+        this.clockRate = clockRate;
+        this.random = random;
+        this.checker = checker;
+        this.coverage = coverage;
+    }
+
+    ReplicaId id() {
+        return new ReplicaId(vm, "identity-" + identities);
+    }
+
+    SimulatedStorage storage() {
+        return storage;
+    }
+
+    long hash() {
+        return hash;
+    }
+
+    boolean isRunning() {
+        return replica.isPresent();
+    }
+
+    boolean isPaused(long time) {
+        return time < pausedUntil;
+    }
+
+    /** Tells whether this identity is seen as a voter for the first time. */
+    boolean becomesVoter() {
+        boolean first = !seenAsVoter;
+        seenAsVoter = true;
+        return first;
+    }
+
+    ReplicationStatus status(long time) {
+        return replica.orElseThrow().status(local(time));
+    }
+
+    Replica replica() {
+        return replica.orElseThrow();
+    }
+
+    long local(long time) {
+        return clockOffset + (long) (time * clockRate);
+    }
+
+    void start(long time) {
+        clockOffset = random.nextInt(1_000_000);
+        hash = 0;
+        appliedIndex = 0;
+        appliedSinceCompaction = 0;
+        death = Death.NONE;
+        pausedUntil = 0;
+        replica =
+                Optional.of(
+                        new Replica(
+                                settings.replicaSettings(id(), vms),
+                                storage.recover(),
+                                random,
+                                local(time)));
+    }
+
+    void kill() {
+        replica = Optional.empty();
+    }
+
+    void pause(long until) {
+        pausedUntil = until;
+    }
+
+    void dieAt(Death planned) {
+        death = planned;
+    }
+
+    void loseDisk() {
+        kill();
+        identities++;
+        seenAsVoter = false;
+        storage = new SimulatedStorage();
+    }
+
+    void receive(long time, ReplicationEnvelope envelope) {
+        if (envelope.reaches(id())) {
+            replica().receive(local(time), envelope.from(), envelope.message());
+        }
+    }
+
+    /** Carries out the effects as a host does, up to a planned death. */
+    void carryOut(long time, SimulatedNetwork network) {
+        ReplicationEffects effects = replica().takeEffects();
+        List<StorageWrite> writes = effects.writes();
+        if (death == Death.DURING_SYNC && !writes.isEmpty()) {
+            storage.persist(writes.subList(0, random.nextInt(writes.size())));
+            die(Covered.DEATH_DURING_SYNC);
+            return;
+        }
+        writes.forEach(this::count);
+        storage.persist(writes);
+        if (death == Death.BEFORE_SEND && !effects.messages().isEmpty()) {
+            die(Covered.DEATH_BEFORE_SEND);
+            return;
+        }
+        for (ReplicationEffects.Outgoing outgoing : effects.messages()) {
+            checker.checkSynced(this, outgoing.to(), outgoing.message());
+            if (outgoing.message() instanceof org.marjoramnotch.model.replication.TimeoutNow) {
+                coverage.count(Covered.TRANSFER);
+            }
+            network.send(time, new ReplicationEnvelope(id(), outgoing.to(), outgoing.message()));
+        }
+        if (death == Death.BEFORE_APPLY && !effects.committed().isEmpty()) {
+            die(Covered.DEATH_BEFORE_APPLY);
+            return;
+        }
+        effects.restored().ifPresent(this::restore);
+        effects.committed().forEach(this::apply);
+        compactIfDue();
+    }
+
+    private void die(Covered covered) {
+        coverage.count(covered);
+        kill();
+    }
+
+    private void count(StorageWrite write) {
+        if (write instanceof StorageWrite.TruncateLog) {
+            coverage.count(Covered.TRUNCATION);
+        } else if (write instanceof StorageWrite.SaveHardState save
+                && save.state().term() > storage.hardState().term()) {
+            coverage.count(Covered.TERM);
+        }
+    }
+
+    private void restore(ReplicationEffects.RestoredState restored) {
+        if (appliedIndex > 0) {
+            coverage.count(Covered.SNAPSHOT_INSTALLED);
+        }
+        appliedIndex = restored.index();
+        hash = ByteBuffer.wrap(restored.state()).getLong();
+        checker.checkRestored(restored.index(), hash);
+    }
+
+    private void apply(CommittedEntry entry) {
+        org.assertj.core.api.Assertions.assertThat(entry.index()).isGreaterThan(appliedIndex);
+        appliedIndex = entry.index();
+        hash = 31 * hash + ByteBuffer.wrap(entry.payload()).getLong() + entry.term();
+        checker.onApplied(appliedIndex, hash);
+        appliedSinceCompaction++;
+    }
+
+    private void compactIfDue() {
+        if (appliedSinceCompaction < settings.entriesBetweenCompactions()) {
+            return;
+        }
+        appliedSinceCompaction = 0;
+        coverage.count(Covered.COMPACTION);
+        replica().compact(appliedIndex, ByteBuffer.allocate(STATE_BYTES).putLong(hash).array());
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/SimulationSettings.java
@@ -0,0 +1,33 @@
+package org.marjoramnotch.logic.replication;
+
+import java.util.Set;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
+
+/**
+ * Settings of a simulated run.
+ *
+ * @param seed fixes every random choice
+ * @param replicas the number of VMs
+ * @param steps the number of milliseconds with faults
+ * @param electionTimeoutSpreadMilliseconds the range of election timeouts above the minimum
+ */
+record SimulationSettings(
+        long seed, int replicas, long steps, long electionTimeoutSpreadMilliseconds) {
+    static final long ELECTION_TIMEOUT_MILLISECONDS = 1_000;
+
+    int entriesBetweenCompactions() {
+        return 40;
+    }
+
+    ReplicaSettings replicaSettings(ReplicaId self, Set<VmId> vms) {
+        return ReplicaSettings.builder(self, vms)
+                .electionTimeoutMilliseconds(
+                        ELECTION_TIMEOUT_MILLISECONDS,
+                        ELECTION_TIMEOUT_MILLISECONDS + electionTimeoutSpreadMilliseconds)
+                .batches(200, 4)
+                .snapshotChunkBytes(256)
+                .trailingEntries(8)
+                .build();
+    }
+}
