--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/storage/FileReplicaStorage.java
@@ -0,0 +1,197 @@
+package org.marjoramnotch.daemon.storage;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.UUID;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.replication.HardState;
+import org.marjoramnotch.logic.replication.RecoveredState;
+import org.marjoramnotch.logic.replication.ReplicaStorage;
+import org.marjoramnotch.logic.replication.StorageWrite;
+import org.marjoramnotch.model.error.Invariant;
+import org.marjoramnotch.model.replication.Snapshot;
+
+/**
+ * Keeps a replica's state in one data folder, which it locks. The state is a snapshot and the log
+ * file of the same generation; a new snapshot starts a new generation, and the renaming of its file
+ * makes that the one in force. Not safe for use by two threads.
+ */
+public final class FileReplicaStorage implements ReplicaStorage, Closeable {
+    private final StorageFolder folder;
+    private final StorageCodec codec = new StorageCodec();
+    private final String identity;
+    private long generation;
+    private HardState hardState = HardState.empty();
+    private @Nullable LogSegment log;
+    private boolean failed;
+
+    private FileReplicaStorage(StorageFolder folder) throws IOException {
+        this.folder = folder;
+        this.identity = createOrReadIdentity();
+    }
+
+    /**
+     * Opens a data folder, and creates it with a new identity if it is missing or empty.
+     *
+     * @throws org.marjoramnotch.model.error.MarjoramnotchException with code {@code STORAGE_FAILED}
+     *     if it cannot be used or another process uses it
+     */
+    public static FileReplicaStorage open(Path path) {
+        StorageFolder folder = null;
+        try {
+            folder = StorageFolder.open(path);
+            return new FileReplicaStorage(folder);
+        } catch (IOException e) {
+            closeQuietly(folder);
+            throw StorageErrors.failed(path, e);
+        }
+    }
+
+    /** Returns the identity that was drawn when the folder was created. */
+    public String identity() {
+        return identity;
+    }
+
+    @Override
+    public RecoveredState recover() {
+        Invariant.check(log == null, "Storage is recovered a second time");
+        try {
+            OptionalLong latest = folder.latestSnapshot();
+            generation = latest.orElse(0);
+            Snapshot snapshot = latest.isPresent() ? readSnapshot() : null;
+            Path logPath = folder.log(generation);
+            if (!Files.exists(logPath)) {
+                throw StorageErrors.damaged(logPath, "the file is missing");
+            }
+            LogSegment opened = LogSegment.open(logPath, codec);
+            log = opened;
+            StoredState state = new StoredState(snapshot);
+            opened.readAll().forEach(batch -> batch.writes().forEach(state::apply));
+            folder.deleteAllBut(generation);
+            RecoveredState recovered = state.toRecoveredState();
+            hardState = recovered.hardState();
+            return recovered;
+        } catch (IOException e) {
+            throw StorageErrors.failed(folder.path(), e);
+        }
+    }
+
+    @Override
+    public void persist(List<StorageWrite> writes) {
+        Invariant.check(
+                log != null && !failed, "Storage is written before recovery or after a fault");
+        failed = true;
+        try {
+            List<StorageWrite> batch = new ArrayList<>();
+            for (StorageWrite write : writes) {
+                if (write instanceof StorageWrite.SaveSnapshot save) {
+                    append(batch);
+                    batch.clear();
+                    startGeneration(save);
+                } else {
+                    batch.add(write);
+                }
+            }
+            append(batch);
+        } catch (IOException e) {
+            throw StorageErrors.failed(folder.path(), e);
+        }
+        failed = false;
+    }
+
+    @Override
+    public void close() {
+        closeQuietly(log);
+        closeQuietly(folder);
+    }
+
+    private void append(List<StorageWrite> batch) throws IOException {
+        if (batch.isEmpty()) {
+            return;
+        }
+        current().append(new StoredBatch(batch));
+        for (StorageWrite write : batch) {
+            if (write instanceof StorageWrite.SaveHardState save) {
+                hardState = save.state();
+            }
+        }
+    }
+
+    /** Writes the new log before the snapshot, whose rename puts both in force. */
+    private void startGeneration(StorageWrite.SaveSnapshot save) throws IOException {
+        long next = generation + 1;
+        LogSegment nextLog = LogSegment.create(folder.log(next), codec);
+        List<StorageWrite> first = new ArrayList<>();
+        first.add(new StorageWrite.SaveHardState(hardState));
+        if (!save.retained().isEmpty()) {
+            first.add(new StorageWrite.AppendLog(save.retained()));
+        }
+        nextLog.append(new StoredBatch(first));
+        folder.sync();
+        Snapshot snapshot = save.snapshot();
+        byte[] header = codec.encode(SnapshotHeader.of(snapshot));
+        folder.writeWhole(
+                folder.snapshot(next),
+                channel -> {
+                    RecordFrame.write(channel, header);
+                    RecordFrame.write(channel, snapshot.state());
+                });
+        current().close();
+        log = nextLog;
+        generation = next;
+        folder.deleteAllBut(generation);
+    }
+
+    private Snapshot readSnapshot() throws IOException {
+        Path path = folder.snapshot(generation);
+        try (FileChannel channel = FileChannel.open(path, StandardOpenOption.READ)) {
+            Optional<byte[]> header = RecordFrame.read(channel, 0);
+            long statePosition =
+                    RecordFrame.HEADER_BYTES + header.map(bytes -> bytes.length).orElse(0);
+            Optional<byte[]> state = RecordFrame.read(channel, statePosition);
+            if (header.isEmpty() || state.isEmpty()) {
+                throw StorageErrors.damaged(path, "a checksum is wrong");
+            }
+            return codec.decode(header.get(), SnapshotHeader.class).withState(state.get());
+        }
+    }
+
+    /** Creates the first log before the identity, so that a log missing later shows damage. */
+    private String createOrReadIdentity() throws IOException {
+        Path path = folder.identity();
+        if (Files.exists(path)) {
+            return Files.readString(path).strip();
+        }
+        if (folder.latestSnapshot().isPresent()) {
+            throw StorageErrors.damaged(path, "the file is missing");
+        }
+        LogSegment.create(folder.log(0), codec).close();
+        String created = UUID.randomUUID().toString();
+        byte[] content = (created + "\n").getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+        folder.writeWhole(path, channel -> channel.write(java.nio.ByteBuffer.wrap(content)));
+        return created;
+    }
+
+    private LogSegment current() {
+        return java.util.Objects.requireNonNull(log);
+    }
+
+    private static void closeQuietly(@Nullable Closeable closeable) {
+        if (closeable == null) {
+            return;
+        }
+        try {
+            closeable.close();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/storage/LogSegment.java
@@ -0,0 +1,86 @@
+package org.marjoramnotch.daemon.storage;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** An append-only file of records, each of which is one synced batch of writes. */
+final class LogSegment implements Closeable {
+    private final Path path;
+    private final FileChannel channel;
+    private final StorageCodec codec;
+
+    private LogSegment(Path path, FileChannel channel, StorageCodec codec) {
+        this.path = path;
+        this.channel = channel;
+        this.codec = codec;
+    }
+
+    static LogSegment create(Path path, StorageCodec codec) throws IOException {
+        FileChannel channel =
+                FileChannel.open(
+                        path,
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.TRUNCATE_EXISTING,
+                        StandardOpenOption.READ,
+                        StandardOpenOption.WRITE);
+        channel.force(true);
+        return new LogSegment(path, channel, codec);
+    }
+
+    static LogSegment open(Path path, StorageCodec codec) throws IOException {
+        FileChannel channel =
+                FileChannel.open(path, StandardOpenOption.READ, StandardOpenOption.WRITE);
+        return new LogSegment(path, channel, codec);
+    }
+
+    /** Appends a batch and syncs it. */
+    void append(StoredBatch batch) throws IOException {
+        RecordFrame.write(channel, codec.encode(batch));
+        channel.force(false);
+    }
+
+    /**
+     * Reads all batches and cuts off a last one that was not written whole.
+     *
+     * @throws org.marjoramnotch.model.error.MarjoramnotchException with code {@code
+     *     STORAGE_DAMAGED} if a whole record follows a damaged one
+     */
+    List<StoredBatch> readAll() throws IOException {
+        List<StoredBatch> batches = new ArrayList<>();
+        long position = 0;
+        while (position < channel.size()) {
+            Optional<byte[]> content = RecordFrame.read(channel, position);
+            if (content.isEmpty()) {
+                cutTornRecord(position);
+                break;
+            }
+            batches.add(codec.decode(content.get(), StoredBatch.class));
+            position += RecordFrame.HEADER_BYTES + content.get().length;
+        }
+        channel.position(position);
+        return batches;
+    }
+
+    @Override
+    public void close() throws IOException {
+        channel.close();
+    }
+
+    /** Only the last record can be unsynced; a whole one behind a damaged one shows lost state. */
+    private void cutTornRecord(long position) throws IOException {
+        for (long later = position + 1; later < channel.size(); later++) {
+            if (RecordFrame.read(channel, later).isPresent()) {
+                throw StorageErrors.damaged(
+                        path, "the record at byte " + position + " has a wrong checksum");
+            }
+        }
+        channel.truncate(position);
+        channel.force(true);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/storage/StorageCodec.java
@@ -0,0 +1,19 @@
+package org.marjoramnotch.daemon.storage;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+
+/** Encodes stored records as CBOR. */
+final class StorageCodec {
+    private final ObjectMapper mapper = CBORMapper.builder().addModule(new Jdk8Module()).build();
+
+    byte[] encode(Object value) throws IOException {
+        return mapper.writeValueAsBytes(value);
+    }
+
+    <T> T decode(byte[] bytes, Class<T> type) throws IOException {
+        return mapper.readValue(bytes, type);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/storage/StorageFolder.java
@@ -0,0 +1,133 @@
+package org.marjoramnotch.daemon.storage;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import org.jspecify.annotations.Nullable;
+
+/** The data folder: names its files, replaces them safely and locks it for one process. */
+final class StorageFolder implements Closeable {
+    private static final String LOG = "log-";
+    private static final String SNAPSHOT = "snapshot-";
+    private static final String TEMPORARY = ".temporary";
+
+    /** Writes the content of a new file. */
+    @FunctionalInterface
+    interface Content {
+        void writeTo(FileChannel channel) throws IOException;
+    }
+
+    private final Path folder;
+    private final FileChannel lockChannel;
+
+    private StorageFolder(Path folder, FileChannel lockChannel) {
+        this.folder = folder;
+        this.lockChannel = lockChannel;
+    }
+
+    /** Creates the folder if need be and locks it. */
+    static StorageFolder open(Path folder) throws IOException {
+        Files.createDirectories(folder);
+        FileChannel channel =
+                FileChannel.open(
+                        folder.resolve("lock"),
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.WRITE);
+        if (lock(channel) == null) {
+            channel.close();
+            throw StorageErrors.locked(folder);
+        }
+        return new StorageFolder(folder, channel);
+    }
+
+    Path path() {
+        return folder;
+    }
+
+    Path identity() {
+        return folder.resolve("identity");
+    }
+
+    Path log(long generation) {
+        return folder.resolve(LOG + generation);
+    }
+
+    Path snapshot(long generation) {
+        return folder.resolve(SNAPSHOT + generation);
+    }
+
+    /** Returns the highest generation that has a snapshot. */
+    OptionalLong latestSnapshot() throws IOException {
+        return files().stream()
+                .map(file -> file.getFileName().toString())
+                .filter(name -> name.startsWith(SNAPSHOT) && !name.endsWith(TEMPORARY))
+                .mapToLong(name -> Long.parseLong(name.substring(SNAPSHOT.length())))
+                .max();
+    }
+
+    /** Deletes files of other generations and unfinished ones. */
+    void deleteAllBut(long generation) throws IOException {
+        for (Path file : files()) {
+            String name = file.getFileName().toString();
+            boolean generated = name.startsWith(LOG) || name.startsWith(SNAPSHOT);
+            boolean kept = file.equals(log(generation)) || file.equals(snapshot(generation));
+            if (name.endsWith(TEMPORARY) || (generated && !kept)) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    /** Writes a file so that it is whole or not there, also after a power failure. */
+    void writeWhole(Path file, Content content) throws IOException {
+        Path temporary = file.resolveSibling(file.getFileName() + TEMPORARY);
+        try (FileChannel channel =
+                FileChannel.open(
+                        temporary,
+                        StandardOpenOption.CREATE,
+                        StandardOpenOption.TRUNCATE_EXISTING,
+                        StandardOpenOption.WRITE)) {
+            content.writeTo(channel);
+            channel.force(true);
+        }
+        Files.move(temporary, file, StandardCopyOption.ATOMIC_MOVE);
+        sync();
+    }
+
+    /** Makes created, renamed and deleted names durable. */
+    void sync() throws IOException {
+        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        lockChannel.close();
+    }
+
+    private List<Path> files() throws IOException {
+        List<Path> files = new ArrayList<>();
+        try (DirectoryStream<Path> stream = Files.newDirectoryStream(folder)) {
+            stream.forEach(files::add);
+        }
+        return files;
+    }
+
+    private static @Nullable FileLock lock(FileChannel channel) throws IOException {
+        try {
+            return channel.tryLock();
+        } catch (OverlappingFileLockException e) {
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/storage/FileReplicaStorageTest.java
@@ -0,0 +1,192 @@
+package org.marjoramnotch.daemon.storage;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.assertj.core.api.ThrowableAssert.ThrowingCallable;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.marjoramnotch.logic.replication.HardState;
+import org.marjoramnotch.logic.replication.RecoveredState;
+import org.marjoramnotch.logic.replication.StorageWrite;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.replication.LogEntry;
+import org.marjoramnotch.model.replication.Membership;
+import org.marjoramnotch.model.replication.Snapshot;
+
+class FileReplicaStorageTest {
+    private static final ReplicaId SELF = new ReplicaId(new VmId("vm-1"), "one");
+    private static final HardState HARD_STATE =
+            new HardState(3, Optional.of(SELF), Optional.of("group"));
+    private static final Membership MEMBERSHIP =
+            Membership.formedBy(SELF).withLearner(new ReplicaId(new VmId("vm-2"), "two"));
+    private static final Snapshot SNAPSHOT =
+            new Snapshot(2, 3, MEMBERSHIP, "state".getBytes(StandardCharsets.UTF_8));
+
+    @TempDir private Path folder;
+
+    @Test
+    void everyKindOfWriteSurvivesRestart() {
+        write(
+                List.of(new StorageWrite.SaveHardState(HARD_STATE), append(1, 2, 3)),
+                List.of(new StorageWrite.TruncateLog(3), append(3, 4)));
+        assertRecovered(new RecoveredState(HARD_STATE, Optional.empty(), entries(1, 2, 3, 4)));
+    }
+
+    @Test
+    void snapshotReplacesLogUpToItsIndex() {
+        write(
+                List.of(new StorageWrite.SaveHardState(HARD_STATE), append(1, 2, 3)),
+                List.of(
+                        append(4),
+                        new StorageWrite.SaveSnapshot(SNAPSHOT, entries(3, 4)),
+                        append(5)));
+        assertRecovered(new RecoveredState(HARD_STATE, Optional.of(SNAPSHOT), entries(3, 4, 5)));
+        assertThat(folder.toFile().list())
+                .containsExactlyInAnyOrder("identity", "lock", "log-1", "snapshot-1");
+    }
+
+    @Test
+    void unfinishedSnapshotIsForgotten() throws IOException {
+        write(List.of(append(1, 2)));
+        Files.writeString(folder.resolve("log-1"), "part");
+        Files.writeString(folder.resolve("snapshot-1.temporary"), "part");
+        assertRecovered(new RecoveredState(HardState.empty(), Optional.empty(), entries(1, 2)));
+        assertThat(folder.toFile().list()).containsExactlyInAnyOrder("identity", "lock", "log-0");
+    }
+
+    @Test
+    void lastRecordTornAtAnyByteIsCut() throws IOException {
+        write(List.of(new StorageWrite.SaveHardState(HARD_STATE)), List.of(append(1, 2)));
+        long first = Files.size(folder.resolve("log-0"));
+        write(List.of(append(3)));
+        byte[] whole = Files.readAllBytes(folder.resolve("log-0"));
+        RecoveredState expected = new RecoveredState(HARD_STATE, Optional.empty(), entries(1, 2));
+        for (int length = (int) first; length < whole.length; length++) {
+            Files.write(folder.resolve("log-0"), Arrays.copyOf(whole, length));
+            assertRecovered(expected);
+            byte[] zeroFilled = Arrays.copyOf(Arrays.copyOf(whole, length), whole.length);
+            if (!Arrays.equals(zeroFilled, whole)) {
+                Files.write(folder.resolve("log-0"), zeroFilled);
+                assertRecovered(expected);
+            }
+        }
+        write(List.of(append(3, 4)));
+        assertRecovered(new RecoveredState(HARD_STATE, Optional.empty(), entries(1, 2, 3, 4)));
+    }
+
+    @Test
+    void damagedEarlierRecordStopsAtAnyByte() throws IOException {
+        write(List.of(append(1, 2)));
+        int first = (int) Files.size(folder.resolve("log-0"));
+        write(List.of(append(3)));
+        byte[] whole = Files.readAllBytes(folder.resolve("log-0"));
+        for (int position = 0; position < first; position++) {
+            byte[] damaged = whole.clone();
+            damaged[position] ^= 0x10;
+            Files.write(folder.resolve("log-0"), damaged);
+            assertDamaged();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"log-1", "snapshot-1"})
+    void missingOrDamagedFileStops(String name) throws IOException {
+        write(List.of(append(1, 2), new StorageWrite.SaveSnapshot(SNAPSHOT, List.of())));
+        byte[] whole = Files.readAllBytes(folder.resolve(name));
+        Files.delete(folder.resolve(name));
+        assertDamaged();
+        if (name.startsWith("snapshot")) {
+            whole[whole.length - 1] ^= 1;
+            Files.write(folder.resolve(name), whole);
+            assertDamaged();
+        }
+    }
+
+    @Test
+    void identityIsDrawnOnce() {
+        String drawn = openAndClose();
+        assertThat(openAndClose()).isEqualTo(drawn);
+    }
+
+    @Test
+    void secondProcessIsRefused() {
+        try (FileReplicaStorage first = FileReplicaStorage.open(folder)) {
+            assertThat(first.identity()).isNotEmpty();
+            assertCode(ErrorCode.STORAGE_FAILED, () -> FileReplicaStorage.open(folder));
+        }
+        assertThat(openAndClose()).isNotEmpty();
+    }
+
+    @Test
+    void failedWriteEndsUse() throws IOException {
+        try (FileReplicaStorage storage = FileReplicaStorage.open(folder)) {
+            storage.recover();
+            Files.createDirectories(folder.resolve("snapshot-1.temporary"));
+            StorageWrite snapshot = new StorageWrite.SaveSnapshot(SNAPSHOT, List.of());
+            assertCode(ErrorCode.STORAGE_FAILED, () -> storage.persist(List.of(snapshot)));
+            assertCode(ErrorCode.INVARIANT_VIOLATED, () -> storage.persist(List.of(append(1))));
+        }
+    }
+
+    @SafeVarargs
+    private void write(List<StorageWrite>... batches) {
+        try (FileReplicaStorage storage = FileReplicaStorage.open(folder)) {
+            storage.recover();
+            for (List<StorageWrite> batch : batches) {
+                storage.persist(batch);
+            }
+        }
+    }
+
+    private String openAndClose() {
+        try (FileReplicaStorage storage = FileReplicaStorage.open(folder)) {
+            return storage.identity();
+        }
+    }
+
+    private void assertRecovered(RecoveredState expected) {
+        try (FileReplicaStorage storage = FileReplicaStorage.open(folder)) {
+            assertThat(storage.recover()).usingRecursiveComparison().isEqualTo(expected);
+        }
+    }
+
+    private void assertDamaged() {
+        try (FileReplicaStorage storage = FileReplicaStorage.open(folder)) {
+            assertCode(ErrorCode.STORAGE_DAMAGED, storage::recover);
+        }
+    }
+
+    private static void assertCode(ErrorCode code, ThrowingCallable action) {
+        assertThatThrownBy(action)
+                .isInstanceOfSatisfying(
+                        MarjoramnotchException.class,
+                        error -> assertThat(error.code()).isEqualTo(code));
+    }
+
+    private static StorageWrite append(long... indexes) {
+        return new StorageWrite.AppendLog(entries(indexes));
+    }
+
+    private static List<LogEntry> entries(long... indexes) {
+        return Arrays.stream(indexes)
+                .mapToObj(
+                        index ->
+                                index == 1
+                                        ? LogEntry.membership(index, 3, MEMBERSHIP)
+                                        : LogEntry.payload(index, 3, new byte[] {1, 2}))
+                .toList();
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/replication/StorageWrite.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/StorageWrite.java
@@ -1,10 +1,19 @@
 package org.marjoramnotch.logic.replication;
 
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import org.marjoramnotch.model.replication.LogEntry;
 import org.marjoramnotch.model.replication.Snapshot;
 
 /** A change of a replica's stored state. Each one is atomic; they are stored in their order. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = StorageWrite.SaveHardState.class, name = "hard-state"),
+    @JsonSubTypes.Type(value = StorageWrite.AppendLog.class, name = "append"),
+    @JsonSubTypes.Type(value = StorageWrite.TruncateLog.class, name = "truncate"),
+    @JsonSubTypes.Type(value = StorageWrite.SaveSnapshot.class, name = "snapshot")
+})
 public sealed interface StorageWrite {
     /**
      * Replaces term, vote and group.
