--- /dev/null
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/Cell.java
@@ -0,0 +1,161 @@
+package org.marjoramnotch.endtoend;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.codec.digest.DigestUtils;
+
+/** Replicas and entries as separate processes, each on a loopback address of its own. */
+final class Cell implements AutoCloseable {
+    static final String OPERATOR_KEY = "operator-key-of-the-test";
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final List<DaemonProcess> daemons = new ArrayList<>();
+    private final HttpCaller caller = new HttpCaller();
+    private final int replicaCount;
+
+    /** Starts the processes; the first ones are replicas. */
+    Cell(Path folder, int replicaCount, int entryCount) throws IOException {
+        this.replicaCount = replicaCount;
+        Path operatorKeyFile = folder.resolve("operator.sha256");
+        Files.writeString(operatorKeyFile, DigestUtils.sha256Hex(OPERATOR_KEY));
+        ArrayNode replicas = JSON.createArrayNode();
+        List<int[]> ports = new ArrayList<>();
+        for (int number = 1; number <= replicaCount + entryCount; number++) {
+            ports.add(new int[] {freePort(number), freePort(number)});
+            if (number <= replicaCount) {
+                ObjectNode replica = replicas.addObject();
+                replica.put("vm", "vm-" + number).put("host", host(number));
+                replica.put("port", ports.get(number - 1)[1]);
+            }
+        }
+        for (int number = 1; number <= replicaCount + entryCount; number++) {
+            daemons.add(start(folder, number, ports.get(number - 1), replicas, operatorKeyFile));
+        }
+        daemons.forEach(this::awaitLive);
+    }
+
+    /** Forms the group, waits until all replicas vote and puts the rules in force. */
+    void form(String rules) {
+        caller.operator("POST", daemons.get(0).httpAddress() + "/v1/operator/form", "");
+        Poll.until(
+                "all replicas vote",
+                () -> status().map(status -> status.path("voters").size() == replicaCount)
+                        .orElse(false));
+        ObjectNode change = JSON.createObjectNode();
+        change.put("requestId", "first").put("expectedVersion", 0).put("text", rules);
+        Poll.until(
+                "the rules are in force",
+                () ->
+                        caller.operator(
+                                                "PUT",
+                                                daemons.get(0).httpAddress() + "/v1/operator/rules",
+                                                change.toString())
+                                        .statusCode()
+                                == 200);
+    }
+
+    List<DaemonProcess> daemons() {
+        return daemons;
+    }
+
+    HttpCaller caller() {
+        return caller;
+    }
+
+    List<String> addresses() {
+        return daemons.stream().map(DaemonProcess::httpAddress).toList();
+    }
+
+    /** Returns the state of the cell as any live daemon tells it. */
+    java.util.Optional<JsonNode> status() {
+        for (DaemonProcess daemon : daemons) {
+            if (daemon.isAlive()) {
+                try {
+                    HttpResponse<String> answer =
+                            caller.operator(
+                                    "GET", daemon.httpAddress() + "/v1/operator/status", "");
+                    if (answer.statusCode() == 200) {
+                        return java.util.Optional.of(JSON.readTree(answer.body()));
+                    }
+                } catch (UncheckedIOException | IOException exception) {
+                    continue;
+                }
+            }
+        }
+        return java.util.Optional.empty();
+    }
+
+    /** Returns the process of the leader, once there is one. */
+    DaemonProcess leader() {
+        String[] leader = new String[1];
+        Poll.until(
+                "the cell has a leader",
+                () -> {
+                    leader[0] = status().map(status -> status.path("leader").asText()).orElse("");
+                    return daemons.stream()
+                            .anyMatch(daemon -> daemon.vm().equals(leader[0]) && daemon.isAlive());
+                });
+        return daemons.stream()
+                .filter(daemon -> daemon.vm().equals(leader[0]))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    @Override
+    public void close() {
+        daemons.forEach(DaemonProcess::close);
+    }
+
+    private static DaemonProcess start(
+            Path folder, int number, int[] ports, ArrayNode replicas, Path operatorKeyFile)
+            throws IOException {
+        boolean replica = number <= replicas.size();
+        ObjectNode settings = JSON.createObjectNode();
+        settings.put("vm", "vm-" + number).put("availabilityZone", "zone-" + (number % 4));
+        ArrayNode roles = settings.putArray("roles").add("entry");
+        settings.put("httpHost", host(number)).put("httpPort", ports[0]);
+        settings.put("linkHost", host(number)).put("linkPort", ports[1]);
+        settings.set("replicas", replicas);
+        settings.put("operatorKeySha256File", operatorKeyFile.toString());
+        if (replica) {
+            roles.add("replica");
+            settings.put("dataFolder", folder.resolve("data-" + number).toString());
+        }
+        Path file = folder.resolve("settings-" + number + ".json");
+        Files.writeString(file, settings.toPrettyString());
+        return new DaemonProcess(
+                "vm-" + number,
+                "http://" + host(number) + ":" + ports[0],
+                file,
+                folder.resolve("daemon-" + number + ".log"));
+    }
+
+    private void awaitLive(DaemonProcess daemon) {
+        Poll.until(
+                "daemon " + daemon.vm() + " serves",
+                () -> caller.get(daemon.httpAddress() + "/health/live").statusCode() == 200);
+    }
+
+    private static String host(int number) {
+        return "127.0.0." + (10 + number);
+    }
+
+    private static int freePort(int number) throws IOException {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(new InetSocketAddress(InetAddress.getByName(host(number)), 0));
+            return socket.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/DaemonProcess.java
@@ -0,0 +1,101 @@
+package org.marjoramnotch.endtoend;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A daemon as a process of its own. */
+final class DaemonProcess implements AutoCloseable {
+    private static final long STOP_TIMEOUT_SECONDS = 60;
+
+    private final String vm;
+    private final String httpAddress;
+    private final Path settings;
+    private final Path log;
+    private Process process;
+
+    DaemonProcess(String vm, String httpAddress, Path settings, Path log) {
+        this.vm = vm;
+        this.httpAddress = httpAddress;
+        this.settings = settings;
+        this.log = log;
+        this.process = launch();
+    }
+
+    String vm() {
+        return vm;
+    }
+
+    /** Returns the base of its HTTP addresses. */
+    String httpAddress() {
+        return httpAddress;
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    /** Ends it at once, as SIGKILL does. */
+    void kill() {
+        process.destroyForcibly();
+        awaitEnd();
+    }
+
+    /** Asks it to stop, as SIGTERM does, and returns its exit code. */
+    int stop() {
+        process.destroy();
+        awaitEnd();
+        return process.exitValue();
+    }
+
+    void restart() {
+        process = launch();
+    }
+
+    /** Sends a signal such as STOP or CONT. */
+    void signal(String name) {
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        } catch (InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    @Override
+    public void close() {
+        if (process.isAlive()) {
+            kill();
+        }
+    }
+
+    private void awaitEnd() {
+        try {
+            if (!process.waitFor(STOP_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+                throw new IllegalStateException("Daemon " + vm + " does not end.");
+            }
+        } catch (InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+
+    private Process launch() {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path")));
+        command.addAll(List.of("org.marjoramnotch.commandline.Main", "daemon"));
+        command.addAll(List.of("--settings", settings.toString()));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        try {
+            return builder.start();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+}
--- /dev/null
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/Poll.java
@@ -0,0 +1,38 @@
+package org.marjoramnotch.endtoend;
+
+import java.io.UncheckedIOException;
+import java.util.function.BooleanSupplier;
+
+/** Waits for a state of other processes, bounded. */
+final class Poll {
+    private static final int MOST_TRIES = 600;
+    private static final long PAUSE_MILLISECONDS = 100;
+
+    private Poll() {}
+
+    static void until(String what, BooleanSupplier reached) {
+        for (int attempt = 0; attempt < MOST_TRIES; attempt++) {
+            if (holds(reached)) {
+                return;
+            }
+            pause();
+        }
+        throw new AssertionError("Not reached: " + what);
+    }
+
+    private static boolean holds(BooleanSupplier reached) {
+        try {
+            return reached.getAsBoolean();
+        } catch (UncheckedIOException exception) {
+            return false;
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(PAUSE_MILLISECONDS);
+        } catch (InterruptedException exception) {
+            throw new IllegalStateException(exception);
+        }
+    }
+}
