--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/CheckedStart.java
@@ -0,0 +1,9 @@
+package org.marjoramnotch.logic.job;
+
+/**
+ * A run that may start.
+ *
+ * @param task the task
+ * @param worker where
+ */
+record CheckedStart(TaskEntry task, WorkerEntry worker) {}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobLedger.java
@@ -0,0 +1,242 @@
+package org.marjoramnotch.logic.job;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.marjoramnotch.logic.configuration.AuthorizedWork;
+import org.marjoramnotch.logic.configuration.ConfigurationView;
+import org.marjoramnotch.logic.configuration.WorkAuthorization;
+import org.marjoramnotch.logic.ledger.TeamUsage;
+import org.marjoramnotch.model.command.CancelJob;
+import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.command.EndTask;
+import org.marjoramnotch.model.command.ExpireWorker;
+import org.marjoramnotch.model.command.RegisterWorker;
+import org.marjoramnotch.model.command.StartTasks;
+import org.marjoramnotch.model.command.SubmitJob;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.identifier.TaskId;
+import org.marjoramnotch.model.identifier.WorkerId;
+import org.marjoramnotch.model.job.JobSnapshot;
+import org.marjoramnotch.model.job.JobStatus;
+import org.marjoramnotch.model.job.TaskEnd;
+
+/**
+ * Jobs, their runs and the workers that hold them, as the replicas of a cell agree on them.
+ *
+ * <p>The key and the queue are checked when a job is accepted. An accepted job goes on after its
+ * key is withdrawn; when its team is removed no further task of it starts, since the team's limit
+ * is then 0, and the leader cancels it.
+ */
+public final class JobLedger {
+    private static final Comparator<TaskEntry> BY_AGE =
+            Comparator.<TaskEntry>comparingLong(task -> task.job.sequence)
+                    .thenComparingInt(task -> task.number);
+
+    private final ConfigurationView configuration;
+    private final TeamUsage usage;
+    private final Map<WorkerId, WorkerEntry> workers = new TreeMap<>();
+    private final JobTable jobs = new JobTable();
+    private final TaskRuns runs;
+    private long lastEpoch;
+    private long lastSequence;
+
+    /**
+     * Creates an empty ledger.
+     *
+     * @param configuration the rules in force as of each command
+     * @param usage counts what teams run, shared with the other parts of the ledger
+     */
+    public JobLedger(ConfigurationView configuration, TeamUsage usage) {
+        this.configuration = configuration;
+        this.usage = usage;
+        this.runs = new TaskRuns(usage, jobs);
+    }
+
+    /** Registers a worker that runs nothing; ends the runs of its epoch before. */
+    public CommandResult apply(RegisterWorker command) {
+        worker(command.description().worker()).ifPresent(this::remove);
+        lastEpoch++;
+        WorkerEntry worker = new WorkerEntry(command.description(), lastEpoch);
+        workers.put(worker.id(), worker);
+        runs.listener().workerAdded(worker);
+        return new CommandResult.WorkerAccepted(worker.epoch);
+    }
+
+    /** Removes a worker whose lease has run out, unless it was registered anew since. */
+    public CommandResult apply(ExpireWorker command) {
+        worker(command.worker())
+                .filter(worker -> worker.epoch == command.epoch())
+                .ifPresent(this::remove);
+        return new CommandResult.Accepted();
+    }
+
+    /** Accepts a job; answers a resend as the first time. */
+    public CommandResult apply(SubmitJob command) {
+        return refusing(
+                () -> {
+                    Optional<JobEntry> first =
+                            jobs.firstOf(command).or(() -> jobs.job(command.job()));
+                    JobEntry job = first.isPresent() ? first.get() : accept(command);
+                    return new CommandResult.JobAccepted(job.id);
+                });
+    }
+
+    /** Cancels a job in constant time; a job that has ended stays as it is. */
+    public CommandResult apply(CancelJob command) {
+        return refusing(
+                () -> {
+                    JobEntry job = jobs.require(command.job());
+                    if (!job.hasEnded()) {
+                        job.cancelled = true;
+                        runs.stop(job);
+                        runs.finishIfEnded(job);
+                    }
+                    return new CommandResult.Accepted();
+                });
+    }
+
+    /** Starts runs, all or none. */
+    public CommandResult apply(StartTasks command) {
+        return refusing(
+                () -> {
+                    new StartCheck(this, usage).check(command.placements()).forEach(runs::start);
+                    return new CommandResult.Accepted();
+                });
+    }
+
+    /** Ends a run once; a run that is not current is left alone. */
+    public CommandResult apply(EndTask command) {
+        task(command.attempt().task())
+                .filter(task -> task.isCurrentRun(command.attempt().number()))
+                .ifPresent(task -> runs.end(task, command.end()));
+        return new CommandResult.Accepted();
+    }
+
+    /** Returns where a job stands. */
+    public Optional<JobStatus> status(JobId job) {
+        return jobs.job(job).map(JobEntry::status);
+    }
+
+    /** Returns how many workers are registered. */
+    public int workerCount() {
+        return workers.size();
+    }
+
+    /** Returns how many runs hold resources. */
+    public int runningCount() {
+        return runs.running();
+    }
+
+    /** Returns the whole state. */
+    public JobSnapshot snapshot() {
+        return new JobSnapshot(
+                lastEpoch,
+                lastSequence,
+                JobSnapshots.writeWorkers(workers.values()),
+                JobSnapshots.writeJobs(jobs.live()),
+                JobSnapshots.writeJobs(jobs.ended()));
+    }
+
+    /** Replaces the whole state; adds its runs to the team usage, which must hold none of jobs. */
+    public void restore(JobSnapshot snapshot) {
+        workers.clear();
+        jobs.clear();
+        runs.clear();
+        lastEpoch = snapshot.lastEpoch();
+        lastSequence = snapshot.lastSequence();
+        JobSnapshots.readWorkers(snapshot).forEach(worker -> workers.put(worker.id(), worker));
+        for (JobEntry job : JobSnapshots.readJobs(snapshot.jobs(), workers)) {
+            jobs.add(job);
+            runs.restore(job);
+        }
+        for (JobEntry job : JobSnapshots.readJobs(snapshot.finished(), workers)) {
+            jobs.add(job);
+            jobs.end(job);
+        }
+    }
+
+    /** Sets who is told of changes; it replaces the one before. */
+    void listen(JobLedgerListener listener) {
+        runs.listen(listener);
+    }
+
+    Optional<WorkerEntry> worker(WorkerId id) {
+        return Optional.ofNullable(workers.get(id));
+    }
+
+    Collection<WorkerEntry> workers() {
+        return workers.values();
+    }
+
+    Optional<JobEntry> job(JobId id) {
+        return jobs.job(id);
+    }
+
+    /**
+     * Returns a job.
+     *
+     * @throws MarjoramnotchException with {@code UNKNOWN_JOB}
+     */
+    JobEntry requireJob(JobId id) {
+        return jobs.require(id);
+    }
+
+    List<JobEntry> liveJobs() {
+        return jobs.live();
+    }
+
+    Optional<TaskEntry> task(TaskId id) {
+        return jobs.task(id);
+    }
+
+    private JobEntry accept(SubmitJob command) {
+        AuthorizedWork work =
+                WorkAuthorization.recheck(
+                        configuration, command.queue(), command.team(), command.key());
+        JobAcceptance.check(work.queue(), command.specification());
+        lastSequence++;
+        JobEntry job =
+                JobEntry.accepted(
+                        command.job(),
+                        lastSequence,
+                        work.queue(),
+                        work.team().team(),
+                        command.specification());
+        job.keyed = work.key().isPresent();
+        if (command.request().isPresent()) {
+            job.request = command.request().get();
+            job.fingerprint = JobAcceptance.fingerprint(command);
+        }
+        jobs.add(job);
+        runs.listener().jobAdded(job);
+        return job;
+    }
+
+    /** Ends the runs of a worker in an order that does not depend on how the state was built. */
+    private void remove(WorkerEntry worker) {
+        List<TaskEntry> ended = new ArrayList<>(worker.runs());
+        ended.sort(BY_AGE);
+        ended.forEach(task -> runs.end(task, TaskEnd.LEASE_EXPIRED));
+        workers.remove(worker.id());
+        runs.listener().workerRemoved(worker);
+    }
+
+    private static CommandResult refusing(Supplier<CommandResult> change) {
+        try {
+            return change.get();
+        } catch (MarjoramnotchException exception) {
+            if (exception.code() == ErrorCode.INVARIANT_VIOLATED) {
+                throw exception;
+            }
+            return new CommandResult.Rejected(exception.refusal());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobTable.java
@@ -0,0 +1,106 @@
+package org.marjoramnotch.logic.job;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.marjoramnotch.model.command.SubmitJob;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.Invariant;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.identifier.TaskId;
+
+/** Finds jobs by name and by request. A request is known for as long as its job. */
+final class JobTable {
+    private final Map<JobId, JobEntry> jobs = new HashMap<>();
+    private final Map<JobRequestKey, JobEntry> requests = new HashMap<>();
+    private final FinishedJobs finished = new FinishedJobs();
+
+    Optional<JobEntry> job(JobId id) {
+        return Optional.ofNullable(jobs.get(id));
+    }
+
+    /**
+     * Returns a job.
+     *
+     * @throws MarjoramnotchException with {@code UNKNOWN_JOB}
+     */
+    JobEntry require(JobId id) {
+        return job(id).orElseThrow(() -> unknown(id));
+    }
+
+    /** Returns a task of a job that has not ended. */
+    Optional<TaskEntry> task(TaskId id) {
+        return job(id.job())
+                .filter(job -> id.number() >= 0 && id.number() < job.tasks.length)
+                .map(job -> job.tasks[id.number()]);
+    }
+
+    /** Returns jobs that have not ended, the first accepted first; walks all jobs. */
+    List<JobEntry> live() {
+        return jobs.values().stream()
+                .filter(job -> !job.hasEnded())
+                .sorted(Comparator.comparingLong(job -> job.sequence))
+                .toList();
+    }
+
+    /** Returns jobs that have ended, the first ended first. */
+    List<JobEntry> ended() {
+        return finished.inOrder();
+    }
+
+    /**
+     * Returns the job that a resend was first accepted as.
+     *
+     * @throws MarjoramnotchException with {@code REQUEST_ID_REUSED} if it asked for something else
+     */
+    Optional<JobEntry> firstOf(SubmitJob command) {
+        Optional<JobEntry> first =
+                command.request()
+                        .map(request -> requests.get(new JobRequestKey(command.team(), request)));
+        if (first.isPresent()
+                && !JobAcceptance.fingerprint(command).equals(first.get().fingerprint)) {
+            throw new MarjoramnotchException(
+                    ErrorCode.REQUEST_ID_REUSED,
+                    "The request identifier was used with another job; choose a new one for each"
+                            + " job.");
+        }
+        return first;
+    }
+
+    void add(JobEntry job) {
+        Invariant.check(jobs.put(job.id, job) == null, "A job has the name of another");
+        if (job.request != null) {
+            requests.put(new JobRequestKey(job.team, job.request), job);
+        }
+    }
+
+    /** Keeps an ended job for readers and forgets the one that ended longest ago, if too many. */
+    void end(JobEntry job) {
+        job.compact();
+        finished.add(job).ifPresent(this::forget);
+    }
+
+    void clear() {
+        jobs.clear();
+        requests.clear();
+        finished.clear();
+    }
+
+    private void forget(JobEntry job) {
+        jobs.remove(job.id);
+        if (job.request != null) {
+            requests.remove(new JobRequestKey(job.team, job.request));
+        }
+    }
+
+    private static MarjoramnotchException unknown(JobId job) {
+        return new MarjoramnotchException(
+                ErrorCode.UNKNOWN_JOB,
+                "No job of this team has the name "
+                        + job
+                        + ", or it ended long ago; check the name and the key.");
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/WorkerEntry.java
@@ -0,0 +1,57 @@
+package org.marjoramnotch.logic.job;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.marjoramnotch.model.error.Invariant;
+import org.marjoramnotch.model.identifier.WorkerId;
+import org.marjoramnotch.model.job.WorkerDescription;
+import org.marjoramnotch.model.resource.Resources;
+
+/** A registered worker with what is free of it and its runs. */
+final class WorkerEntry {
+    final WorkerDescription description;
+    final long epoch;
+    private final List<TaskEntry> runs = new ArrayList<>();
+    private Resources free;
+
+    WorkerEntry(WorkerDescription description, long epoch) {
+        this.description = description;
+        this.epoch = epoch;
+        this.free = description.capacity();
+    }
+
+    WorkerId id() {
+        return description.worker();
+    }
+
+    Resources free() {
+        return free;
+    }
+
+    List<TaskEntry> runs() {
+        return runs;
+    }
+
+    void add(TaskEntry task) {
+        Resources needed = task.job.perTask();
+        Invariant.check(free.holds(needed), "Worker " + id() + " would be overcommitted");
+        free = free.minus(needed);
+        task.worker = this;
+        task.position = runs.size();
+        runs.add(task);
+    }
+
+    /** Frees what a run holds, in constant time: the last run takes its position. */
+    void remove(TaskEntry task) {
+        Invariant.check(task.worker == this, "A run is freed on a worker that it is not on");
+        TaskEntry last = runs.remove(runs.size() - 1);
+        if (last != task) {
+            runs.set(task.position, last);
+            last.position = task.position;
+        }
+        task.worker = null;
+        free = free.plus(task.job.perTask());
+        Invariant.check(
+                description.capacity().holds(free), "Worker " + id() + " has more free than whole");
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/package-info.java
@@ -0,0 +1,5 @@
+/** Jobs onto workers: the replicated state of both and the leader's decisions. */
+@NullMarked
+package org.marjoramnotch.logic.job;
+
+import org.jspecify.annotations.NullMarked;
