--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
@@ -7,7 +7,9 @@
 import org.marjoramnotch.logic.cell.CellEffects;
 import org.marjoramnotch.logic.replication.StorageWrite;
 import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.replication.ReplicationEnvelope;
 
 /**
  * Runs the core of a replica. The writes of a whole batch of inputs are synced at once, and nothing
@@ -17,6 +19,7 @@
     /** Interval of the core's timers. */
     public static final long TICK_MILLISECONDS = 20;
 
+    private final ReplicaId self;
     private final CellCore core;
     private final Consumer<List<StorageWrite>> storage;
     private final CellOutput output;
@@ -26,7 +29,12 @@
      *
      * @param storage stores writes and returns once they are synced
      */
-    public CellDuty(CellCore core, Consumer<List<StorageWrite>> storage, CellOutput output) {
+    public CellDuty(
+            ReplicaId self,
+            CellCore core,
+            Consumer<List<StorageWrite>> storage,
+            CellOutput output) {
+        this.self = self;
         this.core = core;
         this.storage = storage;
         this.output = output;
@@ -35,7 +43,7 @@
     @Override
     public void receive(long nowMilliseconds, CellInput input) {
         if (input instanceof CellInput.Message message) {
-            core.receive(nowMilliseconds, message.from(), message.message());
+            receiveMessage(nowMilliseconds, message.envelope());
         } else if (input instanceof CellInput.Request request) {
             core.request(nowMilliseconds, request.handle(), request.request());
         } else if (input instanceof CellInput.Form form) {
@@ -62,6 +70,14 @@
     @Override
     public void tick(long nowMilliseconds) {
         core.tick(nowMilliseconds);
+        output.tick(nowMilliseconds);
+    }
+
+    /** Takes a message unless it is meant for an identity that this VM had before. */
+    private void receiveMessage(long nowMilliseconds, ReplicationEnvelope envelope) {
+        if (envelope.reaches(self)) {
+            core.receive(nowMilliseconds, envelope.from(), envelope.message());
+        }
     }
 
     /** Answers a command of the operator; its refusal is no failure of the duty. */
@@ -72,7 +88,6 @@
             result.completeExceptionally(refusal);
             return;
         }
-        flush(0);
         result.complete(new Done());
     }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellInput.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellInput.java
@@ -3,21 +3,19 @@
 import java.util.concurrent.CompletableFuture;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.logic.replication.ReplicationStatus;
-import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.Done;
-import org.marjoramnotch.model.replication.ReplicationMessage;
+import org.marjoramnotch.model.replication.ReplicationEnvelope;
 
 /** Input of the {@link CellDuty}. */
 public sealed interface CellInput {
     /**
      * A message of another replica.
      *
-     * @param from the sender
-     * @param message the message
+     * @param envelope the message with sender and receiver
      */
-    record Message(ReplicaId from, ReplicationMessage message) implements CellInput {}
+    record Message(ReplicationEnvelope envelope) implements CellInput {}
 
     /**
      * A request to the leader.
--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellOutput.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellOutput.java
@@ -10,4 +10,7 @@
 
     /** Sends a reply by the link that the request came by; it may be lost. */
     void reply(CellReplyTo reply);
+
+    /** Advances time, so that silent links are noticed. */
+    void tick(long nowMilliseconds);
 }
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/CallerHeaders.java
@@ -0,0 +1,49 @@
+package org.marjoramnotch.daemon.http;
+
+import java.util.Optional;
+
+/**
+ * What the headers of a caller's request say.
+ *
+ * @param deadlineMilliseconds how long the caller waits
+ * @param urgent whether the request goes before others of its team
+ * @param idempotencyKey tells a resend from a new request, if given
+ */
+record CallerHeaders(long deadlineMilliseconds, boolean urgent, Optional<String> idempotencyKey) {
+    private static final String DEADLINE = "Marjoramnotch-Deadline-Milliseconds";
+    private static final long DEFAULT_DEADLINE_MILLISECONDS = 30_000;
+    private static final long LONGEST_DEADLINE_MILLISECONDS = 600_000;
+    private static final int LONGEST_KEY_CHARACTERS = 256;
+
+    static CallerHeaders of(HttpCall call) {
+        Optional<String> key = call.header("Idempotency-Key");
+        key.ifPresent(CallerHeaders::checkKey);
+        return new CallerHeaders(
+                call.header(DEADLINE)
+                        .map(CallerHeaders::parseDeadline)
+                        .orElse(DEFAULT_DEADLINE_MILLISECONDS),
+                call.header("Marjoramnotch-Urgent").filter("true"::equalsIgnoreCase).isPresent(),
+                key);
+    }
+
+    private static long parseDeadline(String text) {
+        long deadline;
+        try {
+            deadline = Long.parseLong(text.strip());
+        } catch (NumberFormatException failure) {
+            deadline = 0;
+        }
+        if (deadline < 1 || deadline > LONGEST_DEADLINE_MILLISECONDS) {
+            throw Refusals.invalid(
+                    DEADLINE + " must be from 1 to " + LONGEST_DEADLINE_MILLISECONDS + ".");
+        }
+        return deadline;
+    }
+
+    private static void checkKey(String key) {
+        if (key.isEmpty() || key.length() > LONGEST_KEY_CHARACTERS) {
+            throw Refusals.invalid(
+                    "Idempotency-Key must have 1 to " + LONGEST_KEY_CHARACTERS + " characters.");
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/CellCalls.java
@@ -0,0 +1,45 @@
+package org.marjoramnotch.daemon.http;
+
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.marjoramnotch.daemon.link.CellClient;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.Refused;
+import org.marjoramnotch.model.time.Clock;
+
+/** Sends requests to the leader and turns replies into HTTP answers. */
+final class CellCalls {
+    private final CellClient client;
+    private final Clock clock;
+    private final Refusals refusals;
+
+    CellCalls(CellClient client, Clock clock, Refusals refusals) {
+        this.client = client;
+        this.clock = clock;
+        this.refusals = refusals;
+    }
+
+    /** Sends a request and answers with what the reply of the expected type is turned into. */
+    <T extends CellReply> CompletionStage<HttpResponse> call(
+            CellRequest request,
+            long timeoutMilliseconds,
+            Class<T> expected,
+            Function<T, HttpResponse> answer) {
+        return client.send(request, clock.nowMilliseconds() + timeoutMilliseconds)
+                .thenApply(reply -> answerOf(reply, expected, answer));
+    }
+
+    private <T extends CellReply> HttpResponse answerOf(
+            CellReply reply, Class<T> expected, Function<T, HttpResponse> answer) {
+        if (expected.isInstance(reply)) {
+            return answer.apply(expected.cast(reply));
+        }
+        if (reply instanceof Refused refused) {
+            return refusals.counted(refused.refusal());
+        }
+        throw new IllegalStateException(
+                "The leader answered with " + reply.getClass().getSimpleName() + ".");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/Credentials.java
@@ -0,0 +1,51 @@
+package org.marjoramnotch.daemon.http;
+
+import java.util.Locale;
+import java.util.Optional;
+import org.apache.commons.codec.digest.DigestUtils;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.KeyId;
+import org.marjoramnotch.model.message.Credential;
+
+/** Reads bearer tokens; secrets are hashed here and go no further. */
+final class Credentials {
+    private static final String SCHEME = "bearer ";
+
+    private Credentials() {}
+
+    /**
+     * Returns the team key that came with a call.
+     *
+     * @throws MarjoramnotchException with {@code KEY_REFUSED} if it has no such form
+     */
+    static Optional<Credential> of(HttpCall call) {
+        return token(call).map(Credentials::parse);
+    }
+
+    /** Returns the bearer token that came with a call. */
+    static Optional<String> token(HttpCall call) {
+        return call.header("Authorization")
+                .filter(value -> value.toLowerCase(Locale.ROOT).startsWith(SCHEME))
+                .map(value -> value.substring(SCHEME.length()).strip());
+    }
+
+    private static Credential parse(String token) {
+        int dot = token.indexOf('.');
+        if (dot <= 0 || dot == token.length() - 1) {
+            throw refused();
+        }
+        try {
+            KeyId key = new KeyId(token.substring(0, dot));
+            return new Credential(key, DigestUtils.sha256Hex(token.substring(dot + 1)));
+        } catch (MarjoramnotchException invalidName) {
+            throw refused();
+        }
+    }
+
+    private static MarjoramnotchException refused() {
+        return new MarjoramnotchException(
+                ErrorCode.KEY_REFUSED,
+                "The key has no valid form; send it as KEY_ID.SECRET in a bearer token.");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpCall.java
@@ -0,0 +1,70 @@
+package org.marjoramnotch.daemon.http;
+
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+
+/**
+ * A request with its path taken apart.
+ *
+ * @param request the request
+ * @param segments the parts of the path between slashes, as they were sent
+ * @param arrivedMilliseconds when it arrived, in time of the process's clock
+ */
+record HttpCall(HttpRequest request, List<String> segments, long arrivedMilliseconds) {
+    static HttpCall of(HttpRequest request, long nowMilliseconds) {
+        String path = request.getUri().path();
+        List<String> segments = Arrays.asList(path.substring(1).split("/", -1));
+        return new HttpCall(request, segments, nowMilliseconds);
+    }
+
+    /** Returns the method's name. */
+    String method() {
+        return request.method().name();
+    }
+
+    /** Tells whether the path starts with these parts; "*" stands for any one part. */
+    boolean startsWith(String... parts) {
+        if (segments.size() < parts.length) {
+            return false;
+        }
+        for (int index = 0; index < parts.length; index++) {
+            if (!parts[index].equals("*") && !parts[index].equals(segments.get(index))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Tells whether the whole path and the method are these. */
+    boolean is(String method, String... parts) {
+        return method().equals(method) && segments.size() == parts.length && startsWith(parts);
+    }
+
+    /** Returns a part of the path, decoded. */
+    String segment(int index) {
+        String raw = segments.get(index).replace("+", "%2B");
+        return URLDecoder.decode(raw, StandardCharsets.UTF_8);
+    }
+
+    /** Returns the rest of the path as it was sent, with its query. */
+    String rest(int from) {
+        String path = String.join("/", segments.subList(from, segments.size()));
+        Optional<String> query = request.getUri().rawQueryString();
+        return "/" + path + query.map(text -> "?" + text).orElse("");
+    }
+
+    /** Returns the value of a header. */
+    Optional<String> header(String name) {
+        return request.getHeader(name).map(HttpHeader::value);
+    }
+
+    /** Returns the value of a query parameter. */
+    Optional<String> query(String name) {
+        return request.getUri().query().get(name);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpInterface.java
@@ -0,0 +1,121 @@
+package org.marjoramnotch.daemon.http;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.japi.function.Function;
+import org.jboss.logging.Logger;
+import org.marjoramnotch.daemon.log.LogEvent;
+import org.marjoramnotch.daemon.log.RateLimit;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.ExecutionOutcome;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.error.Refusal;
+import org.marjoramnotch.model.time.Clock;
+
+/** Finds the interface that a request is for and makes every failure a typed answer. */
+public final class HttpInterface implements Function<HttpRequest, CompletionStage<HttpResponse>> {
+    private static final long serialVersionUID = 1L;
+    private static final long LOG_INTERVAL_MILLISECONDS = 1_000;
+    private static final Logger LOGGER = Logger.getLogger(HttpInterface.class);
+
+    private final transient ActorSystem system;
+    private final transient Clock clock;
+    private final transient Routes health;
+    private final transient List<Routes> work;
+    private final transient Refusals refusals;
+    private final transient RateLimit faultLogs;
+    private final AtomicInteger openCalls = new AtomicInteger();
+    private volatile boolean stopping;
+
+    HttpInterface(
+            ActorSystem system, Clock clock, Routes health, List<Routes> work, Refusals refusals) {
+        this.system = system;
+        this.clock = clock;
+        this.health = health;
+        this.work = List.copyOf(work);
+        this.refusals = refusals;
+        this.faultLogs = new RateLimit(clock, LOG_INTERVAL_MILLISECONDS);
+    }
+
+    /** Refuses all further work as not run. */
+    public void stopTaking() {
+        stopping = true;
+    }
+
+    /** Returns how many calls have no answer yet. */
+    public int openCalls() {
+        return openCalls.get();
+    }
+
+    @Override
+    public CompletionStage<HttpResponse> apply(HttpRequest request) {
+        HttpCall call = HttpCall.of(request, clock.nowMilliseconds());
+        Optional<CompletionStage<HttpResponse>> answer = health.handle(call);
+        if (answer.isPresent()) {
+            request.discardEntityBytes(system);
+            return answer.get();
+        }
+        openCalls.incrementAndGet();
+        return handleWork(call)
+                .handle(
+                        (response, failure) -> {
+                            openCalls.decrementAndGet();
+                            return failure == null ? response : refuse(failure);
+                        });
+    }
+
+    private CompletionStage<HttpResponse> handleWork(HttpCall call) {
+        try {
+            requireNotStopping();
+            for (Routes routes : work) {
+                Optional<CompletionStage<HttpResponse>> answer = routes.handle(call);
+                if (answer.isPresent()) {
+                    return answer.get();
+                }
+            }
+            throw Refusals.invalid(
+                    "There is no "
+                            + call.method()
+                            + " of this path; see the description of the interfaces.");
+        } catch (RuntimeException failure) {
+            call.request().discardEntityBytes(system);
+            return CompletableFuture.failedFuture(failure);
+        }
+    }
+
+    private void requireNotStopping() {
+        if (stopping) {
+            throw new MarjoramnotchException(
+                    ErrorCode.STOPPING, "This process is stopping; send the request to another.");
+        }
+    }
+
+    private HttpResponse refuse(Throwable failure) {
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null
+                        ? failure.getCause()
+                        : failure;
+        if (cause instanceof MarjoramnotchException refusal) {
+            return refusals.counted(refusal.refusal());
+        }
+        faultLogs
+                .tryPass()
+                .ifPresent(
+                        suppressed ->
+                                LogEvent.of("call_failed")
+                                        .with("suppressed", suppressed)
+                                        .error(LOGGER, cause));
+        return refusals.counted(
+                new Refusal(
+                        ErrorCode.INVARIANT_VIOLATED,
+                        ExecutionOutcome.UNKNOWN,
+                        "This process failed on the request; report its log to an operator."));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/JsonBodies.java
@@ -0,0 +1,65 @@
+package org.marjoramnotch.daemon.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+import java.io.IOException;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.util.ByteString;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+
+/** Reads and writes JSON bodies. Absent properties are refused unless they are optional. */
+final class JsonBodies {
+    private final ObjectMapper mapper =
+            JsonMapper.builder()
+                    .addModule(new Jdk8Module())
+                    .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+                    .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+                    .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+                    .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                    .build();
+
+    /**
+     * Reads a body.
+     *
+     * @throws MarjoramnotchException with {@code INVALID_REQUEST}, or the refusal of a name in it
+     */
+    <T> T read(Class<T> type, ByteString body) {
+        try {
+            T value = mapper.readValue(body.toArray(), type);
+            if (value == null) {
+                throw Refusals.invalid("The body is empty; send a JSON object.");
+            }
+            return value;
+        } catch (JsonProcessingException failure) {
+            if (failure.getCause() instanceof MarjoramnotchException refusal) {
+                throw refusal;
+            }
+            throw Refusals.invalid(
+                    "The body is not as the interface describes ("
+                            + failure.getOriginalMessage()
+                            + "); correct it.");
+        } catch (IOException failure) {
+            throw Refusals.invalid("The body cannot be read; send it again.");
+        }
+    }
+
+    /** Returns an answer with a JSON body. */
+    HttpResponse answer(int status, Object body) {
+        try {
+            return HttpResponse.create()
+                    .withStatus(status)
+                    .withEntity(
+                            HttpEntities.create(
+                                    ContentTypes.APPLICATION_JSON, mapper.writeValueAsBytes(body)));
+        } catch (JsonProcessingException failure) {
+            throw new IllegalStateException(
+                    body.getClass().getSimpleName() + " has no JSON form; give it one.", failure);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/OperatorRoutes.java
@@ -0,0 +1,159 @@
+package org.marjoramnotch.daemon.http;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.apache.commons.codec.digest.DigestUtils;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.marjoramnotch.daemon.duty.CellInput;
+import org.marjoramnotch.daemon.duty.DutyInput;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.RequestId;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.ApplyRules;
+import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.message.ReadRules;
+import org.marjoramnotch.model.message.ReadStatus;
+import org.marjoramnotch.model.message.RulesAnswer;
+import org.marjoramnotch.model.message.StatusAnswer;
+
+/** Operators' calls. */
+final class OperatorRoutes implements Routes {
+    private static final int REPLICA_SEGMENT = 3;
+    private static final int OK = 200;
+    private static final long TIMEOUT_MILLISECONDS = 10_000;
+
+    private final String operatorKeySha256;
+    private final Optional<DutyInput<CellInput>> replica;
+    private final CellCalls cell;
+    private final BodyReader bodies;
+    private final JsonBodies json;
+
+    OperatorRoutes(
+            String operatorKeySha256,
+            Optional<DutyInput<CellInput>> replica,
+            CellCalls cell,
+            BodyReader bodies,
+            JsonBodies json) {
+        this.operatorKeySha256 = operatorKeySha256;
+        this.replica = replica;
+        this.cell = cell;
+        this.bodies = bodies;
+        this.json = json;
+    }
+
+    @Override
+    public Optional<CompletionStage<HttpResponse>> handle(HttpCall call) {
+        if (!call.startsWith("v1", "operator")) {
+            return Optional.empty();
+        }
+        requireOperator(call);
+        if (call.is("PUT", "v1", "operator", "rules")) {
+            return Optional.of(applyRules(call));
+        }
+        call.request().discardEntityBytes(bodies.system());
+        if (call.is("GET", "v1", "operator", "rules")) {
+            return Optional.of(
+                    cell.call(
+                            new ReadRules(),
+                            TIMEOUT_MILLISECONDS,
+                            RulesAnswer.class,
+                            rules -> json.answer(OK, rules)));
+        }
+        if (call.is("GET", "v1", "operator", "status")) {
+            return Optional.of(
+                    cell.call(
+                            new ReadStatus(),
+                            TIMEOUT_MILLISECONDS,
+                            StatusAnswer.class,
+                            status -> json.answer(OK, StatusBody.of(status))));
+        }
+        if (call.is("POST", "v1", "operator", "form")) {
+            return Optional.of(command(CellInput.Form::new));
+        }
+        if (call.is("DELETE", "v1", "operator", "replicas", "*")) {
+            VmId vm = new VmId(call.segment(REPLICA_SEGMENT));
+            return Optional.of(command(result -> new CellInput.RemoveReplica(vm, result)));
+        }
+        return Optional.empty();
+    }
+
+    private CompletionStage<HttpResponse> applyRules(HttpCall call) {
+        return bodies.read(call, TIMEOUT_MILLISECONDS)
+                .thenApply(body -> json.read(RulesBody.class, body.getData()))
+                .thenCompose(
+                        body ->
+                                cell.call(
+                                        new ApplyRules(
+                                                body.requestId(),
+                                                body.expectedVersion(),
+                                                body.text()),
+                                        TIMEOUT_MILLISECONDS,
+                                        RulesAnswer.class,
+                                        rules ->
+                                                json.answer(
+                                                        OK, Map.of("version", rules.version()))));
+    }
+
+    private CompletionStage<HttpResponse> command(
+            Function<CompletableFuture<Done>, CellInput> command) {
+        DutyInput<CellInput> input =
+                replica.orElseThrow(
+                        () ->
+                                new MarjoramnotchException(
+                                        ErrorCode.GROUP_STATE,
+                                        "This process has no replica; send the command to one"
+                                                + " that has."));
+        CompletableFuture<Done> result = new CompletableFuture<>();
+        if (!input.offer(command.apply(result))) {
+            throw new MarjoramnotchException(
+                    ErrorCode.OVERLOADED, "The replica is too busy; send the command again.");
+        }
+        return result.thenApply(done -> json.answer(OK, Map.of()));
+    }
+
+    private void requireOperator(HttpCall call) {
+        String given = Credentials.token(call).map(DigestUtils::sha256Hex).orElse("");
+        boolean same =
+                MessageDigest.isEqual(
+                        given.getBytes(StandardCharsets.US_ASCII),
+                        operatorKeySha256.getBytes(StandardCharsets.US_ASCII));
+        if (!same) {
+            throw new MarjoramnotchException(
+                    ErrorCode.KEY_REFUSED,
+                    "The operator key is missing or wrong; send it as bearer token.");
+        }
+    }
+
+    private record RulesBody(RequestId requestId, long expectedVersion, String text) {}
+
+    private record StatusBody(
+            String leader,
+            long term,
+            long commitIndex,
+            long configurationVersion,
+            List<String> voters,
+            List<String> learners,
+            int endpoints,
+            int workers,
+            int running) {
+        static StatusBody of(StatusAnswer status) {
+            return new StatusBody(
+                    status.leader().value(),
+                    status.term(),
+                    status.commitIndex(),
+                    status.configurationVersion(),
+                    status.voters().stream().map(VmId::value).toList(),
+                    status.learners().stream().map(VmId::value).toList(),
+                    status.endpoints(),
+                    status.workers(),
+                    status.running());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/OutcomeHeader.java
@@ -0,0 +1,16 @@
+package org.marjoramnotch.daemon.http;
+
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.marjoramnotch.daemon.endpoint.AnswerReader;
+
+/** The header that tells a caller whether its work was done. */
+final class OutcomeHeader {
+    static final String RAN = "ran";
+
+    private OutcomeHeader() {}
+
+    static HttpResponse add(HttpResponse response, String outcome) {
+        return response.addHeader(RawHeader.create(AnswerReader.OUTCOME_HEADER, outcome));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/Refusals.java
@@ -0,0 +1,62 @@
+package org.marjoramnotch.daemon.http;
+
+import java.util.Locale;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.marjoramnotch.daemon.metrics.DaemonMetrics;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.error.Refusal;
+
+/** Turns refusals into HTTP answers. */
+final class Refusals {
+    private final JsonBodies json;
+    private final DaemonMetrics metrics;
+
+    Refusals(JsonBodies json, DaemonMetrics metrics) {
+        this.json = json;
+        this.metrics = metrics;
+    }
+
+    /** Returns the answer of a refusal and counts it. */
+    HttpResponse counted(Refusal refusal) {
+        metrics.refused(refusal.code());
+        return answer(refusal);
+    }
+
+    /** Returns the answer of a refusal that was counted before. */
+    HttpResponse answer(Refusal refusal) {
+        String outcome = refusal.outcome().name().toLowerCase(Locale.ROOT);
+        RefusalBody body = new RefusalBody(refusal.code().name(), outcome, refusal.message());
+        return OutcomeHeader.add(json.answer(statusOf(refusal.code()), body), outcome);
+    }
+
+    /** Returns the status of a kind of error. */
+    static int statusOf(ErrorCode code) {
+        return switch (code) {
+            case INVALID_NAME, INVALID_REQUEST, INVALID_RULES, WRONG_QUEUE_POLICY -> 400;
+            case KEY_REFUSED -> 401;
+            case QUEUE_PRIVATE -> 403;
+            case UNKNOWN_QUEUE, UNKNOWN_JOB, UNKNOWN_WORKER -> 404;
+            case VERSION_CONFLICT,
+                    REQUEST_ID_REUSED,
+                    IDEMPOTENT_REQUEST_RUNNING,
+                    ANSWER_NOT_KEPT,
+                    STALE_EPOCH,
+                    GROUP_STATE ->
+                    409;
+            case IDEMPOTENCY_KEY_REUSED, JOB_NEVER_FITS -> 422;
+            case TEAM_AT_LIMIT, OVERLOADED -> 429;
+            case ENDPOINT_UNREACHABLE, ENDPOINT_ANSWER_LOST -> 502;
+            case NO_LEADER, NOT_LEADER, NO_ENDPOINT, STOPPING -> 503;
+            case DEADLINE_EXCEEDED -> 504;
+            default -> 500;
+        };
+    }
+
+    /** Returns an error of a request that cannot be read. */
+    static MarjoramnotchException invalid(String message) {
+        return new MarjoramnotchException(ErrorCode.INVALID_REQUEST, message);
+    }
+
+    private record RefusalBody(String code, String outcome, String message) {}
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellLinks.java
@@ -0,0 +1,192 @@
+package org.marjoramnotch.daemon.link;
+
+import io.grpc.Server;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.apache.pekko.actor.typed.Behavior;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.daemon.duty.CellInput;
+import org.marjoramnotch.daemon.duty.CellOutput;
+import org.marjoramnotch.daemon.duty.Duty;
+import org.marjoramnotch.daemon.duty.DutyInput;
+import org.marjoramnotch.daemon.metrics.CountedEvent;
+import org.marjoramnotch.daemon.metrics.DaemonMetrics;
+import org.marjoramnotch.daemon.settings.ReplicaAddress;
+import org.marjoramnotch.logic.cell.CellReplyTo;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.logic.replication.ReplicationEffects;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.replication.ReplicationEnvelope;
+import org.marjoramnotch.model.time.Clock;
+import org.marjoramnotch.wire.CborMapper;
+import org.marjoramnotch.wire.Frames;
+import org.marjoramnotch.wire.generated.Frame;
+
+/** All links of a process: one to each replica on another VM, and those accepted by a replica. */
+public final class CellLinks implements CellOutput, CellTransport {
+    private static final String LOCAL_LINK = "local";
+
+    private final LinkSettings settings;
+    private final Clock clock;
+    private final DaemonMetrics metrics;
+    private final Frames frames = new Frames(new CborMapper());
+    private final LinkNetwork network = new LinkNetwork();
+    private final Map<VmId, PeerLink> links = new HashMap<>();
+    private final Map<VmId, DutyInput<Frame>> linkInputs = new HashMap<>();
+    private final DutyInput<ClientInput> clientInput;
+    private final CellClient client;
+    private final Optional<LocalReplica> local;
+    private volatile @Nullable PeerLinkService service;
+    private @Nullable Server server;
+
+    /**
+     * Creates the links of a process, still closed.
+     *
+     * @param local the replica of this process, if it has one
+     */
+    public CellLinks(
+            LinkSettings settings,
+            Optional<LocalReplica> local,
+            Clock clock,
+            DaemonMetrics metrics) {
+        this.settings = settings;
+        this.local = local;
+        this.clock = clock;
+        this.metrics = metrics;
+        this.clientInput = new DutyInput<>(settings.ringCapacity());
+        this.client = new CellClient(clientInput);
+        for (ReplicaAddress replica : settings.replicas()) {
+            if (!replica.vm().equals(settings.vm())) {
+                addLink(replica);
+            }
+        }
+    }
+
+    /** Returns the client that sends requests to the leader. */
+    public CellClient client() {
+        return client;
+    }
+
+    /** Listens for links if this process has a replica; returns the port. */
+    public Optional<Integer> listen(String host, int port) {
+        return local.map(
+                replica -> {
+                    service = new PeerLinkService(replica.input(), frames, metrics, clock);
+                    server = network.startServer(host, port, service);
+                    return server.getPort();
+                });
+    }
+
+    /** Hands the duties of the links and of the client to a starter, by their names. */
+    public void startDuties(
+            BiConsumer<String, Behavior<Duty.Turn>> starter, Consumer<Throwable> failure) {
+        links.forEach(
+                (vm, link) ->
+                        starter.accept(
+                                "link-" + vm.value(),
+                                Duty.create(
+                                        linkInputs.get(vm),
+                                        link,
+                                        clock,
+                                        PeerLink.HEARTBEAT_INTERVAL_MILLISECONDS,
+                                        failure)));
+        List<VmId> replicas = settings.replicas().stream().map(ReplicaAddress::vm).toList();
+        CellClientDuty duty =
+                new CellClientDuty(replicas, this, metrics, settings.largestPendingRequests());
+        starter.accept(
+                "cell-client",
+                Duty.create(clientInput, duty, clock, CellClientDuty.TICK_MILLISECONDS, failure));
+    }
+
+    @Override
+    public boolean send(VmId replica, long correlation, CellRequest request) {
+        if (replica.equals(settings.vm())) {
+            RequestHandle handle = new RequestHandle(LOCAL_LINK, correlation);
+            return local.isPresent()
+                    && local.get().input().offer(new CellInput.Request(handle, request));
+        }
+        PeerLink link = links.get(replica);
+        return link != null && link.offer(frames.request(correlation, request));
+    }
+
+    @Override
+    public void send(ReplicationEffects.Outgoing message) {
+        PeerLink link = links.get(message.to().vm());
+        ReplicaId self = local.orElseThrow().self();
+        Frame frame =
+                frames.replication(new ReplicationEnvelope(self, message.to(), message.message()));
+        if (link == null || !link.offer(frame)) {
+            metrics.count(CountedEvent.MESSAGE_DROPPED);
+        }
+    }
+
+    @Override
+    public void reply(CellReplyTo reply) {
+        PeerLinkService accepted = service;
+        if (reply.handle().link().equals(LOCAL_LINK)) {
+            long correlation = reply.handle().correlation();
+            if (!client.onReply(settings.vm(), correlation, reply.reply())) {
+                metrics.count(CountedEvent.REPLY_DROPPED);
+            }
+        } else if (accepted != null) {
+            accepted.reply(reply);
+        }
+    }
+
+    @Override
+    public void tick(long nowMilliseconds) {
+        PeerLinkService accepted = service;
+        if (accepted != null) {
+            accepted.closeSilentLinks(nowMilliseconds, settings.deadlineMilliseconds());
+        }
+    }
+
+    /** Closes all links. */
+    public void close() {
+        links.values().forEach(PeerLink::close);
+        if (server != null) {
+            server.shutdownNow();
+        }
+        network.close();
+    }
+
+    private void addLink(ReplicaAddress replica) {
+        DutyInput<Frame> input = new DutyInput<>(settings.ringCapacity());
+        Frame hello = frames.hello(settings.vm(), settings.incarnation());
+        LinkConnector connector =
+                ready ->
+                        GrpcLinkConnection.start(
+                                network.openChannel(replica.host(), replica.port()),
+                                clock,
+                                List.of(hello, frames.heartbeat(0)),
+                                frame -> received(replica.vm(), frame),
+                                ready);
+        PeerLink link =
+                new PeerLink(
+                        replica.vm(),
+                        input,
+                        connector,
+                        frames,
+                        metrics,
+                        () -> client.onLinkLost(replica.vm()),
+                        settings.deadlineMilliseconds());
+        links.put(replica.vm(), link);
+        linkInputs.put(replica.vm(), input);
+    }
+
+    private void received(VmId from, Frame frame) {
+        if (frame.hasCellReply()
+                && !client.onReply(
+                        from,
+                        frame.getCellReply().getCorrelation(),
+                        frames.replyOf(frame.getCellReply()))) {
+            metrics.count(CountedEvent.REPLY_DROPPED);
+        }
+    }
+}
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/GrpcLinkConnection.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/GrpcLinkConnection.java
@@ -3,6 +3,7 @@
 import io.grpc.ManagedChannel;
 import io.grpc.stub.ClientCallStreamObserver;
 import io.grpc.stub.ClientResponseObserver;
+import java.util.List;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.marjoramnotch.model.time.Clock;
@@ -33,12 +34,12 @@
     static GrpcLinkConnection start(
             ManagedChannel channel,
             Clock clock,
-            Frame hello,
+            List<Frame> greeting,
             Consumer<Frame> received,
             Runnable ready) {
         GrpcLinkConnection connection = new GrpcLinkConnection(channel, clock, received, ready);
         PeerLinkGrpc.newStub(channel).exchange(connection);
-        connection.send(hello);
+        greeting.forEach(connection::send);
         return connection;
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/LinkNetwork.java
@@ -0,0 +1,66 @@
+package org.marjoramnotch.daemon.link;
+
+import io.grpc.ManagedChannel;
+import io.grpc.Server;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.grpc.netty.shaded.io.netty.channel.nio.NioEventLoopGroup;
+import io.grpc.netty.shaded.io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.grpc.netty.shaded.io.netty.channel.socket.nio.NioSocketChannel;
+import io.grpc.netty.shaded.io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+
+/** Opens channels and servers for links, all on a few threads of their own. */
+final class LinkNetwork {
+    private static final int THREADS = 2;
+    private static final int LARGEST_MESSAGE_BYTES = 64 * 1024 * 1024;
+
+    private final NioEventLoopGroup threads =
+            new NioEventLoopGroup(THREADS, new DefaultThreadFactory("link", true));
+
+    /** Opens a channel that shares no connection with any other. */
+    ManagedChannel openChannel(String host, int port) {
+        return NettyChannelBuilder.forAddress(new InetSocketAddress(host, port))
+                .usePlaintext()
+                .disableRetry()
+                .directExecutor()
+                .maxInboundMessageSize(LARGEST_MESSAGE_BYTES)
+                .channelType(NioSocketChannel.class)
+                .eventLoopGroup(threads)
+                .build();
+    }
+
+    /** Starts a server; port 0 lets the system choose. */
+    Server startServer(String host, int port, PeerLinkService service) {
+        try {
+            return NettyServerBuilder.forAddress(new InetSocketAddress(host, port))
+                    .directExecutor()
+                    .maxInboundMessageSize(LARGEST_MESSAGE_BYTES)
+                    .channelType(NioServerSocketChannel.class)
+                    .bossEventLoopGroup(threads)
+                    .workerEventLoopGroup(threads)
+                    .addService(service)
+                    .build()
+                    .start();
+        } catch (IOException failure) {
+            throw new MarjoramnotchException(
+                    ErrorCode.INVALID_SETTINGS,
+                    "The link address "
+                            + host
+                            + ":"
+                            + port
+                            + " cannot be listened on ("
+                            + failure.getMessage()
+                            + "); free it or change linkHost and linkPort.");
+        }
+    }
+
+    /** Ends the threads. */
+    void close() {
+        threads.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/LinkSettings.java
@@ -0,0 +1,23 @@
+package org.marjoramnotch.daemon.link;
+
+import java.util.List;
+import org.marjoramnotch.daemon.settings.ReplicaAddress;
+import org.marjoramnotch.model.identifier.VmId;
+
+/**
+ * Settings of the links of a process.
+ *
+ * @param vm the VM of the process
+ * @param incarnation drawn when the process starts
+ * @param replicas all replicas of the cell
+ * @param deadlineMilliseconds silence after which a link is replaced
+ * @param ringCapacity length of each ring
+ * @param largestPendingRequests most requests that await the leader at once
+ */
+public record LinkSettings(
+        VmId vm,
+        String incarnation,
+        List<ReplicaAddress> replicas,
+        long deadlineMilliseconds,
+        int ringCapacity,
+        int largestPendingRequests) {}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/LocalReplica.java
@@ -0,0 +1,13 @@
+package org.marjoramnotch.daemon.link;
+
+import org.marjoramnotch.daemon.duty.CellInput;
+import org.marjoramnotch.daemon.duty.DutyInput;
+import org.marjoramnotch.model.identifier.ReplicaId;
+
+/**
+ * The replica of this process.
+ *
+ * @param self its identity
+ * @param input the ring of its duty
+ */
+public record LocalReplica(ReplicaId self, DutyInput<CellInput> input) {}
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/PeerLinkService.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/PeerLinkService.java
@@ -12,8 +12,8 @@
 import org.marjoramnotch.logic.cell.CellReplyTo;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.replication.ReplicationEnvelope;
 import org.marjoramnotch.model.time.Clock;
-import org.marjoramnotch.wire.AddressedMessage;
 import org.marjoramnotch.wire.Frames;
 import org.marjoramnotch.wire.generated.CellRequestFrame;
 import org.marjoramnotch.wire.generated.Frame;
@@ -81,8 +81,8 @@
     }
 
     private void acceptReplication(Frame frame) {
-        AddressedMessage message = frames.replicationOf(frame);
-        if (!cell.offer(new CellInput.Message(message.from(), message.message()))) {
+        ReplicationEnvelope envelope = frames.replicationOf(frame);
+        if (!cell.offer(new CellInput.Message(envelope))) {
             metrics.count(CountedEvent.MESSAGE_DROPPED);
         }
     }
--- a/wire/src/main/java/org/marjoramnotch/wire/Frames.java
+++ b/wire/src/main/java/org/marjoramnotch/wire/Frames.java
@@ -4,6 +4,7 @@
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.message.CellReply;
 import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.replication.ReplicationEnvelope;
 import org.marjoramnotch.wire.generated.CellReplyFrame;
 import org.marjoramnotch.wire.generated.CellRequestFrame;
 import org.marjoramnotch.wire.generated.Frame;
@@ -34,8 +35,8 @@
     }
 
     /** Returns a frame with a replication message. */
-    public Frame replication(AddressedMessage message) {
-        byte[] bytes = mapper.write(AddressedMessage.class, message);
+    public Frame replication(ReplicationEnvelope envelope) {
+        byte[] bytes = mapper.write(ReplicationEnvelope.class, envelope);
         return Frame.newBuilder().setReplication(UnsafeByteOperations.unsafeWrap(bytes)).build();
     }
 
@@ -62,8 +63,8 @@
     }
 
     /** Reads the replication message of a frame. */
-    public AddressedMessage replicationOf(Frame frame) {
-        return mapper.read(AddressedMessage.class, frame.getReplication().toByteArray());
+    public ReplicationEnvelope replicationOf(Frame frame) {
+        return mapper.read(ReplicationEnvelope.class, frame.getReplication().toByteArray());
     }
 
     /** Reads the request of a frame. */
