--- a/library/src/test/java/org/marjoramnotch/logic/replication/FaultPlan.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/FaultPlan.java
@@ -51,7 +51,7 @@
     }
 
     private void cutOneWay() {
-        SimulatedReplica from = any();
+        SimulatedReplica from = leaderOrAny();
         others(from, other -> simulation.network().cut(from.id().vm(), other.id().vm()));
         cut(Covered.ONE_WAY_CUT);
     }
@@ -65,13 +65,7 @@
     }
 
     private void isolate() {
-        SimulatedReplica one = any();
-        others(
-                one,
-                other -> {
-                    simulation.network().cut(one.id().vm(), other.id().vm());
-                    simulation.network().cut(other.id().vm(), one.id().vm());
-                });
+        simulation.isolate(leaderOrAny());
         cut(Covered.ISOLATION);
     }
 
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/ReplicaTest.java
@@ -0,0 +1,224 @@
+package org.marjoramnotch.logic.replication;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.replication.AppendAccepted;
+import org.marjoramnotch.model.replication.AppendEntries;
+import org.marjoramnotch.model.replication.JoinReply;
+import org.marjoramnotch.model.replication.JoinRequest;
+import org.marjoramnotch.model.replication.LogEntry;
+import org.marjoramnotch.model.replication.Membership;
+import org.marjoramnotch.model.replication.TimeoutNow;
+import org.marjoramnotch.model.replication.VoteKind;
+import org.marjoramnotch.model.replication.VoteReply;
+import org.marjoramnotch.model.replication.VoteRequest;
+
+class ReplicaTest {
+    private static final ReplicaId ONE = new ReplicaId(new VmId("vm-1"), "one");
+    private static final ReplicaId TWO = new ReplicaId(new VmId("vm-2"), "two");
+    private static final ReplicaId THREE = new ReplicaId(new VmId("vm-3"), "three");
+    private static final String GROUP = ONE.toString();
+    private static final byte[] PAYLOAD = {1};
+    private static final Membership VOTERS =
+            new Membership(GROUP, List.of(ONE, TWO, THREE), List.of(), List.of());
+
+    private final SimulatedStorage storage = new SimulatedStorage();
+
+    @Test
+    void groupIsFormedOnce() {
+        Replica replica = start(0);
+        replica.form(0);
+        carryOut(replica);
+        assertThat(replica.status(0).ready()).isTrue();
+        assertGroupState(() -> replica.form(1));
+        assertGroupState(() -> start(5).form(6));
+    }
+
+    @Test
+    void replicaThatWasToldOfGroupNeverForms() {
+        Replica replica = start(0);
+        replica.receive(0, TWO, new JoinReply("other"));
+        assertGroupState(() -> replica.form(1));
+        carryOut(replica);
+        assertGroupState(() -> start(5).form(6));
+    }
+
+    @ParameterizedTest(name = "{0} of term {1} at {2} ms after a restart: granted {3}")
+    @CsvSource({
+        "PRE_VOTE, 4, 999, false",
+        "PRE_VOTE, 4, 1000, true",
+        "ELECTION, 4, 999, false",
+        "ELECTION, 4, 1000, true",
+        "TRANSFER, 4, 0, true",
+        "ELECTION, 3, 1000, true",
+        "ELECTION, 2, 1000, false"
+    })
+    void voteIsRefusedWhileLeaderMayHoldLease(VoteKind kind, long term, long now, boolean granted) {
+        storeLog(3);
+        Replica replica = start(0);
+        assertThat(askVote(replica, now, TWO, kind, term)).isEqualTo(granted);
+    }
+
+    @Test
+    void heardLeaderRefusesVotes() {
+        storeLog(3);
+        Replica replica = start(0);
+        replica.receive(5_000, TWO, heartbeat(3));
+        assertThat(askVote(replica, 5_999, THREE, VoteKind.ELECTION, 4)).isFalse();
+        assertThat(askVote(replica, 6_000, THREE, VoteKind.ELECTION, 4)).isTrue();
+    }
+
+    @Test
+    void voteIsRememberedOverRestart() {
+        storeLog(3);
+        assertThat(askVote(start(0), 1_000, TWO, VoteKind.ELECTION, 4)).isTrue();
+        Replica restarted = start(0);
+        assertThat(askVote(restarted, 1_000, THREE, VoteKind.ELECTION, 4)).isFalse();
+        assertThat(askVote(restarted, 1_000, TWO, VoteKind.ELECTION, 4)).isTrue();
+    }
+
+    @Test
+    void entriesOfEarlierTermAreNotCommittedByCounting() {
+        storeLog(3);
+        Replica leader = lead(start(0));
+        ReplicationStatus before = leader.status(3_000);
+        leader.receive(3_000, TWO, new AppendAccepted(before.term(), 1, 3_000));
+        leader.receive(3_000, THREE, new AppendAccepted(before.term(), 1, 3_000));
+        assertThat(leader.status(3_000).commitIndex()).isZero();
+        leader.receive(3_000, TWO, new AppendAccepted(before.term(), 2, 3_000));
+        assertThat(leader.status(3_000).commitIndex()).isEqualTo(2);
+    }
+
+    @Test
+    void leaseCountsFromSendingOfAcknowledgedHeartbeat() {
+        storeLog(3);
+        Replica leader = lead(start(0));
+        assertThat(leader.status(3_000).leading()).isFalse();
+        leader.receive(3_500, TWO, new AppendAccepted(leader.status(3_500).term(), 2, 3_100));
+        assertThat(leader.status(3_100 + 977).leading()).isTrue();
+        assertThat(leader.status(3_100 + 978).leading()).isFalse();
+    }
+
+    @Test
+    void leaseEndsWhenTransferIsAskedFor() {
+        storeLog(3);
+        Replica leader = lead(start(0));
+        long term = leader.status(3_000).term();
+        leader.receive(3_000, TWO, new AppendAccepted(term, 2, 3_000));
+        assertThat(leader.status(3_000).ready()).isFalse();
+        leader.takeEffects();
+        assertThat(leader.status(3_000).ready()).isTrue();
+        leader.transferLeadership(3_001);
+        assertThat(leader.takeEffects().messages())
+                .contains(new ReplicationEffects.Outgoing(TWO, new TimeoutNow(GROUP, term)));
+        assertThat(leader.status(3_001).leading()).isFalse();
+        assertThat(leader.propose(3_001, PAYLOAD)).isEmpty();
+    }
+
+    @Test
+    void learnerIsPromotedOnceItHasAllEntriesOfQuickRound() {
+        Replica leader = start(0);
+        leader.form(0);
+        leader.propose(0, PAYLOAD);
+        carryOut(leader);
+        leader.receive(10, TWO, new JoinRequest(TWO));
+        leader.tick(10);
+        assertThat(leader.status(10).learners()).containsExactly(TWO);
+        carryOut(leader);
+        leader.receive(20, TWO, new AppendAccepted(1, 2, 10));
+        leader.tick(20);
+        assertThat(leader.status(20).voters()).containsExactly(ONE);
+        leader.propose(1_500, PAYLOAD);
+        leader.receive(1_500, TWO, new AppendAccepted(1, 4, 10));
+        leader.tick(1_500);
+        assertThat(leader.status(1_500).voters()).containsExactly(ONE);
+        leader.receive(1_510, TWO, new AppendAccepted(1, 5, 1_500));
+        leader.tick(1_510);
+        assertThat(leader.status(1_510).voters()).containsExactly(ONE, TWO);
+    }
+
+    @Test
+    void messagesOfAnotherGroupAreIgnored() {
+        storeLog(3);
+        Replica replica = start(0);
+        replica.receive(1_000, TWO, new AppendEntries("other", 9, 1, 9, List.of(), 1, 0));
+        replica.receive(1_000, TWO, new VoteRequest("other", VoteKind.ELECTION, 9, 9, 9));
+        assertThat(replica.status(1_000).term()).isEqualTo(3);
+        assertThat(replica.takeEffects().messages()).isEmpty();
+    }
+
+    @Test
+    void secondLeaderOfOneTermBreaksInvariant() {
+        storeLog(3);
+        Replica replica = start(0);
+        replica.receive(0, TWO, heartbeat(3));
+        assertCode(ErrorCode.INVARIANT_VIOLATED, () -> replica.receive(1, THREE, heartbeat(3)));
+    }
+
+    private Replica start(long now) {
+        ReplicaSettings settings =
+                ReplicaSettings.builder(ONE, Set.of(ONE.vm(), TWO.vm(), THREE.vm())).build();
+        return new Replica(settings, storage.recover(), RandomSource.JSF_64.create(7L), now);
+    }
+
+    private void storeLog(long term) {
+        storage.persist(
+                List.of(
+                        new StorageWrite.SaveHardState(
+                                new HardState(term, Optional.empty(), Optional.of(GROUP))),
+                        new StorageWrite.AppendLog(List.of(LogEntry.membership(1, term, VOTERS)))));
+    }
+
+    private void carryOut(Replica replica) {
+        storage.persist(replica.takeEffects().writes());
+    }
+
+    private boolean askVote(
+            Replica replica, long now, ReplicaId candidate, VoteKind kind, long term) {
+        replica.receive(now, candidate, new VoteRequest(GROUP, kind, term, 1, 3));
+        ReplicationEffects effects = replica.takeEffects();
+        storage.persist(effects.writes());
+        return effects.messages().stream()
+                .filter(outgoing -> outgoing.to().equals(candidate))
+                .map(ReplicationEffects.Outgoing::message)
+                .anyMatch(message -> message instanceof VoteReply reply && reply.granted());
+    }
+
+    /** Lets the replica win an election at 3 seconds. */
+    private Replica lead(Replica replica) {
+        replica.tick(3_000);
+        long term = replica.status(3_000).term() + 1;
+        replica.receive(3_000, TWO, new VoteReply(term - 1, VoteKind.PRE_VOTE, term, true));
+        replica.receive(3_000, TWO, new VoteReply(term, VoteKind.ELECTION, term, true));
+        carryOut(replica);
+        assertThat(replica.status(3_000).leader()).contains(ONE);
+        return replica;
+    }
+
+    private static AppendEntries heartbeat(long term) {
+        return new AppendEntries(GROUP, term, 1, 3, List.of(), 0, 0);
+    }
+
+    private static void assertGroupState(Runnable action) {
+        assertCode(ErrorCode.GROUP_STATE, action);
+    }
+
+    private static void assertCode(ErrorCode code, Runnable action) {
+        assertThatThrownBy(action::run)
+                .isInstanceOfSatisfying(
+                        MarjoramnotchException.class,
+                        error -> assertThat(error.code()).isEqualTo(code));
+    }
+}
--- a/library/src/test/java/org/marjoramnotch/logic/replication/ReplicationSimulation.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/ReplicationSimulation.java
@@ -19,8 +19,8 @@
  * fail. Reusable by other tests: start it, call {@link #step()}, and end with {@link #settle()}.
  */
 final class ReplicationSimulation {
-    private static final long TICK_MILLISECONDS = 10;
     private static final long PROPOSAL_MILLISECONDS = 25;
+    private static final long FORMING_MILLISECONDS = 8_000;
     private static final long SETTLE_MILLISECONDS = 30_000;
     private static final long LAST_COMMIT_MILLISECONDS = 1_000;
     private static final long PROMOTION_MILLISECONDS = 1_100;
@@ -53,7 +53,7 @@
                                                 vm,
                                                 vms,
                                                 settings,
-                                                drawClockRate(),
+                                                clockRate(replicas.size()),
                                                 random,
                                                 checker,
                                                 coverage)));
@@ -92,7 +92,7 @@
             deliver(envelope);
         }
         for (SimulatedReplica replica : replicas) {
-            if (isActive(replica) && time % TICK_MILLISECONDS == 0) {
+            if (isActive(replica) && time % settings.tickMilliseconds() == 0) {
                 replica.replica().tick(replica.local(time));
             }
         }
@@ -138,6 +138,23 @@
                                         .isEqualTo(checker.agreedHash(leader.commitIndex())));
     }
 
+    /** Forms the group and waits until all VMs vote. */
+    SimulatedReplica formWhole() {
+        form();
+        run(FORMING_MILLISECONDS);
+        SimulatedReplica leader = readyLeader().orElseThrow();
+        assertThat(leader.status(time).voters()).hasSize(replicas.size());
+        return leader;
+    }
+
+    /** Cuts all links of a replica without a sign to either side. */
+    void isolate(SimulatedReplica one) {
+        for (SimulatedReplica other : replicas) {
+            network.cut(one.id().vm(), other.id().vm());
+            network.cut(other.id().vm(), one.id().vm());
+        }
+    }
+
     Optional<SimulatedReplica> readyLeader() {
         return replicas.stream()
                 .filter(this::isActive)
@@ -178,7 +195,10 @@
                                                         .array()));
     }
 
-    private double drawClockRate() {
+    private double clockRate(int number) {
+        if (!settings.clockRates().isEmpty()) {
+            return settings.clockRates().get(number);
+        }
         return 1 + CLOCK_DRIFT * (2 * random.nextDouble() - 1);
     }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/replication/SimulationSettings.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/SimulationSettings.java
@@ -1,5 +1,6 @@
 package org.marjoramnotch.logic.replication;
 
+import java.util.List;
 import java.util.Set;
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.VmId;
@@ -11,11 +12,23 @@
  * @param replicas the number of VMs
  * @param steps the number of milliseconds with faults
  * @param electionTimeoutSpreadMilliseconds the range of election timeouts above the minimum
+ * @param tickMilliseconds the interval between ticks of a replica
+ * @param clockRates how fast each VM's clock runs; drawn within the drift if empty
  */
 record SimulationSettings(
-        long seed, int replicas, long steps, long electionTimeoutSpreadMilliseconds) {
+        long seed,
+        int replicas,
+        long steps,
+        long electionTimeoutSpreadMilliseconds,
+        long tickMilliseconds,
+        List<Double> clockRates) {
     static final long ELECTION_TIMEOUT_MILLISECONDS = 1_000;
 
+    SimulationSettings(
+            long seed, int replicas, long steps, long electionTimeoutSpreadMilliseconds) {
+        this(seed, replicas, steps, electionTimeoutSpreadMilliseconds, 10, List.of());
+    }
+
     int entriesBetweenCompactions() {
         return 40;
     }
