Read, check, change and read back the operators' rules

Cause: rules are typed data without a text form, and no state holds them; operators race at equal versions and resend after lost answers. ChangeConfiguration has contentSha256, so that a resend is told from another change also after later changes, when a difference computed anew would differ (ruled out: comparing differences).

--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/configuration/ChangeInFlight.java
@@ -0,0 +1,40 @@
+package org.marjoramnotch.logic.configuration;
+
+import java.util.LinkedHashSet;
+import java.util.Set;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.command.ChangeConfiguration;
+
+/** A proposed change with all requests that wait for it. */
+final class ChangeInFlight {
+    private final ChangeConfiguration command;
+    private final String text;
+    private final Set<RequestHandle> handles = new LinkedHashSet<>();
+
+    ChangeInFlight(ChangeConfiguration command, String text, RequestHandle handle) {
+        this.command = command;
+        this.text = text;
+        handles.add(handle);
+    }
+
+    /** Lets a resend wait too; refuses another change under the same request identifier. */
+    void addResend(RequestHandle handle, String contentSha256) {
+        if (!command.contentSha256().equals(contentSha256)) {
+            throw RememberedRequests.reused(command.request());
+        }
+        handles.add(handle);
+    }
+
+    boolean isOf(ChangeConfiguration applied) {
+        return command.contentSha256().equals(applied.contentSha256());
+    }
+
+    /** Returns the wanted rules as canonical text. */
+    String text() {
+        return text;
+    }
+
+    Set<RequestHandle> handles() {
+        return handles;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/configuration/ConfigurationDifference.java
@@ -0,0 +1,34 @@
+package org.marjoramnotch.logic.configuration;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.marjoramnotch.model.rule.RuleLine;
+import org.marjoramnotch.model.rule.RuleSubject;
+
+/**
+ * What turns the rules in force into others.
+ *
+ * @param removed subjects that have no rule any more
+ * @param put lines that are new or differ
+ */
+public record ConfigurationDifference(List<RuleSubject> removed, List<RuleLine> put) {
+    /** Returns the difference between the rules in force and the wanted ones. */
+    public static ConfigurationDifference between(
+            ConfigurationState current, Collection<RuleLine> wanted) {
+        Set<RuleSubject> subjects =
+                wanted.stream().map(line -> line.rule().subject()).collect(Collectors.toSet());
+        List<RuleSubject> removed =
+                current.lines().stream()
+                        .map(line -> line.rule().subject())
+                        .filter(subject -> !subjects.contains(subject))
+                        .toList();
+        List<RuleLine> put = wanted.stream().filter(line -> !isInForce(current, line)).toList();
+        return new ConfigurationDifference(removed, put);
+    }
+
+    private static boolean isInForce(ConfigurationState current, RuleLine line) {
+        return current.line(line.rule().subject()).filter(line::equals).isPresent();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/configuration/RememberedRequests.java
@@ -0,0 +1,54 @@
+package org.marjoramnotch.logic.configuration;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.RequestId;
+
+/** Remembers the last accepted changes in their order, so that every replica forgets the same. */
+final class RememberedRequests {
+    /** How many are kept; a resend of an older one gets a version conflict and changes nothing. */
+    static final int CAPACITY = 4_096;
+
+    private final Map<RequestId, RememberedRequest> requests =
+            new LinkedHashMap<>() {
+                @Override
+                protected boolean removeEldestEntry(
+                        Map.Entry<RequestId, RememberedRequest> eldest) {
+                    return size() > CAPACITY;
+                }
+            };
+
+    void add(RememberedRequest request) {
+        requests.put(request.request(), request);
+    }
+
+    /**
+     * Returns the accepted change that this is a resend of.
+     *
+     * @throws MarjoramnotchException with {@code REQUEST_ID_REUSED} if another change had the name
+     */
+    Optional<RememberedRequest> find(RequestId request, String contentSha256) {
+        RememberedRequest found = requests.get(request);
+        if (found != null && !found.contentSha256().equals(contentSha256)) {
+            throw reused(request);
+        }
+        return Optional.ofNullable(found);
+    }
+
+    List<RememberedRequest> all() {
+        return List.copyOf(requests.values());
+    }
+
+    static MarjoramnotchException reused(RequestId request) {
+        return new MarjoramnotchException(
+                ErrorCode.REQUEST_ID_REUSED,
+                "Request "
+                        + request
+                        + " was sent before with another change, which is not affected; send this"
+                        + " change under a new request identifier.");
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/configuration/RuleLineSyntax.java
@@ -0,0 +1,80 @@
+package org.marjoramnotch.logic.configuration;
+
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.rule.KeyRule;
+import org.marjoramnotch.model.rule.QueueRule;
+import org.marjoramnotch.model.rule.Rule;
+import org.marjoramnotch.model.rule.RuleKind;
+import org.marjoramnotch.model.rule.RuleLine;
+import org.marjoramnotch.model.rule.TeamRule;
+
+/** Reads and writes one line: the kind of rule, the rule, {@code #}, who asked for it. */
+final class RuleLineSyntax {
+    private static final char COMMENT = '#';
+    private static final TeamRuleSyntax TEAM = new TeamRuleSyntax();
+    private static final KeyRuleSyntax KEY = new KeyRuleSyntax();
+    private static final QueueRuleSyntax QUEUE = new QueueRuleSyntax();
+
+    private RuleLineSyntax() {}
+
+    /** Returns the part of a line before its comment, without spaces around it. */
+    static String ruleText(String line) {
+        int comment = line.indexOf(COMMENT);
+        return (comment < 0 ? line : line.substring(0, comment)).strip();
+    }
+
+    /** Reads a line that holds a rule. */
+    static RuleLine read(String line) {
+        RuleWords words = RuleWords.of(ruleText(line));
+        Rule rule = readRule(words.constant(RuleKind.class), words);
+        words.end();
+        return new RuleLine(rule, readComment(line));
+    }
+
+    private static Rule readRule(RuleKind kind, RuleWords words) {
+        return switch (kind) {
+            case TEAM -> TEAM.read(words);
+            case KEY -> KEY.read(words);
+            case QUEUE -> QUEUE.read(words);
+        };
+    }
+
+    private static String readComment(String line) {
+        int comment = line.indexOf(COMMENT);
+        String requestedBy = comment < 0 ? "" : line.substring(comment + 1).strip();
+        if (requestedBy.isEmpty()) {
+            throw invalid("the comment is missing; add '# who asked for it' at the end.");
+        }
+        if (requestedBy.chars().anyMatch(Character::isISOControl)) {
+            throw invalid("the comment has a control character; remove it.");
+        }
+        return requestedBy;
+    }
+
+    /** Returns the line that {@link #read} reads, without a line end. */
+    static String write(RuleLine line) {
+        Rule rule = line.rule();
+        return RuleWords.lowerCase(rule.subject().kind())
+                + " "
+                + writeRule(rule)
+                + " "
+                + COMMENT
+                + " "
+                + line.requestedBy();
+    }
+
+    private static String writeRule(Rule rule) {
+        if (rule instanceof TeamRule team) {
+            return TEAM.write(team);
+        }
+        if (rule instanceof KeyRule key) {
+            return KEY.write(key);
+        }
+        return QUEUE.write((QueueRule) rule);
+    }
+
+    private static MarjoramnotchException invalid(String message) {
+        return new MarjoramnotchException(ErrorCode.INVALID_RULES, message);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/configuration/RuleReferences.java
@@ -0,0 +1,23 @@
+package org.marjoramnotch.logic.configuration;
+
+import java.util.Optional;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.rule.KeyRule;
+import org.marjoramnotch.model.rule.QueueRule;
+import org.marjoramnotch.model.rule.Rule;
+
+/** Tells what a rule refers to. */
+final class RuleReferences {
+    private RuleReferences() {}
+
+    /** Returns the team that must have a rule for this rule to hold. */
+    static Optional<TeamName> team(Rule rule) {
+        if (rule instanceof KeyRule key) {
+            return Optional.of(key.team());
+        }
+        if (rule instanceof QueueRule queue) {
+            return queue.owner();
+        }
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/configuration/RuleTable.java
@@ -0,0 +1,169 @@
+package org.marjoramnotch.logic.configuration;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.marjoramnotch.model.error.Invariant;
+import org.marjoramnotch.model.identifier.KeyId;
+import org.marjoramnotch.model.identifier.QueueName;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.rule.KeyRule;
+import org.marjoramnotch.model.rule.QueueRule;
+import org.marjoramnotch.model.rule.Rule;
+import org.marjoramnotch.model.rule.RuleKind;
+import org.marjoramnotch.model.rule.RuleLine;
+import org.marjoramnotch.model.rule.RuleSubject;
+import org.marjoramnotch.model.rule.TeamRule;
+
+/** Rules by subject, with a count of the rules that refer to each team. */
+final class RuleTable {
+    private final SortedMap<RuleSubject, RuleLine> lines = new TreeMap<>();
+    private final SortedMap<TeamName, TeamRule> teams = new TreeMap<>();
+    private final Map<KeyId, KeyRule> keys = new HashMap<>();
+    private final Map<QueueName, QueueRule> queues = new HashMap<>();
+    private final Map<TeamName, Integer> references = new HashMap<>();
+
+    /** Returns what would not be valid after the change; looks only at what the change touches. */
+    List<String> problems(RuleChange change) {
+        List<String> problems = new ArrayList<>();
+        for (Optional<RuleLine> line : change.lines().values()) {
+            line.map(RuleLine::rule)
+                    .filter(rule -> refersToMissingTeam(rule, change))
+                    .ifPresent(rule -> problems.add(missingTeam(rule)));
+        }
+        Map<TeamName, Integer> difference = referenceDifference(change);
+        for (Map.Entry<RuleSubject, Optional<RuleLine>> entry : change.lines().entrySet()) {
+            Optional<RuleLine> before = line(entry.getKey());
+            if (entry.getValue().isEmpty()
+                    && before.isPresent()
+                    && before.get().rule() instanceof TeamRule team) {
+                checkUnused(team.team(), difference, problems);
+            }
+        }
+        return problems;
+    }
+
+    private boolean refersToMissingTeam(Rule rule, RuleChange change) {
+        return RuleReferences.team(rule).filter(team -> !existsAfter(team, change)).isPresent();
+    }
+
+    private boolean existsAfter(TeamName team, RuleChange change) {
+        RuleSubject subject = new RuleSubject(RuleKind.TEAM, team.value());
+        Optional<RuleLine> changed = change.lines().get(subject);
+        return changed == null ? teams.containsKey(team) : changed.isPresent();
+    }
+
+    private static String missingTeam(Rule rule) {
+        return RuleWords.lowerCase(rule.subject().kind())
+                + " '"
+                + rule.subject().name()
+                + "': no rule creates team '"
+                + RuleReferences.team(rule).orElseThrow()
+                + "'; add one or name another team.";
+    }
+
+    private Map<TeamName, Integer> referenceDifference(RuleChange change) {
+        Map<TeamName, Integer> difference = new HashMap<>();
+        change.lines()
+                .forEach(
+                        (subject, after) -> {
+                            line(subject)
+                                    .flatMap(line -> RuleReferences.team(line.rule()))
+                                    .ifPresent(team -> difference.merge(team, -1, Integer::sum));
+                            after.flatMap(line -> RuleReferences.team(line.rule()))
+                                    .ifPresent(team -> difference.merge(team, 1, Integer::sum));
+                        });
+        return difference;
+    }
+
+    private void checkUnused(
+            TeamName team, Map<TeamName, Integer> difference, List<String> problems) {
+        int left = references.getOrDefault(team, 0) + difference.getOrDefault(team, 0);
+        if (left > 0) {
+            problems.add(
+                    "team '"
+                            + team
+                            + "': "
+                            + left
+                            + " keys or queues still name it; remove them in the same change.");
+        }
+    }
+
+    /** Applies a change that has no problems. */
+    void apply(RuleChange change) {
+        change.lines()
+                .forEach(
+                        (subject, line) -> {
+                            remove(subject);
+                            line.ifPresent(this::put);
+                        });
+    }
+
+    private void remove(RuleSubject subject) {
+        RuleLine line = lines.remove(subject);
+        if (line == null) {
+            return;
+        }
+        countReference(line.rule(), -1);
+        if (line.rule() instanceof TeamRule team) {
+            teams.remove(team.team());
+        } else if (line.rule() instanceof KeyRule key) {
+            keys.remove(key.key());
+        } else if (line.rule() instanceof QueueRule queue) {
+            queues.remove(queue.queue());
+        }
+    }
+
+    private void put(RuleLine line) {
+        lines.put(line.rule().subject(), line);
+        countReference(line.rule(), 1);
+        if (line.rule() instanceof TeamRule team) {
+            teams.put(team.team(), team);
+        } else if (line.rule() instanceof KeyRule key) {
+            keys.put(key.key(), key);
+        } else if (line.rule() instanceof QueueRule queue) {
+            queues.put(queue.queue(), queue);
+        }
+    }
+
+    private void countReference(Rule rule, int difference) {
+        RuleReferences.team(rule)
+                .ifPresent(
+                        team -> {
+                            int count = references.getOrDefault(team, 0) + difference;
+                            Invariant.check(count >= 0, "A team has less than no references");
+                            references.put(team, count);
+                            references.remove(team, 0);
+                        });
+    }
+
+    Collection<RuleLine> lines() {
+        return Collections.unmodifiableCollection(lines.values());
+    }
+
+    Optional<RuleLine> line(RuleSubject subject) {
+        return Optional.ofNullable(lines.get(subject));
+    }
+
+    Optional<TeamRule> team(TeamName team) {
+        return Optional.ofNullable(teams.get(team));
+    }
+
+    Optional<KeyRule> key(KeyId key) {
+        return Optional.ofNullable(keys.get(key));
+    }
+
+    Optional<QueueRule> queue(QueueName queue) {
+        return Optional.ofNullable(queues.get(queue));
+    }
+
+    Collection<TeamRule> teams() {
+        return Collections.unmodifiableCollection(teams.values());
+    }
+}
