Add the leader's placement duty

Cause: the ledger alone decides nothing; requests, ends, announcements and entry leases need a leader. An attempt whose entry cannot tell its end keeps its slot until the endpoint has abandoned it (ruled out: freeing on the entry's word, which overcommits an endpoint behind a silent connection).

--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/AttemptReleases.java
@@ -0,0 +1,161 @@
+package org.marjoramnotch.logic.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.command.ReleaseSlot;
+import org.marjoramnotch.model.endpoint.OpenAttempt;
+import org.marjoramnotch.model.endpoint.StoredAnswer;
+import org.marjoramnotch.model.error.ExecutionOutcome;
+import org.marjoramnotch.model.identifier.AttemptId;
+import org.marjoramnotch.model.identifier.EndpointId;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.message.EndAttempt;
+
+/**
+ * Frees the slots of attempts that have ended.
+ *
+ * <p>When an entry cannot tell whether its attempt still runs, the slot stays taken until the
+ * endpoint says that it does not run the attempt and never will. The entry's report is answered
+ * only then, so that a later leader hears of it too.
+ */
+final class AttemptReleases {
+    private final PlacementContext context;
+    private final Map<AttemptId, Release> releasing = new HashMap<>();
+    private final Map<AttemptId, RequestHandle> abandoning = new HashMap<>();
+
+    /** What an attempt holds, as known when its release was proposed. */
+    private record Held(SlotPoolId pool, TeamName team, EndpointId endpoint) {}
+
+    /** A release that is being committed. */
+    private record Release(Optional<Held> held, List<RequestHandle> handles) {}
+
+    AttemptReleases(PlacementContext context) {
+        this.context = context;
+    }
+
+    boolean isReleasing(AttemptId attempt) {
+        return releasing.containsKey(attempt);
+    }
+
+    /** Tells whether the endpoint is asked to abandon the attempt because of its entry's report. */
+    boolean isAbandoning(AttemptId attempt) {
+        return abandoning.containsKey(attempt);
+    }
+
+    void onEnd(long nowMilliseconds, RequestHandle handle, EndAttempt end, LeaderOutput output) {
+        @Nullable Release release = releasing.get(end.attempt());
+        if (release != null) {
+            release.handles().add(handle);
+            return;
+        }
+        if (context.state().hasEnded(end.attempt())) {
+            abandoning.remove(end.attempt());
+            output.reply(handle, new Done());
+            return;
+        }
+        Optional<OpenAttempt> open = context.state().attempt(end.attempt());
+        if (open.isPresent() && !isAbandoning(end.attempt())) {
+            recordResult(nowMilliseconds, open.get(), end, output);
+        }
+        if (open.isPresent() && end.outcome() == ExecutionOutcome.UNKNOWN) {
+            abandoning.put(end.attempt(), handle);
+            return;
+        }
+        Optional<WaitingRequest> waiting = context.placer().find(end.attempt());
+        Optional<Held> held =
+                open.map(this::held).or(() -> waiting.flatMap(AttemptReleases::reserving));
+        waiting.ifPresent(request -> context.placer().onWithdrawn(request, output));
+        propose(end.attempt(), held, end.outcome(), end.answer(), output).handles().add(handle);
+    }
+
+    private Held held(OpenAttempt open) {
+        EndpointSlots slots = context.state().endpoint(open.endpoint()).orElseThrow();
+        SlotPoolId pool = new SlotPoolId(slots.description().service(), open.kind());
+        return new Held(pool, open.team(), open.endpoint());
+    }
+
+    private static Optional<Held> reserving(WaitingRequest request) {
+        return request.reserved()
+                .map(endpoint -> new Held(request.pool(), request.team(), endpoint.id()));
+    }
+
+    private void recordResult(
+            long nowMilliseconds, OpenAttempt open, EndAttempt end, LeaderOutput output) {
+        boolean ran = end.outcome() == ExecutionOutcome.RAN;
+        if (ran) {
+            context.measures().onEnded(open.team(), end.runMilliseconds());
+        }
+        if (ran || end.endpointFailed()) {
+            context.endpoints().onResult(nowMilliseconds, open, end, output);
+        } else {
+            context.endpoints().onNoResult(open);
+        }
+    }
+
+    /** Frees the slot of a request that can no longer use it, and never did. */
+    void releaseUnused(AttemptId attempt, LeaderOutput output) {
+        release(attempt, ExecutionOutcome.NOT_RUN, output);
+    }
+
+    /** Frees the slot of an attempt that its endpoint has abandoned. */
+    void releaseAbandoned(AttemptId attempt, LeaderOutput output) {
+        release(attempt, ExecutionOutcome.UNKNOWN, output);
+    }
+
+    private void release(AttemptId attempt, ExecutionOutcome outcome, LeaderOutput output) {
+        if (!isReleasing(attempt)) {
+            Optional<Held> held = context.state().attempt(attempt).map(this::held);
+            propose(attempt, held, outcome, Optional.empty(), output);
+        }
+    }
+
+    private Release propose(
+            AttemptId attempt,
+            Optional<Held> held,
+            ExecutionOutcome outcome,
+            Optional<StoredAnswer> answer,
+            LeaderOutput output) {
+        Release release = new Release(held, new ArrayList<>());
+        releasing.put(attempt, release);
+        output.propose(new ReleaseSlot(attempt, outcome, answer));
+        return release;
+    }
+
+    void onApplied(long nowMilliseconds, ReleaseSlot command, LeaderOutput output) {
+        @Nullable Release release = releasing.remove(command.attempt());
+        if (release == null) {
+            return;
+        }
+        release.handles().forEach(handle -> output.reply(handle, new Done()));
+        answerAbandoned(command.attempt(), output);
+        context.placer().onUnusedReleased(command.attempt(), output);
+        release.held().ifPresent(held -> onFreed(nowMilliseconds, held, output));
+    }
+
+    private void onFreed(long nowMilliseconds, Held held, LeaderOutput output) {
+        context.endpoints().refresh(held.endpoint(), nowMilliseconds);
+        context.pools().refreshTeam(held.pool(), held.team());
+        context.placer().drain(nowMilliseconds, held.pool(), output);
+    }
+
+    private void answerAbandoned(AttemptId attempt, LeaderOutput output) {
+        @Nullable RequestHandle handle = abandoning.remove(attempt);
+        if (handle != null) {
+            output.reply(handle, new Done());
+        }
+    }
+
+    /** Answers reports of attempts that ended because their endpoint restarted. */
+    void onEndpointRestarted(LeaderOutput output) {
+        List.copyOf(abandoning.keySet()).stream()
+                .filter(attempt -> context.state().hasEnded(attempt))
+                .forEach(attempt -> answerAbandoned(attempt, output));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/EndpointLeases.java
@@ -0,0 +1,169 @@
+package org.marjoramnotch.logic.placement;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.model.command.RemoveEndpoint;
+import org.marjoramnotch.model.endpoint.OpenAttempt;
+import org.marjoramnotch.model.endpoint.SlotKind;
+import org.marjoramnotch.model.identifier.EndpointId;
+import org.marjoramnotch.model.identifier.ServiceName;
+import org.marjoramnotch.model.message.EndAttempt;
+
+/** Keeps the leases and the health of the registered endpoints. */
+final class EndpointLeases {
+    private final PlacementContext context;
+    private final long leaseMilliseconds;
+    private final Map<EndpointId, EndpointLoad> loads = new HashMap<>();
+    private final Map<ServiceName, ServiceHealth> healths = new HashMap<>();
+    private final Set<EndpointId> timed = new HashSet<>();
+    private final PriorityQueue<Timer> leases = new PriorityQueue<>(Timer.ORDER);
+    private final PriorityQueue<Timer> probes = new PriorityQueue<>(Timer.ORDER);
+
+    private record Timer(long dueMilliseconds, EndpointId endpoint) {
+        private static final Comparator<Timer> ORDER =
+                Comparator.comparingLong(Timer::dueMilliseconds).thenComparing(Timer::endpoint);
+    }
+
+    EndpointLeases(PlacementContext context, long termStartMilliseconds) {
+        this.context = context;
+        this.leaseMilliseconds = context.settings().endpointLeaseMilliseconds();
+        for (EndpointSlots slots : context.state().endpoints()) {
+            EndpointLoad load = add(slots, termStartMilliseconds + leaseMilliseconds);
+            context.pools().refreshEndpoint(load, termStartMilliseconds);
+        }
+    }
+
+    ServiceHealth health(ServiceName service) {
+        return healths.computeIfAbsent(service, name -> new ServiceHealth());
+    }
+
+    Optional<EndpointLoad> find(EndpointId endpoint) {
+        return Optional.ofNullable(loads.get(endpoint));
+    }
+
+    private EndpointLoad add(EndpointSlots slots, long leaseUntilMilliseconds) {
+        ServiceHealth service = health(slots.description().service());
+        service.onEndpointAdded();
+        EndpointLoad load =
+                new EndpointLoad(slots, new EndpointHealth(service), leaseUntilMilliseconds);
+        loads.put(load.id(), load);
+        if (timed.add(load.id())) {
+            leases.add(new Timer(leaseUntilMilliseconds, load.id()));
+        }
+        return load;
+    }
+
+    private void remove(EndpointLoad load) {
+        loads.remove(load.id());
+        load.health().onReplaced();
+        health(load.service()).onEndpointRemoved();
+        context.pools().removeEndpoint(load);
+    }
+
+    /** Takes that an endpoint was registered, changed or restarted in the ledger. */
+    void onRegistered(EndpointSlots slots, long nowMilliseconds) {
+        EndpointId id = slots.description().endpoint();
+        @Nullable EndpointLoad load = loads.get(id);
+        if (load != null && load.isReplacedBy(slots)) {
+            remove(load);
+            load = null;
+        }
+        if (load == null) {
+            load = add(slots, nowMilliseconds);
+        } else if (load.takeIncarnation()) {
+            load.health().onReplaced();
+        }
+        context.pools().refreshEndpoint(load, nowMilliseconds);
+        context.pools().refreshTeams(load.service());
+    }
+
+    /** Takes that an endpoint was removed from the ledger, if it was. */
+    void onRemoved(EndpointId endpoint) {
+        if (context.state().endpoint(endpoint).isEmpty()) {
+            find(endpoint).ifPresent(this::remove);
+        }
+    }
+
+    /** Renews a lease from the time at which its announcement came in. */
+    void renew(EndpointLoad load, long announcedMilliseconds) {
+        load.renew(announcedMilliseconds + leaseMilliseconds);
+    }
+
+    void refresh(EndpointId endpoint, long nowMilliseconds) {
+        find(endpoint).ifPresent(load -> context.pools().refreshEndpoint(load, nowMilliseconds));
+    }
+
+    /** Places what waits for slots of an endpoint's service. */
+    void drain(EndpointLoad load, long nowMilliseconds, LeaderOutput output) {
+        for (SlotKind kind : SlotKind.values()) {
+            context.placer().drain(nowMilliseconds, new SlotPoolId(load.service(), kind), output);
+        }
+    }
+
+    /** Takes the result of an attempt. */
+    void onResult(long nowMilliseconds, OpenAttempt open, EndAttempt end, LeaderOutput output) {
+        @Nullable EndpointLoad load = loads.get(open.endpoint());
+        if (load == null) {
+            return;
+        }
+        boolean request = open.kind() == SlotKind.REQUEST;
+        long ranMilliseconds = request ? end.runMilliseconds() : 0;
+        load.health()
+                .onResult(nowMilliseconds, end.attempt(), end.endpointFailed(), ranMilliseconds)
+                .ifPresent(
+                        backoff ->
+                                probes.add(new Timer(nowMilliseconds + backoff, open.endpoint())));
+        context.pools().refreshEndpoint(load, nowMilliseconds);
+        drain(load, nowMilliseconds, output);
+    }
+
+    /** Takes that an attempt ended without a word on its endpoint's health. */
+    void onNoResult(OpenAttempt open) {
+        find(open.endpoint()).ifPresent(load -> load.health().onNoResult(open.attempt()));
+    }
+
+    /** Ends leases that have run out and backoffs of quarantines. */
+    void onTick(long nowMilliseconds, LeaderOutput output) {
+        while (!leases.isEmpty() && leases.peek().dueMilliseconds() <= nowMilliseconds) {
+            onLeaseTimer(nowMilliseconds, leases.poll().endpoint(), output);
+        }
+        while (!probes.isEmpty() && probes.peek().dueMilliseconds() <= nowMilliseconds) {
+            find(probes.poll().endpoint())
+                    .ifPresent(load -> startProbing(load, nowMilliseconds, output));
+        }
+    }
+
+    private void startProbing(EndpointLoad load, long nowMilliseconds, LeaderOutput output) {
+        load.health().startProbing();
+        context.pools().refreshEndpoint(load, nowMilliseconds);
+        drain(load, nowMilliseconds, output);
+    }
+
+    private void onLeaseTimer(long nowMilliseconds, EndpointId endpoint, LeaderOutput output) {
+        @Nullable EndpointLoad load = loads.get(endpoint);
+        if (load == null) {
+            timed.remove(endpoint);
+            return;
+        }
+        if (load.isLive(nowMilliseconds)) {
+            leases.add(new Timer(load.leaseUntilMilliseconds(), endpoint));
+            return;
+        }
+        context.pools().refreshEndpoint(load, nowMilliseconds);
+        long removal = context.settings().endpointRemovalMilliseconds();
+        long removableMilliseconds = load.leaseUntilMilliseconds() + removal;
+        boolean removable = nowMilliseconds >= removableMilliseconds;
+        if (removable && load.slots().attempts().isEmpty()) {
+            output.propose(new RemoveEndpoint(endpoint, load.incarnation()));
+        }
+        leases.add(
+                new Timer(removable ? nowMilliseconds + removal : removableMilliseconds, endpoint));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/EntryLeases.java
@@ -0,0 +1,96 @@
+package org.marjoramnotch.logic.placement;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.configuration.WorkAuthorization;
+import org.marjoramnotch.model.endpoint.OpenAttempt;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.AttemptId;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.EntryRenewed;
+import org.marjoramnotch.model.message.RenewEntry;
+
+/**
+ * Knows which entry processes live. An attempt is an orphan when its entry's lease has run out or
+ * another process runs on the entry's VM; an orphan's slot is not freed by that alone.
+ */
+final class EntryLeases {
+    private final PlacementContext context;
+    private final long termStartMilliseconds;
+    private final Map<VmId, Entry> entries = new HashMap<>();
+
+    /** The process that was last heard of on a VM. */
+    private static final class Entry {
+        private final String incarnation;
+        private final Set<AttemptId> revoked = new HashSet<>();
+        private long renewedMilliseconds;
+        private long checkedVersion = -1;
+
+        Entry(String incarnation) {
+            this.incarnation = incarnation;
+        }
+    }
+
+    EntryLeases(PlacementContext context, long termStartMilliseconds) {
+        this.context = context;
+        this.termStartMilliseconds = termStartMilliseconds;
+    }
+
+    /** Tells whether another process has been heard of on the attempt's VM since. */
+    boolean isReplaced(AttemptId attempt) {
+        @Nullable Entry entry = entries.get(attempt.entry());
+        return entry != null && !entry.incarnation.equals(attempt.incarnation());
+    }
+
+    boolean isOrphan(AttemptId attempt, long nowMilliseconds) {
+        @Nullable Entry entry = entries.get(attempt.entry());
+        long renewed = entry == null ? termStartMilliseconds : entry.renewedMilliseconds;
+        boolean expired = nowMilliseconds - renewed >= context.settings().entryLeaseMilliseconds();
+        return expired || isReplaced(attempt);
+    }
+
+    EntryRenewed renew(long nowMilliseconds, RenewEntry renewal) {
+        @Nullable Entry entry = entries.get(renewal.entry());
+        if (entry == null || !entry.incarnation.equals(renewal.incarnation())) {
+            entry = new Entry(renewal.incarnation());
+            entries.put(renewal.entry(), entry);
+        }
+        entry.renewedMilliseconds = nowMilliseconds;
+        checkFeeds(renewal.entry(), entry);
+        entry.revoked.removeIf(feed -> context.state().attempt(feed).isEmpty());
+        return new EntryRenewed(List.copyOf(entry.revoked));
+    }
+
+    /** Looks for feeds whose key was withdrawn, once after each change of the rules. */
+    private void checkFeeds(VmId vm, Entry entry) {
+        long version = context.configuration().version();
+        if (entry.checkedVersion == version) {
+            return;
+        }
+        entry.checkedVersion = version;
+        entry.revoked.clear();
+        for (AttemptId feed : context.state().feeds(vm, entry.incarnation)) {
+            if (!isAuthorized(context.state().attempt(feed).orElseThrow())) {
+                entry.revoked.add(feed);
+            }
+        }
+    }
+
+    private boolean isAuthorized(OpenAttempt feed) {
+        try {
+            WorkAuthorization.recheck(
+                    context.configuration(), feed.queue(), feed.team(), feed.key());
+            return true;
+        } catch (MarjoramnotchException refused) {
+            if (refused.code() == ErrorCode.INVARIANT_VIOLATED) {
+                throw refused;
+            }
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/PlacementDuty.java
@@ -0,0 +1,121 @@
+package org.marjoramnotch.logic.placement;
+
+import org.marjoramnotch.logic.configuration.ConfigurationView;
+import org.marjoramnotch.logic.leader.LeaderDuty;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.logic.ledger.TeamUsage;
+import org.marjoramnotch.model.command.ChangeEndpointState;
+import org.marjoramnotch.model.command.Command;
+import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.command.ForgetClaims;
+import org.marjoramnotch.model.command.RegisterEndpoint;
+import org.marjoramnotch.model.command.ReleaseSlot;
+import org.marjoramnotch.model.command.RemoveEndpoint;
+import org.marjoramnotch.model.command.ReserveSlot;
+import org.marjoramnotch.model.message.AnnounceEndpoint;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.EndAttempt;
+import org.marjoramnotch.model.message.PlaceRequest;
+import org.marjoramnotch.model.message.RenewEntry;
+
+/**
+ * Decides, at the leader of a cell, which quick request or feed runs on which endpoint. Requests of
+ * other kinds are ignored, since other duties answer them.
+ *
+ * <p>A resent {@link PlaceRequest} of a request that still waits takes over the reply, so that each
+ * attempt is answered once.
+ */
+public final class PlacementDuty implements LeaderDuty {
+    private final PlacementContext context;
+    private final EndpointAnnouncements announcements;
+    private boolean forgettingClaims;
+
+    /** Creates a duty of the fair policy, unmeasured; its term starts at the given time. */
+    public PlacementDuty(
+            PlacementSettings settings,
+            ConfigurationView configuration,
+            PlacementState state,
+            TeamUsage usage,
+            long termStartMilliseconds) {
+        this(
+                settings,
+                configuration,
+                state,
+                usage,
+                termStartMilliseconds,
+                PlacementPolicy.FAIR,
+                PlacementMeasures.NONE);
+    }
+
+    /** Creates a duty of the given policy that reports to the measures. */
+    public PlacementDuty(
+            PlacementSettings settings,
+            ConfigurationView configuration,
+            PlacementState state,
+            TeamUsage usage,
+            long termStartMilliseconds,
+            PlacementPolicy policy,
+            PlacementMeasures measures) {
+        this.context =
+                new PlacementContext(
+                        settings,
+                        configuration,
+                        state,
+                        usage,
+                        policy,
+                        measures,
+                        termStartMilliseconds);
+        this.announcements = new EndpointAnnouncements(context);
+    }
+
+    @Override
+    public void onRequest(
+            long nowMilliseconds, RequestHandle handle, CellRequest request, LeaderOutput output) {
+        if (request instanceof PlaceRequest place) {
+            context.placer().onRequest(nowMilliseconds, handle, place, output);
+        } else if (request instanceof EndAttempt end) {
+            context.releases().onEnd(nowMilliseconds, handle, end, output);
+        } else if (request instanceof RenewEntry renewal) {
+            output.reply(handle, context.entries().renew(nowMilliseconds, renewal));
+        } else if (request instanceof AnnounceEndpoint announcement) {
+            announcements.onAnnounced(nowMilliseconds, handle, announcement, output);
+        }
+    }
+
+    @Override
+    public void onApplied(
+            long nowMilliseconds, Command command, CommandResult result, LeaderOutput output) {
+        if (command instanceof ReserveSlot reserve) {
+            context.placer().onApplied(nowMilliseconds, reserve, result, output);
+        } else if (command instanceof ReleaseSlot release) {
+            context.releases().onApplied(nowMilliseconds, release, output);
+        } else if (command instanceof RegisterEndpoint register) {
+            announcements.onApplied(nowMilliseconds, register, result, output);
+        } else if (command instanceof ChangeEndpointState change) {
+            announcements.onApplied(nowMilliseconds, change, output);
+        } else if (command instanceof RemoveEndpoint remove) {
+            context.endpoints().onRemoved(remove.endpoint());
+        } else if (command instanceof ForgetClaims) {
+            forgettingClaims = false;
+        }
+    }
+
+    @Override
+    public void onTick(long nowMilliseconds, LeaderOutput output) {
+        context.placer().onTick(nowMilliseconds, output);
+        context.endpoints().onTick(nowMilliseconds, output);
+        for (SlotPool pool : context.pools().refreshLimits()) {
+            context.placer().drain(nowMilliseconds, pool.id(), output);
+        }
+        forgetClaims(output);
+    }
+
+    private void forgetClaims(LeaderOutput output) {
+        int excess = context.state().endedClaims() - context.settings().endedClaimsKept();
+        if (excess > 0 && !forgettingClaims) {
+            forgettingClaims = true;
+            output.propose(new ForgetClaims(excess));
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/PlacementMeasures.java
@@ -0,0 +1,29 @@
+package org.marjoramnotch.logic.placement;
+
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.identifier.TeamName;
+
+/** Takes what a leader's placement decisions are measured by. */
+public interface PlacementMeasures {
+    /** Takes nothing. */
+    PlacementMeasures NONE =
+            new PlacementMeasures() {
+                @Override
+                public void onGranted(TeamName team, boolean urgent, long waitedMilliseconds) {}
+
+                @Override
+                public void onEnded(TeamName team, long ranMilliseconds) {}
+
+                @Override
+                public void onRefused(TeamName team, ErrorCode code) {}
+            };
+
+    /** A request was granted after this wait at the leader. */
+    void onGranted(TeamName team, boolean urgent, long waitedMilliseconds);
+
+    /** An attempt that was sent ended after this time. */
+    void onEnded(TeamName team, long ranMilliseconds);
+
+    /** A request of a known team was refused. */
+    void onRefused(TeamName team, ErrorCode code);
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/RequestAdmission.java
@@ -0,0 +1,139 @@
+package org.marjoramnotch.logic.placement;
+
+import java.util.Optional;
+import org.marjoramnotch.logic.configuration.AuthorizedWork;
+import org.marjoramnotch.logic.configuration.WorkAuthorization;
+import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.endpoint.SlotKind;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.error.Refusal;
+import org.marjoramnotch.model.identifier.ServiceName;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.PlaceRequest;
+import org.marjoramnotch.model.message.Refused;
+import org.marjoramnotch.model.message.Replayed;
+
+/** Decides whether a new request is queued, or answered at once. */
+final class RequestAdmission {
+    private final PlacementContext context;
+
+    RequestAdmission(PlacementContext context) {
+        this.context = context;
+    }
+
+    /**
+     * A request that may be queued.
+     *
+     * @param work what its queue takes it as
+     * @param pool the slots that it waits for
+     */
+    record Admitted(AuthorizedWork work, SlotPoolId pool) {}
+
+    /**
+     * What becomes of a request.
+     *
+     * @param reply the answer, if it is answered at once
+     * @param admitted what is queued otherwise
+     */
+    record Decision(Optional<CellReply> reply, Optional<Admitted> admitted) {}
+
+    Decision decide(long nowMilliseconds, PlaceRequest request) {
+        if (context.state().hasEnded(request.attempt())) {
+            return refused(PlacementRefusals.ended());
+        }
+        if (context.entries().isReplaced(request.attempt())) {
+            return refused(PlacementRefusals.staleEntry());
+        }
+        try {
+            AuthorizedWork work =
+                    WorkAuthorization.authorize(
+                            context.configuration(), request.queue(), request.credential());
+            ServiceName service = PlacementChecks.requireService(work.queue(), request.kind());
+            Admitted admitted = new Admitted(work, new SlotPoolId(service, request.kind()));
+            return decide(request, admitted);
+        } catch (MarjoramnotchException refusal) {
+            if (refusal.code() == ErrorCode.INVARIANT_VIOLATED) {
+                throw refusal;
+            }
+            return refused(refusal.refusal());
+        }
+    }
+
+    private Decision decide(PlaceRequest request, Admitted admitted) {
+        Optional<CellReply> known = answerKnown(request, admitted.work());
+        if (known.isPresent()) {
+            return new Decision(known, Optional.empty());
+        }
+        Optional<Refusal> refusal = refuseEarly(request, admitted);
+        if (refusal.isPresent()) {
+            context.measures().onRefused(admitted.work().team().team(), refusal.get().code());
+            return refused(refusal.get());
+        }
+        return new Decision(Optional.empty(), Optional.of(admitted));
+    }
+
+    /**
+     * Answers from the idempotency claim. A claim that still runs is looked at again when the
+     * reservation is applied, since its end may be on the way.
+     */
+    private Optional<CellReply> answerKnown(PlaceRequest request, AuthorizedWork work) {
+        Optional<CommandResult> obstacle =
+                request.claim()
+                        .flatMap(
+                                claim ->
+                                        context.state()
+                                                .obstacle(
+                                                        work.team().team(),
+                                                        claim,
+                                                        work.queue().repetition()));
+        if (obstacle.isEmpty()) {
+            return Optional.empty();
+        }
+        if (obstacle.get() instanceof CommandResult.AnsweredBefore before) {
+            return Optional.of(new Replayed(before.answer()));
+        }
+        Refusal refusal = ((CommandResult.Rejected) obstacle.get()).refusal();
+        return refusal.code() == ErrorCode.IDEMPOTENT_REQUEST_RUNNING
+                ? Optional.empty()
+                : Optional.of(new Refused(refusal));
+    }
+
+    private Optional<Refusal> refuseEarly(PlaceRequest request, Admitted admitted) {
+        SlotPool pool = context.pools().pool(admitted.pool());
+        if (!pool.hasEndpoints()) {
+            return Optional.of(PlacementRefusals.noEndpoint(admitted.pool().service()));
+        }
+        if (request.waitMilliseconds() <= 0) {
+            return Optional.of(PlacementRefusals.deadlineExceeded());
+        }
+        TeamBacklog backlog = pool.team(admitted.work().team().team());
+        int capacity = context.settings().queueCapacity();
+        if (backlog.waiting() >= capacity) {
+            return Optional.of(PlacementRefusals.queueFull(capacity));
+        }
+        long expected = expectedWait(request, admitted, pool, backlog);
+        return expected > request.waitMilliseconds()
+                ? Optional.of(PlacementRefusals.deadlineTooShort(expected))
+                : Optional.empty();
+    }
+
+    /** Returns the wait in milliseconds, from the learned run time and the team's own backlog. */
+    private long expectedWait(
+            PlaceRequest request, Admitted admitted, SlotPool pool, TeamBacklog backlog) {
+        int ahead = request.urgent() ? backlog.urgentWaiting() : backlog.waiting();
+        RunAverages runs = context.endpoints().health(admitted.pool().service()).averages();
+        boolean known = request.kind() == SlotKind.REQUEST && runs.knowsRunTime();
+        if (ahead == 0 || !known) {
+            return 0;
+        }
+        int share = admitted.work().team().share();
+        double entitled = (double) pool.capacity() * share / Math.max(share, pool.shares());
+        double slots = Math.max(1, Math.max(entitled, backlog.outstanding()));
+        return (long) (ahead * runs.runMilliseconds() / slots);
+    }
+
+    private static Decision refused(Refusal refusal) {
+        return new Decision(Optional.of(new Refused(refusal)), Optional.empty());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/RequestPlacer.java
@@ -0,0 +1,275 @@
+package org.marjoramnotch.logic.placement;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.command.ReserveSlot;
+import org.marjoramnotch.model.endpoint.EndpointDescription;
+import org.marjoramnotch.model.endpoint.OpenAttempt;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.Refusal;
+import org.marjoramnotch.model.identifier.AttemptId;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.message.Granted;
+import org.marjoramnotch.model.message.PlaceRequest;
+import org.marjoramnotch.model.message.Refused;
+import org.marjoramnotch.model.message.Replayed;
+import org.marjoramnotch.model.rule.Repetition;
+
+/**
+ * Queues requests, chooses what is placed next, and answers each once its reservation is committed.
+ *
+ * <p>A request whose deadline passes while its reservation is being committed is answered when that
+ * is known: its slot is freed first, so that no answered request can hold one.
+ */
+final class RequestPlacer {
+    private static final Comparator<WaitingRequest> BY_DEADLINE =
+            Comparator.comparingLong(WaitingRequest::deadlineMilliseconds)
+                    .thenComparingLong(WaitingRequest::sequence);
+
+    private final PlacementContext context;
+    private final RequestAdmission admission;
+    private final Map<AttemptId, WaitingRequest> waiting = new HashMap<>();
+    private final TreeSet<WaitingRequest> deadlines = new TreeSet<>(BY_DEADLINE);
+    private long nextSequence;
+
+    RequestPlacer(PlacementContext context) {
+        this.context = context;
+        this.admission = new RequestAdmission(context);
+    }
+
+    Optional<WaitingRequest> find(AttemptId attempt) {
+        return Optional.ofNullable(waiting.get(attempt));
+    }
+
+    void onRequest(
+            long nowMilliseconds, RequestHandle handle, PlaceRequest request, LeaderOutput output) {
+        @Nullable WaitingRequest known = waiting.get(request.attempt());
+        if (known != null && known.isWithdrawn()) {
+            output.reply(handle, new Refused(PlacementRefusals.withdrawn()));
+            return;
+        }
+        if (known != null) {
+            known.replaceHandle(handle);
+            return;
+        }
+        Optional<OpenAttempt> open = context.state().attempt(request.attempt());
+        if (open.isPresent()) {
+            answerOpen(handle, open.get(), output);
+            return;
+        }
+        RequestAdmission.Decision decision = admission.decide(nowMilliseconds, request);
+        if (decision.reply().isPresent()) {
+            output.reply(handle, decision.reply().get());
+            return;
+        }
+        RequestAdmission.Admitted admitted = decision.admitted().orElseThrow();
+        enqueue(
+                new WaitingRequest(
+                        handle,
+                        request,
+                        admitted.work(),
+                        admitted.pool(),
+                        nowMilliseconds,
+                        nextSequence++));
+        drain(nowMilliseconds, admitted.pool(), output);
+    }
+
+    private void answerOpen(RequestHandle handle, OpenAttempt open, LeaderOutput output) {
+        if (context.releases().isReleasing(open.attempt())) {
+            output.reply(handle, new Refused(PlacementRefusals.ended()));
+            return;
+        }
+        Repetition repetition =
+                context.configuration()
+                        .queue(open.queue())
+                        .map(queue -> queue.repetition())
+                        .orElse(Repetition.ONCE);
+        output.reply(handle, granted(open.attempt(), open.team(), repetition, slots(open)));
+    }
+
+    private EndpointSlots slots(OpenAttempt open) {
+        return context.state().endpoint(open.endpoint()).orElseThrow();
+    }
+
+    private Granted granted(
+            AttemptId attempt, TeamName team, Repetition repetition, EndpointSlots slots) {
+        EndpointDescription endpoint = slots.description();
+        return new Granted(
+                attempt,
+                team,
+                endpoint.endpoint(),
+                endpoint.host(),
+                endpoint.port(),
+                repetition,
+                context.settings().startWithinMilliseconds());
+    }
+
+    private void enqueue(WaitingRequest request) {
+        waiting.put(request.attempt(), request);
+        deadlines.add(request);
+        context.pools().pool(request.pool()).team(request.team()).add(request);
+        context.pools().refreshTeam(request.pool(), request.team());
+    }
+
+    /** Places waiting requests of a pool while it has free slots. */
+    void drain(long nowMilliseconds, SlotPoolId id, LeaderOutput output) {
+        SlotPool pool = context.pools().pool(id);
+        Optional<SlotPool.Assignment> next = pool.next(nowMilliseconds);
+        while (next.isPresent()) {
+            WaitingRequest request = next.get().request();
+            if (request.deadlineMilliseconds() <= nowMilliseconds) {
+                refuseQueued(request, PlacementRefusals.deadlineExceeded(), output);
+            } else {
+                reserve(nowMilliseconds, request, next.get().endpoint(), output);
+            }
+            next = pool.next(nowMilliseconds);
+        }
+    }
+
+    private void reserve(
+            long nowMilliseconds,
+            WaitingRequest request,
+            EndpointLoad endpoint,
+            LeaderOutput output) {
+        context.pools().pool(request.pool()).team(request.team()).removeHead();
+        request.reserve(endpoint);
+        endpoint.health().onPlaced(request.attempt());
+        context.pools().reserving(request, endpoint, 1);
+        context.pools().refreshEndpoint(endpoint, nowMilliseconds);
+        context.pools().refreshTeam(request.pool(), request.team());
+        output.propose(request.command(endpoint));
+    }
+
+    void onApplied(
+            long nowMilliseconds, ReserveSlot command, CommandResult result, LeaderOutput output) {
+        @Nullable WaitingRequest request = waiting.get(command.attempt());
+        if (request == null || request.reserved().isEmpty()) {
+            return;
+        }
+        EndpointLoad endpoint = request.reserved().get();
+        request.clearReserved();
+        context.pools().reserving(request, endpoint, -1);
+        if (result instanceof CommandResult.Accepted) {
+            onReserved(nowMilliseconds, request, output);
+        } else {
+            endpoint.health().onNoResult(request.attempt());
+            onNotReserved(nowMilliseconds, request, result, output);
+        }
+        context.pools().refreshEndpoint(endpoint, nowMilliseconds);
+        context.pools().refreshTeam(request.pool(), request.team());
+        drain(nowMilliseconds, request.pool(), output);
+    }
+
+    private void onReserved(long nowMilliseconds, WaitingRequest request, LeaderOutput output) {
+        if (request.isWithdrawn()) {
+            forget(request);
+            return;
+        }
+        OpenAttempt open = context.state().attempt(request.attempt()).orElseThrow();
+        if (request.deadlineMilliseconds() <= nowMilliseconds) {
+            context.releases().releaseUnused(request.attempt(), output);
+            return;
+        }
+        forget(request);
+        context.measures()
+                .onGranted(
+                        request.team(),
+                        request.request().urgent(),
+                        nowMilliseconds - request.arrivedMilliseconds());
+        output.reply(
+                request.handle(),
+                granted(request.attempt(), request.team(), request.repetition(), slots(open)));
+    }
+
+    private void onNotReserved(
+            long nowMilliseconds,
+            WaitingRequest request,
+            CommandResult result,
+            LeaderOutput output) {
+        if (request.isWithdrawn()) {
+            forget(request);
+        } else if (result instanceof CommandResult.AnsweredBefore before) {
+            forget(request);
+            output.reply(request.handle(), new Replayed(before.answer()));
+        } else if (result instanceof CommandResult.Rejected rejected) {
+            onRejected(nowMilliseconds, request, rejected.refusal(), output);
+        }
+    }
+
+    private void onRejected(
+            long nowMilliseconds, WaitingRequest request, Refusal refusal, LeaderOutput output) {
+        boolean passing =
+                refusal.code() == ErrorCode.NO_ENDPOINT
+                        || refusal.code() == ErrorCode.TEAM_AT_LIMIT;
+        if (passing && nowMilliseconds < request.deadlineMilliseconds()) {
+            context.pools().pool(request.pool()).team(request.team()).addFirst(request);
+            return;
+        }
+        refuse(request, passing ? PlacementRefusals.deadlineExceeded() : refusal, output);
+    }
+
+    /** Takes the end of a request that is still queued or being reserved, by its entry. */
+    void onWithdrawn(WaitingRequest request, LeaderOutput output) {
+        if (request.isWithdrawn()) {
+            return;
+        }
+        if (request.reserved().isEmpty() && !context.releases().isReleasing(request.attempt())) {
+            refuseQueued(request, PlacementRefusals.withdrawn(), output);
+            return;
+        }
+        request.withdraw();
+        output.reply(request.handle(), new Refused(PlacementRefusals.withdrawn()));
+    }
+
+    /** Answers a request whose unused slot has been freed again. */
+    void onUnusedReleased(AttemptId attempt, LeaderOutput output) {
+        @Nullable WaitingRequest request = waiting.get(attempt);
+        if (request == null || request.reserved().isPresent()) {
+            return;
+        }
+        if (request.isWithdrawn()) {
+            forget(request);
+        } else {
+            refuse(request, PlacementRefusals.deadlineExceeded(), output);
+        }
+    }
+
+    /** Refuses queued requests whose deadline has passed. */
+    void onTick(long nowMilliseconds, LeaderOutput output) {
+        while (!deadlines.isEmpty()
+                && deadlines.first().deadlineMilliseconds() <= nowMilliseconds) {
+            WaitingRequest request = deadlines.pollFirst();
+            boolean queued =
+                    request.reserved().isEmpty()
+                            && !context.releases().isReleasing(request.attempt());
+            if (queued) {
+                refuseQueued(request, PlacementRefusals.deadlineExceeded(), output);
+            }
+        }
+    }
+
+    private void refuseQueued(WaitingRequest request, Refusal refusal, LeaderOutput output) {
+        request.withdraw();
+        context.pools().pool(request.pool()).team(request.team()).onWithdrawn(request);
+        refuse(request, refusal, output);
+        context.pools().refreshTeam(request.pool(), request.team());
+    }
+
+    private void refuse(WaitingRequest request, Refusal refusal, LeaderOutput output) {
+        forget(request);
+        context.measures().onRefused(request.team(), refusal.code());
+        output.reply(request.handle(), new Refused(refusal));
+    }
+
+    private void forget(WaitingRequest request) {
+        waiting.remove(request.attempt());
+        deadlines.remove(request);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/RoundRobinChoice.java
@@ -0,0 +1,48 @@
+package org.marjoramnotch.logic.placement;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.model.identifier.AvailabilityZone;
+import org.marjoramnotch.model.identifier.EndpointId;
+
+/** Chooses endpoints in turn, whatever their load and zone. */
+public final class RoundRobinChoice implements EndpointChoice {
+    private final TreeMap<EndpointId, EndpointLoad> endpoints = new TreeMap<>();
+    private @Nullable EndpointId last;
+
+    @Override
+    public void put(EndpointLoad endpoint) {
+        endpoints.put(endpoint.id(), endpoint);
+    }
+
+    @Override
+    public void remove(EndpointLoad endpoint) {
+        endpoints.remove(endpoint.id());
+    }
+
+    @Override
+    public Optional<EndpointLoad> choose(
+            long nowMilliseconds, AvailabilityZone zone, List<EndpointId> excluded) {
+        Map<EndpointId, EndpointLoad> after =
+                last == null ? endpoints : endpoints.tailMap(last, false);
+        Optional<EndpointLoad> chosen = first(after, nowMilliseconds, excluded);
+        if (chosen.isEmpty()) {
+            chosen = first(endpoints, nowMilliseconds, excluded);
+        }
+        chosen.ifPresent(endpoint -> last = endpoint.id());
+        return chosen;
+    }
+
+    private static Optional<EndpointLoad> first(
+            Map<EndpointId, EndpointLoad> candidates,
+            long nowMilliseconds,
+            List<EndpointId> excluded) {
+        return candidates.values().stream()
+                .filter(endpoint -> endpoint.isLive(nowMilliseconds))
+                .filter(endpoint -> !excluded.contains(endpoint.id()))
+                .findFirst();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/SlotPools.java
@@ -0,0 +1,119 @@
+package org.marjoramnotch.logic.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.marjoramnotch.logic.configuration.ConfigurationView;
+import org.marjoramnotch.logic.ledger.TeamUsage;
+import org.marjoramnotch.model.endpoint.OpenAttempt;
+import org.marjoramnotch.model.endpoint.SlotKind;
+import org.marjoramnotch.model.identifier.ServiceName;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.rule.TeamRule;
+
+/** All slot pools of a cell, kept in step with the ledger and with what is being reserved. */
+final class SlotPools {
+    private final ConfigurationView configuration;
+    private final PlacementState state;
+    private final TeamUsage usage;
+    private final PlacementPolicy policy;
+    private final Map<SlotPoolId, SlotPool> pools = new HashMap<>();
+    private final Map<TeamName, Integer> reserving = new HashMap<>();
+    private final Set<Blocked> atLimit = new LinkedHashSet<>();
+    private long configurationVersion;
+
+    private record Blocked(SlotPoolId pool, TeamName team) {}
+
+    SlotPools(
+            ConfigurationView configuration,
+            PlacementState state,
+            TeamUsage usage,
+            PlacementPolicy policy) {
+        this.configuration = configuration;
+        this.state = state;
+        this.usage = usage;
+        this.policy = policy;
+        this.configurationVersion = configuration.version();
+        for (OpenAttempt open : state.openAttempts()) {
+            state.endpoint(open.endpoint())
+                    .ifPresent(
+                            slots ->
+                                    refreshTeam(
+                                            new SlotPoolId(
+                                                    slots.description().service(), open.kind()),
+                                            open.team()));
+        }
+    }
+
+    SlotPool pool(SlotPoolId id) {
+        return pools.computeIfAbsent(id, name -> new SlotPool(name, policy));
+    }
+
+    void refreshEndpoint(EndpointLoad endpoint, long nowMilliseconds) {
+        for (SlotKind kind : SlotKind.values()) {
+            pool(new SlotPoolId(endpoint.service(), kind)).refresh(endpoint, nowMilliseconds);
+        }
+    }
+
+    void removeEndpoint(EndpointLoad endpoint) {
+        for (SlotKind kind : SlotKind.values()) {
+            pool(new SlotPoolId(endpoint.service(), kind)).remove(endpoint);
+        }
+    }
+
+    /** Takes what has changed about a team's backlog, slots or room below its upper limit. */
+    void refreshTeam(SlotPoolId id, TeamName team) {
+        SlotPool pool = pool(id);
+        TeamBacklog backlog = pool.team(team);
+        boolean room = usage.room(team) > reserving.getOrDefault(team, 0);
+        Blocked blocked = new Blocked(id, team);
+        if (room || backlog.waiting() == 0) {
+            atLimit.remove(blocked);
+        } else {
+            atLimit.add(blocked);
+        }
+        int share = configuration.team(team).map(TeamRule::share).orElse(1);
+        int outstanding = state.inUse(id, team) + backlog.reserving();
+        pool.refresh(backlog, Math.max(1, share), outstanding, room);
+    }
+
+    /** Takes what has changed about all teams of a service. */
+    void refreshTeams(ServiceName service) {
+        for (SlotKind kind : SlotKind.values()) {
+            SlotPoolId id = new SlotPoolId(service, kind);
+            pool(id).activeTeams().forEach(team -> refreshTeam(id, team));
+        }
+    }
+
+    /** Counts a slot that is being reserved, or no longer is. */
+    void reserving(WaitingRequest request, EndpointLoad endpoint, int change) {
+        endpoint.reserving(request.request().kind(), change);
+        pool(request.pool()).team(request.team()).reserving(change);
+        reserving.merge(
+                request.team(),
+                change,
+                (before, more) -> before + more == 0 ? null : before + more);
+    }
+
+    /** Looks again at teams that were at their upper limit, and at shares that were changed. */
+    List<SlotPool> refreshLimits() {
+        Set<SlotPool> changed = new LinkedHashSet<>();
+        if (configuration.version() != configurationVersion) {
+            configurationVersion = configuration.version();
+            for (SlotPool pool : List.copyOf(pools.values())) {
+                pool.activeTeams().forEach(team -> refreshTeam(pool.id(), team));
+                changed.add(pool);
+            }
+        }
+        for (Blocked blocked : List.copyOf(atLimit)) {
+            refreshTeam(blocked.pool(), blocked.team());
+            if (!atLimit.contains(blocked)) {
+                changed.add(pool(blocked.pool()));
+            }
+        }
+        return new ArrayList<>(changed);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/TeamBacklog.java
@@ -0,0 +1,149 @@
+package org.marjoramnotch.logic.placement;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.model.identifier.TeamName;
+
+/**
+ * The requests of one team that wait for slots of one pool: urgent ones first, else in order of
+ * arrival. After {@link #URGENT_IN_A_ROW} urgent ones a waiting other one goes, so that none
+ * starves.
+ */
+public final class TeamBacklog {
+    static final int URGENT_IN_A_ROW = 8;
+
+    private final TeamName team;
+    private final Deque<WaitingRequest> urgent = new ArrayDeque<>();
+    private final Deque<WaitingRequest> normal = new ArrayDeque<>();
+    private int urgentWaiting;
+    private int normalWaiting;
+    private int urgentInRow;
+    private int share = 1;
+    private int outstanding;
+    private long headSequence;
+    private boolean ranked;
+    private int reserving;
+    private int countedShare;
+
+    TeamBacklog(TeamName team) {
+        this.team = team;
+    }
+
+    /** Returns the team. */
+    public TeamName team() {
+        return team;
+    }
+
+    /** Returns the weight of the team. */
+    public int share() {
+        return share;
+    }
+
+    /** Returns how many slots of the pool the team holds or is being given. */
+    public int outstanding() {
+        return outstanding;
+    }
+
+    /** Returns the order of arrival of the request that goes next. */
+    public long headSequence() {
+        return headSequence;
+    }
+
+    int waiting() {
+        return urgentWaiting + normalWaiting;
+    }
+
+    int urgentWaiting() {
+        return urgentWaiting;
+    }
+
+    boolean isRanked() {
+        return ranked;
+    }
+
+    void ranked(boolean value) {
+        ranked = value;
+    }
+
+    /** Returns how many of its slots are being reserved. */
+    int reserving() {
+        return reserving;
+    }
+
+    void reserving(int change) {
+        reserving += change;
+    }
+
+    /** Returns the share that the pool counts for it; 0 while it neither holds slots nor waits. */
+    int countedShare() {
+        return countedShare;
+    }
+
+    void countedShare(int value) {
+        countedShare = value;
+    }
+
+    /** Sets what it is ordered by; it must not be in an ordered set. */
+    void measure(int newShare, int newOutstanding) {
+        share = newShare;
+        outstanding = newOutstanding;
+        headSequence = head().map(WaitingRequest::sequence).orElse(Long.MAX_VALUE);
+    }
+
+    void add(WaitingRequest request) {
+        queue(request).addLast(request);
+        count(request, 1);
+    }
+
+    void addFirst(WaitingRequest request) {
+        queue(request).addFirst(request);
+        count(request, 1);
+    }
+
+    /** Uncounts a request that was withdrawn; it is skipped from now on. */
+    void onWithdrawn(WaitingRequest request) {
+        count(request, -1);
+    }
+
+    /** Returns the request that goes next. */
+    Optional<WaitingRequest> head() {
+        skipWithdrawn(urgent);
+        skipWithdrawn(normal);
+        return Optional.ofNullable(next().peekFirst());
+    }
+
+    /** Removes the request that {@link #head} returned. */
+    void removeHead() {
+        Deque<WaitingRequest> queue = next();
+        urgentInRow = queue == urgent ? urgentInRow + 1 : 0;
+        @Nullable WaitingRequest request = queue.pollFirst();
+        if (request != null) {
+            count(request, -1);
+        }
+    }
+
+    private Deque<WaitingRequest> next() {
+        boolean normalTurn = urgentInRow >= URGENT_IN_A_ROW && !normal.isEmpty();
+        return urgent.isEmpty() || normalTurn ? normal : urgent;
+    }
+
+    private static void skipWithdrawn(Deque<WaitingRequest> queue) {
+        while (!queue.isEmpty() && queue.getFirst().isWithdrawn()) {
+            queue.removeFirst();
+        }
+    }
+
+    private Deque<WaitingRequest> queue(WaitingRequest request) {
+        return request.request().urgent() ? urgent : normal;
+    }
+
+    private void count(WaitingRequest request, int change) {
+        if (request.request().urgent()) {
+            urgentWaiting += change;
+        } else {
+            normalWaiting += change;
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/WaitingRequest.java
@@ -0,0 +1,122 @@
+package org.marjoramnotch.logic.placement;
+
+import java.util.List;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.configuration.AuthorizedWork;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.command.ReserveSlot;
+import org.marjoramnotch.model.error.Invariant;
+import org.marjoramnotch.model.identifier.AttemptId;
+import org.marjoramnotch.model.identifier.EndpointId;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.message.PlaceRequest;
+import org.marjoramnotch.model.rule.Repetition;
+
+/** A request that waits for a slot, or whose reservation is being committed. */
+final class WaitingRequest {
+    private final PlaceRequest request;
+    private final AuthorizedWork work;
+    private final SlotPoolId pool;
+    private final long arrivedMilliseconds;
+    private final long sequence;
+    private RequestHandle handle;
+    private @Nullable EndpointLoad reserved;
+    private boolean withdrawn;
+
+    WaitingRequest(
+            RequestHandle handle,
+            PlaceRequest request,
+            AuthorizedWork work,
+            SlotPoolId pool,
+            long arrivedMilliseconds,
+            long sequence) {
+        this.handle = handle;
+        this.request = request;
+        this.work = work;
+        this.pool = pool;
+        this.arrivedMilliseconds = arrivedMilliseconds;
+        this.sequence = sequence;
+    }
+
+    AttemptId attempt() {
+        return request.attempt();
+    }
+
+    PlaceRequest request() {
+        return request;
+    }
+
+    TeamName team() {
+        return work.team().team();
+    }
+
+    Repetition repetition() {
+        return work.queue().repetition();
+    }
+
+    SlotPoolId pool() {
+        return pool;
+    }
+
+    List<EndpointId> excluded() {
+        return request.excluded();
+    }
+
+    long arrivedMilliseconds() {
+        return arrivedMilliseconds;
+    }
+
+    long deadlineMilliseconds() {
+        return arrivedMilliseconds + request.waitMilliseconds();
+    }
+
+    /** Returns the order of arrival. */
+    long sequence() {
+        return sequence;
+    }
+
+    RequestHandle handle() {
+        return handle;
+    }
+
+    /** Takes the handle of a resend, to which the answer goes. */
+    void replaceHandle(RequestHandle newHandle) {
+        handle = newHandle;
+    }
+
+    /** Returns the endpoint whose slot is being reserved for it, if any. */
+    Optional<EndpointLoad> reserved() {
+        return Optional.ofNullable(reserved);
+    }
+
+    void reserve(EndpointLoad endpoint) {
+        Invariant.check(reserved == null, "A request is given two slots");
+        reserved = endpoint;
+    }
+
+    void clearReserved() {
+        reserved = null;
+    }
+
+    /** Tells whether it is answered or given up, so that it must not be placed any more. */
+    boolean isWithdrawn() {
+        return withdrawn;
+    }
+
+    void withdraw() {
+        withdrawn = true;
+    }
+
+    ReserveSlot command(EndpointLoad endpoint) {
+        return new ReserveSlot(
+                attempt(),
+                request.queue(),
+                team(),
+                work.key(),
+                endpoint.id(),
+                endpoint.incarnation(),
+                request.kind(),
+                request.claim());
+    }
+}
