Add the leader's duty for jobs and workers

Cause: jobs need a leader that leases workers, places tasks by policy and answers truthfully. Change: JobDuty with worker leases (drift and margin before expiry, announcements held while the epoch before has runs), held renewals with repeated orders, weighted dominant-resource order of teams, best fit, gang and spread policies, quarantine, held reads, cancellation waves.

--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/DutyContext.java
@@ -0,0 +1,57 @@
+package org.marjoramnotch.logic.job;
+
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.command.Command;
+import org.marjoramnotch.model.error.Refusal;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.Refused;
+
+/** The call that a duty is in: its time, where its effects go, and what is to be done later. */
+final class DutyContext {
+    private final TimerQueue timers = new TimerQueue();
+    private long nowMilliseconds;
+    private @Nullable LeaderOutput output;
+
+    DutyContext(long nowMilliseconds) {
+        this.nowMilliseconds = nowMilliseconds;
+    }
+
+    /** Starts a call; time never goes back. */
+    void enter(long atMilliseconds, LeaderOutput newOutput) {
+        nowMilliseconds = Math.max(nowMilliseconds, atMilliseconds);
+        output = newOutput;
+    }
+
+    long now() {
+        return nowMilliseconds;
+    }
+
+    void propose(Command command) {
+        output().propose(command);
+    }
+
+    void reply(RequestHandle handle, CellReply reply) {
+        output().reply(handle, reply);
+    }
+
+    void refuse(RequestHandle handle, Refusal refusal) {
+        output().reply(handle, new Refused(refusal));
+    }
+
+    void at(long atMilliseconds, Runnable action) {
+        timers.at(atMilliseconds, action);
+    }
+
+    void runDue() {
+        timers.run(nowMilliseconds);
+    }
+
+    private LeaderOutput output() {
+        if (output == null) {
+            throw new IllegalStateException("A duty has effects outside of a call");
+        }
+        return output;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/FreeCapacity.java
@@ -0,0 +1,155 @@
+package org.marjoramnotch.logic.job;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.model.identifier.AvailabilityZone;
+import org.marjoramnotch.model.resource.Resources;
+
+/** Finds workers by what is free of them; each change and search touches few workers. */
+final class FreeCapacity {
+    private static final int BEST_FIT_CANDIDATES = 24;
+
+    private final List<@Nullable WorkerSession> slots = new ArrayList<>();
+    private final List<Resources> indexed = new ArrayList<>();
+    private final Deque<Integer> unusedSlots = new ArrayDeque<>();
+    private final CapacityTree all = new CapacityTree();
+    private final Map<AvailabilityZone, CapacityTree> zones = new HashMap<>();
+    private final List<NavigableSet<FreeAmount>> byAmount = new ArrayList<>();
+    private Resources totalFree = Resources.NONE;
+
+    FreeCapacity() {
+        for (int dimension = 0; dimension < ResourceDimension.ALL.length; dimension++) {
+            byAmount.add(new TreeSet<>());
+        }
+    }
+
+    /** Adds a worker, or takes over what is free of it now. */
+    void put(WorkerSession worker) {
+        if (worker.slot < 0) {
+            worker.slot = takeSlot();
+            slots.set(worker.slot, worker);
+        } else {
+            unindex(worker.slot);
+        }
+        Resources free = worker.free();
+        indexed.set(worker.slot, free);
+        all.set(worker.slot, free);
+        zone(worker).set(worker.slot, free);
+        for (ResourceDimension dimension : ResourceDimension.ALL) {
+            amounts(dimension).add(new FreeAmount(dimension.of(free), worker.slot));
+        }
+        totalFree = totalFree.plus(free);
+    }
+
+    /** Removes a worker, so that nothing is found on it. */
+    void remove(WorkerSession worker) {
+        if (worker.slot < 0) {
+            return;
+        }
+        unindex(worker.slot);
+        all.clear(worker.slot);
+        zone(worker).clear(worker.slot);
+        slots.set(worker.slot, null);
+        unusedSlots.push(worker.slot);
+        worker.slot = -1;
+    }
+
+    /** Tells, in constant time, when surely no worker holds the amounts. */
+    boolean mayHold(Resources needed) {
+        return all.mayHold(needed);
+    }
+
+    Resources totalFree() {
+        return totalFree;
+    }
+
+    /**
+     * Returns the worker that is left with least of the resource the amounts are most scarce in.
+     */
+    Optional<WorkerSession> bestFit(Resources needed, Predicate<WorkerSession> allowed) {
+        if (!mayHold(needed)) {
+            return Optional.empty();
+        }
+        ResourceDimension scarcest = ResourceDimension.dominant(needed, totalFree);
+        FreeAmount least = new FreeAmount(scarcest.of(needed), -1);
+        int candidates = 0;
+        for (FreeAmount amount : amounts(scarcest).tailSet(least)) {
+            WorkerSession worker = slots.get(amount.slot());
+            if (worker != null && worker.free().holds(needed) && allowed.test(worker)) {
+                return Optional.of(worker);
+            }
+            candidates++;
+            if (candidates == BEST_FIT_CANDIDATES) {
+                return firstFit(needed, allowed);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the first worker that holds the amounts. */
+    Optional<WorkerSession> firstFit(Resources needed, Predicate<WorkerSession> allowed) {
+        return at(all.find(needed, 0, slot -> isAllowed(slot, allowed)));
+    }
+
+    /** Returns a worker of a zone that holds the amounts, searched from a slot on. */
+    Optional<WorkerSession> fitInZone(
+            AvailabilityZone zone, Resources needed, int from, Predicate<WorkerSession> allowed) {
+        CapacityTree tree = zones.get(zone);
+        if (tree == null) {
+            return Optional.empty();
+        }
+        int first = slots.isEmpty() ? 0 : from % slots.size();
+        return at(tree.find(needed, first, slot -> isAllowed(slot, allowed)));
+    }
+
+    Iterable<AvailabilityZone> zones() {
+        return zones.keySet();
+    }
+
+    int slotCount() {
+        return slots.size();
+    }
+
+    private boolean isAllowed(int slot, Predicate<WorkerSession> allowed) {
+        WorkerSession worker = slots.get(slot);
+        return worker != null && allowed.test(worker);
+    }
+
+    private Optional<WorkerSession> at(int slot) {
+        return slot < 0 ? Optional.empty() : Optional.ofNullable(slots.get(slot));
+    }
+
+    private void unindex(int slot) {
+        Resources before = indexed.get(slot);
+        for (ResourceDimension dimension : ResourceDimension.ALL) {
+            amounts(dimension).remove(new FreeAmount(dimension.of(before), slot));
+        }
+        totalFree = totalFree.minus(before);
+    }
+
+    private int takeSlot() {
+        if (!unusedSlots.isEmpty()) {
+            return unusedSlots.pop();
+        }
+        slots.add(null);
+        indexed.add(Resources.NONE);
+        return slots.size() - 1;
+    }
+
+    private NavigableSet<FreeAmount> amounts(ResourceDimension dimension) {
+        return byAmount.get(dimension.ordinal());
+    }
+
+    private CapacityTree zone(WorkerSession worker) {
+        return zones.computeIfAbsent(worker.entry.description.zone(), zone -> new CapacityTree());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobDuty.java
@@ -0,0 +1,141 @@
+package org.marjoramnotch.logic.job;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.marjoramnotch.logic.configuration.ConfigurationView;
+import org.marjoramnotch.logic.leader.LeaderDuty;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.logic.ledger.TeamUsage;
+import org.marjoramnotch.model.command.CancelJob;
+import org.marjoramnotch.model.command.ChangeConfiguration;
+import org.marjoramnotch.model.command.Command;
+import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.command.RegisterWorker;
+import org.marjoramnotch.model.command.StartTasks;
+import org.marjoramnotch.model.command.SubmitJob;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.message.AnnounceWorker;
+import org.marjoramnotch.model.message.CancelJobRequest;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.ReadJob;
+import org.marjoramnotch.model.message.RenewWorker;
+import org.marjoramnotch.model.message.SubmitJobRequest;
+
+/**
+ * A leader's decisions on jobs and workers during one term.
+ *
+ * <p>It listens to the ledger from its construction on; the duty of a later term on the same ledger
+ * takes its place. Requests of other duties are ignored.
+ */
+public final class JobDuty implements LeaderDuty {
+    private static final long RETRY_PARKED_MILLISECONDS = 250;
+
+    private final ConfigurationView configuration;
+    private final JobDutyParts parts;
+    private long nextRetryMilliseconds;
+
+    /**
+     * Takes over the ledger as a term begins.
+     *
+     * @param settings settings of the decisions
+     * @param configuration the rules in force
+     * @param ledger the agreed state, with all entries of earlier terms applied
+     * @param usage what each team runs, shared with the other duties
+     * @param random names jobs
+     * @param termStartMilliseconds leases of earlier leaders count from here
+     */
+    public JobDuty(
+            JobSettings settings,
+            ConfigurationView configuration,
+            JobLedger ledger,
+            TeamUsage usage,
+            UniformRandomProvider random,
+            long termStartMilliseconds) {
+        this.configuration = configuration;
+        this.parts =
+                new JobDutyParts(
+                        settings, configuration, ledger, usage, random, termStartMilliseconds);
+        parts.load();
+        cancelJobsOfRemovedTeams();
+        ledger.listen(new LedgerEvents(parts));
+    }
+
+    @Override
+    public void onRequest(
+            long nowMilliseconds, RequestHandle handle, CellRequest request, LeaderOutput output) {
+        parts.context.enter(nowMilliseconds, output);
+        try {
+            take(handle, request);
+        } catch (MarjoramnotchException exception) {
+            if (exception.code() == ErrorCode.INVARIANT_VIOLATED) {
+                throw exception;
+            }
+            parts.context.refuse(handle, exception.refusal());
+        }
+    }
+
+    @Override
+    public void onApplied(
+            long nowMilliseconds, Command command, CommandResult result, LeaderOutput output) {
+        parts.context.enter(nowMilliseconds, output);
+        if (command instanceof StartTasks start) {
+            parts.placer.onApplied(start, result);
+        } else if (command instanceof SubmitJob submit) {
+            parts.jobs.onApplied(submit, result);
+        } else if (command instanceof CancelJob cancel) {
+            parts.jobs.onApplied(cancel, result);
+        } else if (command instanceof RegisterWorker register) {
+            parts.workers.onApplied(register, result);
+        } else if (command instanceof ChangeConfiguration) {
+            cancelJobsOfRemovedTeams();
+            parts.waiting.retryParked();
+        }
+        parts.workers.afterApplied();
+        parts.readers.answerChanged();
+    }
+
+    @Override
+    public void onTick(long nowMilliseconds, LeaderOutput output) {
+        parts.context.enter(nowMilliseconds, output);
+        parts.context.runDue();
+        parts.jobs.proposeCancellations();
+        parts.stops.advance(parts.settings.mostStopsPerTick(), parts.workers);
+        if (nowMilliseconds >= nextRetryMilliseconds) {
+            // Limits may have room again through the other duties, which do not tell.
+            parts.waiting.retryParked();
+            nextRetryMilliseconds = nowMilliseconds + RETRY_PARKED_MILLISECONDS;
+        }
+        parts.placer.place(output);
+        parts.workers.answerWoken();
+    }
+
+    /** Returns what jobs waited and ran in this term. */
+    public JobMeasures measures() {
+        return parts.histograms;
+    }
+
+    private void take(RequestHandle handle, CellRequest request) {
+        if (request instanceof RenewWorker renew) {
+            parts.workers.renew(handle, renew);
+        } else if (request instanceof AnnounceWorker announce) {
+            parts.workers.announce(handle, announce);
+        } else if (request instanceof SubmitJobRequest submit) {
+            parts.jobs.submit(handle, submit);
+        } else if (request instanceof CancelJobRequest cancel) {
+            parts.jobs.cancel(handle, cancel);
+        } else if (request instanceof ReadJob read) {
+            JobEntry job = parts.jobs.requireAccess(read.job(), read.credential());
+            parts.readers.read(handle, read, job);
+        }
+    }
+
+    /** Runs once for a change of the rules; no further task of such jobs could ever start. */
+    private void cancelJobsOfRemovedTeams() {
+        for (TeamQueue team : parts.waiting.teams()) {
+            team.jobs()
+                    .filter(queued -> configuration.team(queued.job.team).isEmpty())
+                    .forEach(queued -> parts.jobs.cancelLater(queued.job));
+        }
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/job/JobLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobLedger.java
@@ -135,6 +135,11 @@
         return runs.running();
     }
 
+    /** Returns how many tasks wait. */
+    public int queuedCount() {
+        return runs.queued();
+    }
+
     /** Returns the whole state. */
     public JobSnapshot snapshot() {
         return new JobSnapshot(
@@ -215,8 +220,7 @@
             job.request = command.request().get();
             job.fingerprint = JobAcceptance.fingerprint(command);
         }
-        jobs.add(job);
-        runs.listener().jobAdded(job);
+        runs.accept(job);
         return job;
     }
 
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobMeasures.java
@@ -0,0 +1,13 @@
+package org.marjoramnotch.logic.job;
+
+import java.util.Collection;
+import org.HdrHistogram.Histogram;
+
+/** Shows what jobs wait and run; read by the thread that runs the duty. */
+public interface JobMeasures {
+    /** Returns one measure for each team and policy that had a run. */
+    Collection<JobMeasure> measures();
+
+    /** Returns the waiting times of urgent runs of all teams, in milliseconds. */
+    Histogram urgentWaitingMilliseconds();
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobReaders.java
@@ -0,0 +1,75 @@
+package org.marjoramnotch.logic.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.job.JobState;
+import org.marjoramnotch.model.message.JobAnswer;
+import org.marjoramnotch.model.message.ReadJob;
+
+/** Answers reads of jobs, held until the state differs from the one that the caller knows. */
+final class JobReaders {
+    private static final long LONGEST_HOLD_MILLISECONDS = 30_000;
+    private static final int MOST_HELD_PER_JOB = 64;
+
+    private final DutyContext context;
+    private final Map<JobEntry, List<HeldRead>> held = new HashMap<>();
+    private final Set<JobEntry> changed = new HashSet<>();
+
+    JobReaders(DutyContext context) {
+        this.context = context;
+    }
+
+    void read(RequestHandle handle, ReadJob request, JobEntry job) {
+        long wait = Math.min(request.waitMilliseconds(), LONGEST_HOLD_MILLISECONDS);
+        JobState known = request.known().orElse(null);
+        boolean hold = known == job.status().state() && wait > 0 && !job.hasEnded();
+        List<HeldRead> reads = held.getOrDefault(job, List.of());
+        if (known == null || !hold || reads.size() >= MOST_HELD_PER_JOB) {
+            context.reply(handle, new JobAnswer(job.status()));
+            return;
+        }
+        HeldRead read = new HeldRead(handle, known);
+        held.computeIfAbsent(job, key -> new ArrayList<>()).add(read);
+        context.at(context.now() + wait, () -> answer(job, read));
+    }
+
+    /** Notes that the state of a job may have changed. */
+    void changed(JobEntry job) {
+        if (held.containsKey(job)) {
+            changed.add(job);
+        }
+    }
+
+    void answerChanged() {
+        if (changed.isEmpty()) {
+            return;
+        }
+        List<JobEntry> jobs = new ArrayList<>(changed);
+        changed.clear();
+        for (JobEntry job : jobs) {
+            JobState state = job.status().state();
+            for (HeldRead read : List.copyOf(held.getOrDefault(job, List.of()))) {
+                if (read.known() != state) {
+                    answer(job, read);
+                }
+            }
+        }
+    }
+
+    private void answer(JobEntry job, HeldRead read) {
+        List<HeldRead> reads = held.get(job);
+        if (reads != null && reads.remove(read)) {
+            if (reads.isEmpty()) {
+                held.remove(job);
+            }
+            context.reply(read.handle(), new JobAnswer(job.status()));
+        }
+    }
+
+    private record HeldRead(RequestHandle handle, JobState known) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobSettingsBuilder.java
@@ -0,0 +1,88 @@
+package org.marjoramnotch.logic.job;
+
+/** Builds {@link JobSettings}; what is not set keeps its default. */
+public final class JobSettingsBuilder {
+    private QueueOrder order = QueueOrder.FAIR_SHARE;
+    private long workerLeaseMilliseconds = 10_000;
+    private int clockDriftPercent = 1;
+    private long leaseMarginMilliseconds = 500;
+    private long longestHoldMilliseconds = 5_000;
+    private int mostPlacementsPerTick = 512;
+    private int mostAttemptsPerTick = 2_048;
+    private int mostStopsPerTick = 256;
+    private int mostQueuedTasks = 100_000;
+    private long preemptionDelayMilliseconds = 1_000;
+    private long quarantineMilliseconds = 10_000;
+    private double runTimeWeight = 0.25;
+
+    JobSettingsBuilder() {}
+
+    /** Sets the order in which waiting jobs are looked at. */
+    public JobSettingsBuilder order(QueueOrder value) {
+        order = value;
+        return this;
+    }
+
+    /** Sets the worker lease, the drift allowed for and the margin. */
+    public JobSettingsBuilder lease(long milliseconds, int driftPercent, long marginMilliseconds) {
+        workerLeaseMilliseconds = milliseconds;
+        clockDriftPercent = driftPercent;
+        leaseMarginMilliseconds = marginMilliseconds;
+        return this;
+    }
+
+    /** Sets the longest time to hold a renewal. */
+    public JobSettingsBuilder longestHoldMilliseconds(long value) {
+        longestHoldMilliseconds = value;
+        return this;
+    }
+
+    /** Sets how much is done in one tick. */
+    public JobSettingsBuilder workPerTick(int placements, int attempts, int stops) {
+        mostPlacementsPerTick = placements;
+        mostAttemptsPerTick = attempts;
+        mostStopsPerTick = stops;
+        return this;
+    }
+
+    /** Sets how many tasks may wait. */
+    public JobSettingsBuilder mostQueuedTasks(int value) {
+        mostQueuedTasks = value;
+        return this;
+    }
+
+    /** Sets how long urgent work waits before other runs are stopped. */
+    public JobSettingsBuilder preemptionDelayMilliseconds(long value) {
+        preemptionDelayMilliseconds = value;
+        return this;
+    }
+
+    /** Sets the time before the first probe of a quarantined worker. */
+    public JobSettingsBuilder quarantineMilliseconds(long value) {
+        quarantineMilliseconds = value;
+        return this;
+    }
+
+    /** Sets how much of its learned run time counts as later arrival of a job. */
+    public JobSettingsBuilder runTimeWeight(double value) {
+        runTimeWeight = value;
+        return this;
+    }
+
+    /** Returns the settings. */
+    public JobSettings build() {
+        return new JobSettings(
+                order,
+                workerLeaseMilliseconds,
+                clockDriftPercent,
+                leaseMarginMilliseconds,
+                longestHoldMilliseconds,
+                mostPlacementsPerTick,
+                mostAttemptsPerTick,
+                mostStopsPerTick,
+                mostQueuedTasks,
+                preemptionDelayMilliseconds,
+                quarantineMilliseconds,
+                runTimeWeight);
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/job/JobTable.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobTable.java
@@ -96,7 +96,7 @@
         }
     }
 
-    private static MarjoramnotchException unknown(JobId job) {
+    static MarjoramnotchException unknown(JobId job) {
         return new MarjoramnotchException(
                 ErrorCode.UNKNOWN_JOB,
                 "No job of this team has the name "
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/ResourceDimension.java
@@ -0,0 +1,46 @@
+package org.marjoramnotch.logic.job;
+
+import org.marjoramnotch.model.resource.Resources;
+
+/** One kind of resource. */
+enum ResourceDimension {
+    PROCESSOR,
+    MEMORY,
+    ACCELERATOR;
+
+    static final ResourceDimension[] ALL = values();
+
+    long of(Resources amounts) {
+        return switch (this) {
+            case PROCESSOR -> amounts.processorMillis();
+            case MEMORY -> amounts.memoryMegabytes();
+            default -> amounts.accelerators();
+        };
+    }
+
+    /** Returns the largest part that the amounts are of the whole, over all dimensions. */
+    static double dominantPart(Resources amounts, Resources whole) {
+        double largest = 0;
+        for (ResourceDimension dimension : ALL) {
+            long amount = dimension.of(amounts);
+            if (amount > 0) {
+                largest = Math.max(largest, amount / (double) Math.max(1, dimension.of(whole)));
+            }
+        }
+        return largest;
+    }
+
+    /** Returns the dimension in which the amounts are the largest part of the whole. */
+    static ResourceDimension dominant(Resources amounts, Resources whole) {
+        ResourceDimension dominant = PROCESSOR;
+        double largest = -1;
+        for (ResourceDimension dimension : ALL) {
+            double part = dimension.of(amounts) / (double) Math.max(1, dimension.of(whole));
+            if (part > largest) {
+                largest = part;
+                dominant = dimension;
+            }
+        }
+        return dominant;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/RunFailures.java
@@ -0,0 +1,55 @@
+package org.marjoramnotch.logic.job;
+
+import org.marjoramnotch.model.job.TaskEnd;
+
+/** Keeps jobs away from workers on which they failed, and all jobs from workers that fail all. */
+final class RunFailures {
+    private static final long AVOIDANCE_MILLISECONDS = 5_000;
+
+    private final JobSettings settings;
+    private final WaitingJobs waiting;
+    private final WorkerPool pool;
+    private final DutyContext context;
+
+    RunFailures(JobSettings settings, WaitingJobs waiting, WorkerPool pool, DutyContext context) {
+        this.settings = settings;
+        this.waiting = waiting;
+        this.pool = pool;
+        this.context = context;
+    }
+
+    void ended(WorkerSession worker, TaskEntry task, TaskEnd end) {
+        boolean failed = end == TaskEnd.FAILED || end == TaskEnd.NOT_STARTED;
+        if (failed) {
+            avoid(worker, task.job);
+        }
+        boolean changed =
+                worker.health.ended(
+                        task.job.id, end, context.now(), settings.quarantineMilliseconds());
+        if (changed && worker.health.isQuarantined()) {
+            context.at(worker.health.probeMilliseconds(), () -> probe(worker));
+        }
+    }
+
+    private void avoid(WorkerSession worker, JobEntry job) {
+        waiting.find(job)
+                .ifPresent(
+                        queued -> {
+                            queued.avoid(worker.id());
+                            context.at(
+                                    context.now() + AVOIDANCE_MILLISECONDS,
+                                    () -> stopAvoiding(queued, worker));
+                        });
+    }
+
+    private void stopAvoiding(QueuedJob queued, WorkerSession worker) {
+        queued.avoided.remove(worker.id());
+        waiting.retryParked();
+    }
+
+    private void probe(WorkerSession worker) {
+        worker.health.openProbe();
+        pool.changed(worker);
+        waiting.retryParked();
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/job/TaskEntry.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/TaskEntry.java
@@ -19,6 +19,9 @@
     byte failures;
     byte interruptions;
 
+    /** When it was last queued or started, by the leader's clock; not part of the agreed state. */
+    long sinceMilliseconds;
+
     TaskEntry(JobEntry job, int number) {
         this.job = job;
         this.number = number;
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/TaskPlacer.java
@@ -0,0 +1,160 @@
+package org.marjoramnotch.logic.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.ledger.TeamUsage;
+import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.command.StartTasks;
+import org.marjoramnotch.model.command.TaskPlacement;
+import org.marjoramnotch.model.error.Invariant;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.resource.Resources;
+
+/** Decides which waiting tasks start where, and proposes it. */
+final class TaskPlacer {
+    /** Jobs of one shape that are tried when the first avoids the workers that have room. */
+    private static final int MOST_JOBS_PER_SHAPE = 4;
+
+    private final JobSettings settings;
+    private final TeamUsage usage;
+    private final WaitingJobs waiting;
+    private final WorkerPool pool;
+    private final PlacementPolicies policies;
+    private final Map<StartTasks, List<ProposedStart>> proposed = new HashMap<>();
+
+    /** Placements of each team that are proposed and not applied yet. */
+    private final Map<TeamName, Integer> pending = new HashMap<>();
+
+    TaskPlacer(JobSettings settings, TeamUsage usage, WaitingJobs waiting, WorkerPool pool) {
+        this.settings = settings;
+        this.usage = usage;
+        this.waiting = waiting;
+        this.pool = pool;
+        this.policies = new PlacementPolicies(settings.order());
+    }
+
+    /** Proposes starts, a bounded number, from the team furthest below its share on. */
+    void place(LeaderOutput output) {
+        Map<JobEntry, List<ProposedStart>> starts = new LinkedHashMap<>();
+        int placed = 0;
+        int attempts = 0;
+        while (placed < settings.mostPlacementsPerTick()
+                && attempts < settings.mostAttemptsPerTick()) {
+            Optional<TeamQueue> team = waiting.next();
+            if (team.isEmpty()) {
+                break;
+            }
+            attempts += Math.max(1, team.get().shapes().size());
+            List<ProposedStart> chosen = choose(team.get());
+            if (chosen.isEmpty()) {
+                waiting.park(team.get());
+                continue;
+            }
+            waiting.file(team.get());
+            chosen.forEach(this::hold);
+            JobEntry job = chosen.get(0).task().job;
+            waiting.find(job).ifPresent(waiting::update);
+            starts.computeIfAbsent(job, key -> new ArrayList<>()).addAll(chosen);
+            placed += chosen.size();
+        }
+        starts.values().forEach(list -> propose(list, output));
+    }
+
+    /** Takes over the result of a proposal; tasks of a refused one wait again. */
+    void onApplied(StartTasks command, CommandResult result) {
+        List<ProposedStart> starts = proposed.remove(command);
+        if (starts == null) {
+            return;
+        }
+        boolean refused = result instanceof CommandResult.Rejected;
+        // All are released before any is indexed: the ledger has already taken what all need.
+        starts.forEach(start -> start.worker().removePending(start.task().job.perTask()));
+        starts.forEach(start -> release(start, refused));
+        if (refused) {
+            waiting.find(starts.get(0).task().job).ifPresent(waiting::update);
+            waiting.retryParked();
+        }
+    }
+
+    private List<ProposedStart> choose(TeamQueue team) {
+        for (ShapeQueue shape : team.shapes()) {
+            int tried = 0;
+            for (QueuedJob queued : shape.jobs) {
+                List<ProposedStart> chosen = choose(queued);
+                if (!chosen.isEmpty()) {
+                    return chosen;
+                }
+                tried++;
+                if (queued.avoided.isEmpty() || tried == MOST_JOBS_PER_SHAPE) {
+                    break;
+                }
+            }
+            if (settings.order() == QueueOrder.FIRST_COME) {
+                break;
+            }
+        }
+        return List.of();
+    }
+
+    private List<ProposedStart> choose(QueuedJob queued) {
+        int tasks = TaskShape.of(queued).together();
+        if (room(queued.job) < tasks) {
+            return List.of();
+        }
+        Predicate<WorkerSession> allowed = worker -> !queued.avoided.contains(worker.id());
+        List<WorkerSession> workers =
+                policies.of(queued.job.policy)
+                        .choose(new PlacementRequest(queued, tasks, allowed), pool.free());
+        List<ProposedStart> chosen = new ArrayList<>();
+        for (WorkerSession worker : workers) {
+            TaskEntry task = queued.take().orElseThrow();
+            queued.proposed(worker);
+            chosen.add(new ProposedStart(task, worker, task.nextAttempt()));
+        }
+        return chosen;
+    }
+
+    private int room(JobEntry job) {
+        return usage.room(job.team) - pending.getOrDefault(job.team, 0);
+    }
+
+    private void hold(ProposedStart start) {
+        JobEntry job = start.task().job;
+        Invariant.check(
+                start.worker().free().holds(job.perTask()),
+                "A placement exceeds what is free of worker " + start.worker().id());
+        start.worker().addPending(job.perTask());
+        start.worker().health.placed();
+        pool.changed(start.worker());
+        waiting.hold(job, job.perTask(), Resources.NONE);
+        pending.merge(job.team, 1, Integer::sum);
+    }
+
+    private void release(ProposedStart start, boolean refused) {
+        JobEntry job = start.task().job;
+        if (refused) {
+            start.worker().health.refused();
+        }
+        pool.changed(start.worker());
+        waiting.hold(job, Resources.NONE, job.perTask());
+        pending.merge(job.team, -1, Integer::sum);
+        waiting.find(job).ifPresent(queued -> queued.proposalEnded(start, refused));
+    }
+
+    private void propose(List<ProposedStart> starts, LeaderOutput output) {
+        List<TaskPlacement> placements = new ArrayList<>();
+        for (ProposedStart start : starts) {
+            WorkerEntry worker = start.worker().entry;
+            placements.add(new TaskPlacement(start.attempt(), worker.id(), worker.epoch));
+        }
+        StartTasks command = new StartTasks(placements);
+        proposed.put(command, starts);
+        output.propose(command);
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/job/TaskRuns.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/TaskRuns.java
@@ -12,6 +12,7 @@
     private final JobTable jobs;
     private JobLedgerListener listener = new NoListener();
     private int running;
+    private int queued;
 
     TaskRuns(TeamUsage usage, JobTable jobs) {
         this.usage = usage;
@@ -30,18 +31,31 @@
         return running;
     }
 
+    int queued() {
+        return queued;
+    }
+
     void clear() {
         running = 0;
+        queued = 0;
     }
 
-    /** Counts the runs of a restored job. */
+    /** Counts the tasks of a restored job. */
     void restore(JobEntry job) {
+        queued += job.queued;
         if (job.running > 0) {
             running += job.running;
             usage.restore(job.team, job.running);
         }
     }
 
+    /** Adds an accepted job, whose tasks all wait. */
+    void accept(JobEntry job) {
+        jobs.add(job);
+        queued += job.queued;
+        listener.jobAdded(job);
+    }
+
     void start(CheckedStart start) {
         TaskEntry task = start.task();
         JobEntry job = task.job;
@@ -52,6 +66,7 @@
         task.phase = TaskPhase.RUNNING;
         task.lastRun++;
         job.queued--;
+        queued--;
         job.running++;
         running++;
         listener.runStarted(task, start.worker());
@@ -79,6 +94,7 @@
         if (job.stopping) {
             return;
         }
+        queued -= job.queued;
         job.stop();
         listener.jobStopping(job);
     }
@@ -105,6 +121,7 @@
             case QUEUE_AGAIN -> {
                 task.phase = TaskPhase.QUEUED;
                 job.queued++;
+                queued++;
                 listener.queuedAgain(task);
             }
             case FAIL -> {
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/TimerQueue.java
@@ -0,0 +1,36 @@
+package org.marjoramnotch.logic.job;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.Queue;
+
+/** Runs actions when their time has come, in order of time and then of setting. */
+final class TimerQueue {
+    private final Queue<Timer> timers =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Timer::atMilliseconds)
+                            .thenComparingLong(Timer::sequence));
+    private long lastSequence;
+
+    void at(long atMilliseconds, Runnable action) {
+        lastSequence++;
+        timers.add(new Timer(atMilliseconds, lastSequence, action));
+    }
+
+    /** Runs what is due; what that sets for the same time runs the next time. */
+    void run(long nowMilliseconds) {
+        long last = lastSequence;
+        while (isDue(nowMilliseconds, last)) {
+            timers.remove().action().run();
+        }
+    }
+
+    private boolean isDue(long nowMilliseconds, long last) {
+        Timer first = timers.peek();
+        return first != null
+                && first.atMilliseconds() <= nowMilliseconds
+                && first.sequence() <= last;
+    }
+
+    private record Timer(long atMilliseconds, long sequence, Runnable action) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/WorkerPool.java
@@ -0,0 +1,56 @@
+package org.marjoramnotch.logic.job;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.marjoramnotch.model.identifier.WorkerId;
+import org.marjoramnotch.model.resource.Resources;
+
+/** The sessions of all registered workers, with what is free of those that take work. */
+final class WorkerPool {
+    private final Map<WorkerId, WorkerSession> sessions = new HashMap<>();
+    private final Map<Resources, Integer> capacities = new HashMap<>();
+    private final FreeCapacity free = new FreeCapacity();
+    private Resources total = Resources.NONE;
+
+    void add(WorkerSession session) {
+        sessions.put(session.id(), session);
+        capacities.merge(session.capacity(), 1, Integer::sum);
+        total = total.plus(session.capacity());
+    }
+
+    void remove(WorkerSession session) {
+        sessions.remove(session.id());
+        capacities.computeIfPresent(
+                session.capacity(), (capacity, count) -> count == 1 ? null : count - 1);
+        total = total.minus(session.capacity());
+        free.remove(session);
+    }
+
+    Optional<WorkerSession> find(WorkerId id) {
+        return Optional.ofNullable(sessions.get(id));
+    }
+
+    /** Takes over what is free of a worker, or that it takes no work. */
+    void changed(WorkerSession session) {
+        if (session.takesWork() && sessions.get(session.id()) == session) {
+            free.put(session);
+        } else {
+            free.remove(session);
+        }
+    }
+
+    FreeCapacity free() {
+        return free;
+    }
+
+    /** Returns what all registered workers have. */
+    Resources total() {
+        return total;
+    }
+
+    /** Returns the different sizes of workers with how many there are of each. */
+    Map<Resources, Integer> capacities() {
+        return capacities;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/WorkerRequests.java
@@ -0,0 +1,280 @@
+package org.marjoramnotch.logic.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.command.EndTask;
+import org.marjoramnotch.model.command.ExpireWorker;
+import org.marjoramnotch.model.command.RegisterWorker;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.Refusal;
+import org.marjoramnotch.model.identifier.TaskAttemptId;
+import org.marjoramnotch.model.identifier.WorkerId;
+import org.marjoramnotch.model.job.TaskEnd;
+import org.marjoramnotch.model.job.TaskReport;
+import org.marjoramnotch.model.job.WorkerDescription;
+import org.marjoramnotch.model.job.WorkerOrder;
+import org.marjoramnotch.model.message.AnnounceWorker;
+import org.marjoramnotch.model.message.RenewWorker;
+import org.marjoramnotch.model.message.WorkerRenewed;
+
+/**
+ * Answers workers and ends their leases.
+ *
+ * <p>A worker counts its lease from the sending of a renewal that was answered; this side counts
+ * from the sending of the answer, which is later, and adds drift and margin. From the proposal of
+ * an expiry on no renewal of that epoch is answered any more.
+ *
+ * <p>An announcement may be a delayed copy of one that was answered long ago. While the current
+ * epoch has runs, an announcement therefore waits until the lease of that epoch has run out, and is
+ * refused if the epoch is renewed before.
+ */
+final class WorkerRequests {
+    private final JobSettings settings;
+    private final JobLedger ledger;
+    private final WorkerPool pool;
+    private final DutyContext context;
+    private final Map<WorkerId, List<RequestHandle>> registering = new HashMap<>();
+    private final Set<WorkerSession> woken = new LinkedHashSet<>();
+    private final List<WorkerSession> removed = new ArrayList<>();
+
+    WorkerRequests(JobSettings settings, JobLedger ledger, WorkerPool pool, DutyContext context) {
+        this.settings = settings;
+        this.ledger = ledger;
+        this.pool = pool;
+        this.context = context;
+    }
+
+    /** Starts to watch the lease of a worker that may have been answered until now. */
+    void watch(WorkerSession session) {
+        context.at(leaseEnd(session), () -> checkLease(session));
+    }
+
+    void announce(RequestHandle handle, AnnounceWorker request) {
+        WorkerDescription description = request.description();
+        List<RequestHandle> inFlight = registering.get(description.worker());
+        if (inFlight != null) {
+            inFlight.add(handle);
+            return;
+        }
+        Optional<WorkerSession> session = pool.find(description.worker());
+        boolean mayRun =
+                session.filter(known -> !known.entry.runs().isEmpty() || known.hasPending())
+                        .isPresent();
+        if (mayRun || session.filter(known -> known.ending).isPresent()) {
+            session.get().announcements.add(handle);
+            session.get().announced = description;
+            pool.changed(session.get());
+            return;
+        }
+        register(description, List.of(handle));
+    }
+
+    void renew(RequestHandle handle, RenewWorker request) {
+        WorkerSession session = pool.find(request.worker()).orElse(null);
+        Refusal refusal = refusal(session, request);
+        if (session == null || refusal != null) {
+            context.refuse(handle, refusal);
+            return;
+        }
+        refuseAnnouncements(session);
+        session.confirmed = true;
+        session.reported = Set.copyOf(request.running());
+        noteSeen(session);
+        pool.changed(session);
+        request.ended().forEach(report -> proposeEnd(session, report));
+        session.held.add(handle);
+        session.answerPromptly |= !request.ended().isEmpty();
+        session.holdEndMilliseconds = holdEnd(session, request.waitMilliseconds());
+        answerIfDue(session);
+        if (session.held.contains(handle)) {
+            watchHold(session, handle);
+        }
+    }
+
+    /** Answers the renewal of a worker for which the orders may have changed. */
+    void wake(WorkerSession session) {
+        woken.add(session);
+    }
+
+    void answerWoken() {
+        if (woken.isEmpty()) {
+            return;
+        }
+        List<WorkerSession> sessions = new ArrayList<>(woken);
+        woken.clear();
+        sessions.forEach(session -> answerIfDue(session));
+    }
+
+    void onApplied(RegisterWorker command, CommandResult result) {
+        WorkerId id = command.description().worker();
+        List<RequestHandle> handles = registering.remove(id);
+        WorkerSession session = pool.find(id).orElseThrow();
+        session.lastAnswerMilliseconds = context.now();
+        watch(session);
+        if (handles != null && result instanceof CommandResult.WorkerAccepted accepted) {
+            handles.forEach(handle -> context.reply(handle, renewed(accepted.epoch(), List.of())));
+        }
+    }
+
+    /** Notes that a worker left the ledger. */
+    void removed(WorkerSession session) {
+        removed.add(session);
+    }
+
+    /** Does what follows from a command that was applied. */
+    void afterApplied() {
+        List<WorkerSession> sessions = List.copyOf(removed);
+        removed.clear();
+        sessions.forEach(this::end);
+        answerWoken();
+    }
+
+    /** Refuses the renewals of a worker that left, and registers it if it was announced since. */
+    private void end(WorkerSession session) {
+        session.ending = true;
+        session.takeHeld().forEach(handle -> context.refuse(handle, staleEpoch()));
+        if (session.announced != null && !session.announcements.isEmpty()) {
+            register(session.announced, List.copyOf(session.announcements));
+        }
+    }
+
+    private void register(WorkerDescription description, List<RequestHandle> handles) {
+        registering.put(description.worker(), new ArrayList<>(handles));
+        pool.find(description.worker())
+                .ifPresent(
+                        session -> {
+                            session.ending = true;
+                            pool.changed(session);
+                        });
+        context.propose(new RegisterWorker(description));
+    }
+
+    private @Nullable Refusal refusal(@Nullable WorkerSession session, RenewWorker request) {
+        if (session == null) {
+            return Refusal.notRun(
+                    ErrorCode.UNKNOWN_WORKER,
+                    "No worker of this name is registered; stop all runs and announce it.");
+        }
+        boolean current = session.entry.epoch == request.epoch() && !session.ending;
+        return current ? null : staleEpoch();
+    }
+
+    private static Refusal staleEpoch() {
+        return Refusal.notRun(
+                ErrorCode.STALE_EPOCH,
+                "The worker's epoch has ended; stop all runs and announce the worker anew.");
+    }
+
+    private void refuseAnnouncements(WorkerSession session) {
+        Refusal refusal =
+                Refusal.notRun(
+                        ErrorCode.STALE_EPOCH,
+                        "The worker renewed its epoch since; announce again if it runs nothing.");
+        session.announcements.forEach(handle -> context.refuse(handle, refusal));
+        session.announcements.clear();
+        session.announced = null;
+    }
+
+    private void noteSeen(WorkerSession session) {
+        for (TaskEntry task : session.entry.runs()) {
+            TaskAttemptId attempt = task.attempt();
+            if (session.reported.contains(attempt)) {
+                session.seen.add(attempt);
+                session.missingSince.remove(attempt);
+            } else if (session.seen.contains(attempt)) {
+                session.missingSince.putIfAbsent(attempt, context.now());
+            }
+        }
+    }
+
+    /** Proposes a reported end; a run that was seen running cannot have been refused. */
+    private void proposeEnd(WorkerSession session, TaskReport report) {
+        TaskAttemptId attempt = report.attempt();
+        boolean current =
+                ledger.task(attempt.task())
+                        .filter(task -> task.isCurrentRun(attempt.number()))
+                        .filter(task -> task.worker == session.entry)
+                        .isPresent();
+        if (!current || !session.endsProposed.add(attempt)) {
+            return;
+        }
+        boolean contradicts = report.end() == TaskEnd.NOT_STARTED && session.seen.contains(attempt);
+        context.propose(new EndTask(attempt, contradicts ? TaskEnd.FAILED : report.end()));
+    }
+
+    private void answerIfDue(WorkerSession session) {
+        if (session.held.isEmpty() || session.ending || !session.endsProposed.isEmpty()) {
+            return;
+        }
+        List<WorkerOrder> orders = WorkerOrders.of(session, context.now());
+        boolean due =
+                session.answerPromptly
+                        || context.now() >= session.holdEndMilliseconds
+                        || WorkerOrders.areDue(session, orders, context.now());
+        if (due) {
+            answer(session);
+        }
+    }
+
+    private void answer(WorkerSession session) {
+        List<WorkerOrder> orders = WorkerOrders.of(session, context.now());
+        if (!orders.isEmpty()) {
+            session.sentOrders = Set.copyOf(orders);
+            session.ordersSentMilliseconds = context.now();
+        }
+        session.lastAnswerMilliseconds = context.now();
+        WorkerRenewed answer = renewed(session.entry.epoch, orders);
+        session.takeHeld().forEach(handle -> context.reply(handle, answer));
+    }
+
+    private WorkerRenewed renewed(long epoch, List<WorkerOrder> orders) {
+        return new WorkerRenewed(epoch, settings.workerLeaseMilliseconds(), orders);
+    }
+
+    /** Holds no renewal so long that the lease of the one before could run out meanwhile. */
+    private long holdEnd(WorkerSession session, long waitMilliseconds) {
+        long longest = settings.longestHoldMilliseconds();
+        long wait = Math.max(0, Math.min(waitMilliseconds, longest));
+        return Math.min(context.now() + wait, session.lastAnswerMilliseconds + longest);
+    }
+
+    private void watchHold(WorkerSession session, RequestHandle handle) {
+        long repeat = context.now() + WorkerOrders.REPEAT_MILLISECONDS;
+        long check = Math.min(session.holdEndMilliseconds, repeat);
+        context.at(
+                Math.max(check, context.now() + 1),
+                () -> {
+                    if (session.held.contains(handle)) {
+                        answerIfDue(session);
+                        if (session.held.contains(handle)) {
+                            watchHold(session, handle);
+                        }
+                    }
+                });
+    }
+
+    private void checkLease(WorkerSession session) {
+        if (session.ending || pool.find(session.id()).orElse(null) != session) {
+            return;
+        }
+        if (context.now() < leaseEnd(session)) {
+            watch(session);
+            return;
+        }
+        session.ending = true;
+        pool.changed(session);
+        context.propose(new ExpireWorker(session.id(), session.entry.epoch));
+    }
+
+    private long leaseEnd(WorkerSession session) {
+        return session.lastAnswerMilliseconds + settings.expiryMilliseconds();
+    }
+}
