--- a/library/src/main/java/org/marjoramnotch/logic/ledger/Ledger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/ledger/Ledger.java
@@ -1,42 +1,160 @@
 package org.marjoramnotch.logic.ledger;
 
+import org.marjoramnotch.logic.configuration.ConfigurationState;
+import org.marjoramnotch.logic.job.JobLedger;
+import org.marjoramnotch.logic.placement.PlacementState;
+import org.marjoramnotch.model.command.CancelJob;
+import org.marjoramnotch.model.command.ChangeConfiguration;
+import org.marjoramnotch.model.command.ChangeEndpointState;
 import org.marjoramnotch.model.command.Command;
 import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.command.EndTask;
+import org.marjoramnotch.model.command.ExpireWorker;
+import org.marjoramnotch.model.command.ForgetClaims;
+import org.marjoramnotch.model.command.RegisterEndpoint;
+import org.marjoramnotch.model.command.RegisterWorker;
+import org.marjoramnotch.model.command.ReleaseSlot;
+import org.marjoramnotch.model.command.RemoveEndpoint;
+import org.marjoramnotch.model.command.ReserveSlot;
+import org.marjoramnotch.model.command.StartTasks;
+import org.marjoramnotch.model.command.SubmitJob;
+import org.marjoramnotch.model.error.Invariant;
+import org.marjoramnotch.model.rule.TeamRule;
 
 /** The state that the replicas of a cell agree on, changed by commands only. */
 public final class Ledger {
+    private final ConfigurationState configuration;
+    private final TeamUsage usage;
+    private final PlacementState placement;
+    private final JobLedger job;
+
+    /** Creates the state before the first command. */
+    public Ledger() {
+        this(new ConfigurationState());
+    }
+
+    private Ledger(ConfigurationState configuration) {
+        this.configuration = configuration;
+        this.usage =
+                new TeamUsage(team -> configuration.team(team).map(TeamRule::upperLimit).orElse(0));
+        this.placement = new PlacementState(configuration, usage);
+        this.job = new JobLedger(configuration, usage);
+    }
+
     /** Returns the state of a snapshot. */
     public static Ledger restore(LedgerSnapshot snapshot) {
-        return new Ledger();
+        Ledger ledger = new Ledger(ConfigurationState.restore(snapshot.configuration()));
+        ledger.placement.restore(snapshot.placement());
+        ledger.job.restore(snapshot.job());
+        ledger.checkCounts();
+        return ledger;
     }
 
     /** Applies a command; the same on every replica. */
     public CommandResult apply(Command command) {
-        throw new IllegalArgumentException("No part takes " + command.getClass().getSimpleName());
+        CommandResult result = dispatch(command);
+        checkCounts();
+        return result;
     }
 
     /** Returns the whole state. */
     public LedgerSnapshot snapshot() {
-        return new LedgerSnapshot();
+        return new LedgerSnapshot(configuration.snapshot(), placement.snapshot(), job.snapshot());
+    }
+
+    /** Returns the rules. */
+    public ConfigurationState configuration() {
+        return configuration;
+    }
+
+    /** Returns what each team has running. */
+    public TeamUsage usage() {
+        return usage;
+    }
+
+    /** Returns endpoints, attempts and idempotency claims. */
+    public PlacementState placement() {
+        return placement;
+    }
+
+    /** Returns workers, jobs and runs. */
+    public JobLedger job() {
+        return job;
     }
 
     /** Returns the version of the rules in force. */
     public long configurationVersion() {
-        return 0;
+        return configuration.version();
     }
 
     /** Returns the number of registered endpoints. */
     public int endpointCount() {
-        return 0;
+        return placement.endpoints().size();
     }
 
     /** Returns the number of registered workers. */
     public int workerCount() {
-        return 0;
+        return job.workerCount();
     }
 
     /** Returns the number of attempts and tasks that run. */
     public int runningCount() {
-        return 0;
+        return usage.total();
+    }
+
+    private CommandResult dispatch(Command command) {
+        if (command instanceof ReserveSlot reserve) {
+            return placement.apply(reserve);
+        }
+        if (command instanceof ReleaseSlot release) {
+            return placement.apply(release);
+        }
+        if (command instanceof ChangeConfiguration change) {
+            return configuration.apply(change);
+        }
+        return command instanceof RegisterEndpoint
+                        || command instanceof ChangeEndpointState
+                        || command instanceof RemoveEndpoint
+                        || command instanceof ForgetClaims
+                ? dispatchEndpoint(command)
+                : dispatchJob(command);
+    }
+
+    private CommandResult dispatchEndpoint(Command command) {
+        if (command instanceof RegisterEndpoint register) {
+            return placement.apply(register);
+        }
+        if (command instanceof ChangeEndpointState change) {
+            return placement.apply(change);
+        }
+        if (command instanceof RemoveEndpoint remove) {
+            return placement.apply(remove);
+        }
+        return placement.apply((ForgetClaims) command);
+    }
+
+    private CommandResult dispatchJob(Command command) {
+        if (command instanceof StartTasks start) {
+            return job.apply(start);
+        }
+        if (command instanceof EndTask end) {
+            return job.apply(end);
+        }
+        if (command instanceof SubmitJob submit) {
+            return job.apply(submit);
+        }
+        if (command instanceof CancelJob cancel) {
+            return job.apply(cancel);
+        }
+        if (command instanceof RegisterWorker register) {
+            return job.apply(register);
+        }
+        return job.apply((ExpireWorker) command);
+    }
+
+    private void checkCounts() {
+        Invariant.check(
+                usage.total() == placement.openAttemptCount() + job.runningCount(),
+                "The teams' counts differ from the open attempts and running tasks");
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/placement/PlacementState.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/PlacementState.java
@@ -179,6 +179,11 @@
         return attempts.find(attempt).isEmpty() && ended.contains(attempt);
     }
 
+    /** Returns how many attempts are open. */
+    public int openAttemptCount() {
+        return attempts.size();
+    }
+
     /** Returns the open feeds of an entry process. */
     public List<AttemptId> feeds(VmId entry, String incarnation) {
         return attempts.feeds(entry, incarnation);
