Serve callers, endpoints, workers and operators over HTTP

Cause: the daemon had no entry, links or interfaces. A first version that kept endpoint connections for further requests gave a caller the stray second answer of an earlier request (QuickRequestContractTest, behavior twice), since Pekko HTTP hands bytes that came early to the next request. Change: Daemon with its duties, peer links, cell client, entry and HTTP interfaces; each endpoint connection carries one request. Stand-ins for endpoints and workers.

--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -0,0 +1,200 @@
+package org.marjoramnotch.daemon;
+
+import com.typesafe.config.ConfigFactory;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.DispatcherSelector;
+import org.apache.pekko.actor.typed.javadsl.Adapter;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.marjoramnotch.daemon.duty.Duty;
+import org.marjoramnotch.daemon.duty.ProcessFailure;
+import org.marjoramnotch.daemon.duty.SystemClock;
+import org.marjoramnotch.daemon.entry.Entry;
+import org.marjoramnotch.daemon.entry.EntryLimits;
+import org.marjoramnotch.daemon.http.HttpInterface;
+import org.marjoramnotch.daemon.http.HttpInterfaceBuilder;
+import org.marjoramnotch.daemon.link.CellLinks;
+import org.marjoramnotch.daemon.link.LinkSettings;
+import org.marjoramnotch.daemon.link.LocalReplica;
+import org.marjoramnotch.daemon.log.LogSetup;
+import org.marjoramnotch.daemon.metrics.DaemonMetrics;
+import org.marjoramnotch.daemon.settings.DaemonLimits;
+import org.marjoramnotch.daemon.settings.DaemonRole;
+import org.marjoramnotch.daemon.settings.DaemonSettings;
+import org.marjoramnotch.daemon.settings.OperatorKeyHash;
+import org.marjoramnotch.logic.cell.CellParts;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.time.Clock;
+
+/** The process of the system that runs on every VM: entry, links and, with a disk, a replica. */
+public final class Daemon {
+    private static final String CONFIGURATION = "marjoramnotch-daemon.conf";
+    private static final String DUTY_DISPATCHER = "duty-dispatcher";
+
+    private final DaemonSettings settings;
+    private final Clock clock = new SystemClock();
+    private final DaemonMetrics metrics = new DaemonMetrics();
+    private final String incarnation = UUID.randomUUID().toString();
+    private final Consumer<Throwable> failure = new ProcessFailure();
+    private final ActorSystem<Void> system;
+    private final Optional<ReplicaHost> replica;
+    private final CellLinks links;
+    private final Entry entry;
+    private final HttpInterface http;
+    private final ServerBinding binding;
+    private final DaemonAddresses addresses;
+    private final DaemonStop stop;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+
+    private Daemon(DaemonSettings settings, CellParts parts) {
+        this.settings = settings;
+        String operatorKey = OperatorKeyHash.read(settings.operatorKeySha256File());
+        replica =
+                settings.dataFolder()
+                        .filter(path -> settings.has(DaemonRole.REPLICA))
+                        .map(path -> new ReplicaHost(settings, path, parts, clock));
+        system =
+                ActorSystem.create(
+                        Behaviors.empty(),
+                        "marjoramnotch",
+                        ConfigFactory.parseResources(Daemon.class.getClassLoader(), CONFIGURATION)
+                                .withFallback(ConfigFactory.load()));
+        links = new CellLinks(linkSettings(), local(), clock, metrics);
+        entry =
+                new Entry(
+                        settings.vm(),
+                        incarnation,
+                        entryLimits(settings.limits()),
+                        links.client(),
+                        Adapter.toClassic(system),
+                        clock,
+                        metrics);
+        stop = new DaemonStop(clock);
+        http =
+                new HttpInterfaceBuilder(Adapter.toClassic(system), settings, clock, metrics)
+                        .replica(local().map(LocalReplica::input))
+                        .ready(() -> !stop.hasBegun() && entry.holdsLease())
+                        .build(entry, links.client(), operatorKey);
+        Optional<Integer> linkPort = links.listen(settings.linkHost(), settings.linkPort());
+        startDuties();
+        binding = bindHttp();
+        addresses =
+                new DaemonAddresses(
+                        binding.localAddress(),
+                        linkPort.map(port -> new InetSocketAddress(settings.linkHost(), port)));
+    }
+
+    /**
+     * Runs a process until it is told to stop by a signal.
+     *
+     * @param parts makes the leader's decisions
+     */
+    public static void run(DaemonSettings settings, CellParts parts) {
+        LogSetup.configure(settings.logLevel());
+        Daemon daemon = start(settings, parts);
+        Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
+        System.out.println(
+                "event=daemon_started vm="
+                        + settings.vm()
+                        + " http="
+                        + DaemonAddresses.text(daemon.addresses.http())
+                        + " link="
+                        + daemon.addresses.link().map(DaemonAddresses::text).orElse("none"));
+        daemon.awaitStop();
+    }
+
+    /** Starts a process and returns once it serves. */
+    public static Daemon start(DaemonSettings settings, CellParts parts) {
+        return new Daemon(settings, parts);
+    }
+
+    /** Returns where the process is reached. */
+    public DaemonAddresses addresses() {
+        return addresses;
+    }
+
+    /** Returns what the process counts. */
+    public DaemonMetrics metrics() {
+        return metrics;
+    }
+
+    /** Lets requests in flight end, then closes everything. */
+    public synchronized void stop() {
+        if (stopped.getCount() == 0) {
+            return;
+        }
+        stop.drain(http, entry, replica);
+        stop.close(binding, system);
+        links.close();
+        replica.ifPresent(ReplicaHost::close);
+        stopped.countDown();
+    }
+
+    /** Waits until the process has stopped. */
+    public void awaitStop() {
+        try {
+            stopped.await();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void startDuties() {
+        replica.ifPresent(host -> startDuty("cell", host.behavior(links, failure)));
+        links.startDuties(this::startDuty, failure);
+        startDuty("entry", entry.behavior(failure));
+    }
+
+    private void startDuty(String name, Behavior<Duty.Turn> behavior) {
+        system.systemActorOf(behavior, name, DispatcherSelector.fromConfig(DUTY_DISPATCHER));
+    }
+
+    private ServerBinding bindHttp() {
+        try {
+            return Http.get(system)
+                    .newServerAt(settings.httpHost(), settings.httpPort())
+                    .bind(http)
+                    .toCompletableFuture()
+                    .join();
+        } catch (RuntimeException cause) {
+            throw new MarjoramnotchException(
+                    ErrorCode.INVALID_SETTINGS,
+                    "The HTTP address "
+                            + settings.httpHost()
+                            + ":"
+                            + settings.httpPort()
+                            + " cannot be listened on; free it or change httpHost and httpPort.");
+        }
+    }
+
+    private Optional<LocalReplica> local() {
+        return replica.map(ReplicaHost::local);
+    }
+
+    private LinkSettings linkSettings() {
+        DaemonLimits limits = settings.limits();
+        return new LinkSettings(
+                settings.vm(),
+                incarnation,
+                settings.replicas(),
+                limits.linkDeadlineMilliseconds(),
+                limits.queueCapacity(),
+                2 * limits.maximumOpenRequests());
+    }
+
+    private static EntryLimits entryLimits(DaemonLimits limits) {
+        return new EntryLimits(
+                limits.maximumOpenRequests(),
+                limits.maximumFeeds(),
+                limits.endpointConnectionsPerEntry(),
+                limits.maximumBodyBytes());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/DaemonStop.java
@@ -0,0 +1,96 @@
+package org.marjoramnotch.daemon;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.jboss.logging.Logger;
+import org.marjoramnotch.daemon.entry.Entry;
+import org.marjoramnotch.daemon.http.HttpInterface;
+import org.marjoramnotch.daemon.log.LogEvent;
+import org.marjoramnotch.logic.replication.ReplicationStatus;
+import org.marjoramnotch.model.time.Clock;
+
+/** Stops a process in the order that cuts no request. */
+final class DaemonStop {
+    private static final Logger LOGGER = Logger.getLogger(DaemonStop.class);
+
+    /** Time for the balancer to notice that the process is not ready any more. */
+    private static final long READINESS_GRACE_MILLISECONDS = 1_000;
+
+    private static final long LONGEST_DRAIN_MILLISECONDS = 30_000;
+    private static final long POLL_MILLISECONDS = 20;
+    private static final long ANSWER_TIMEOUT_MILLISECONDS = 1_000;
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+
+    private final Clock clock;
+    private volatile boolean begun;
+
+    DaemonStop(Clock clock) {
+        this.clock = clock;
+    }
+
+    /** Tells whether the stop has begun. */
+    boolean hasBegun() {
+        return begun;
+    }
+
+    /** Takes no more work, hands leadership over and waits for what is in flight, to a bound. */
+    void drain(HttpInterface http, Entry entry, Optional<ReplicaHost> replica) {
+        begun = true;
+        LogEvent.of("daemon_stopping").info(LOGGER);
+        pause(READINESS_GRACE_MILLISECONDS);
+        http.stopTaking();
+        replica.filter(DaemonStop::hasOtherVoters).ifPresent(host -> await(host.prepareStop()));
+        long end = clock.nowMilliseconds() + LONGEST_DRAIN_MILLISECONDS;
+        while (http.openCalls() + entry.openWork() > 0 && clock.nowMilliseconds() < end) {
+            if (http.openCalls() == 0) {
+                entry.abandonExpired();
+            }
+            pause(POLL_MILLISECONDS);
+        }
+        LogEvent.of("daemon_drained")
+                .with("open_calls", http.openCalls())
+                .with("open_work", entry.openWork())
+                .info(LOGGER);
+    }
+
+    /** Closes the listener and the actor system. */
+    void close(ServerBinding binding, ActorSystem<Void> system) {
+        await(binding.terminate(CLOSE_TIMEOUT));
+        system.terminate();
+        await(system.getWhenTerminated());
+    }
+
+    /** Tells whether leadership can go anywhere; a lone replica keeps it for the last reports. */
+    private static boolean hasOtherVoters(ReplicaHost host) {
+        return await(host.status())
+                .map(ReplicationStatus::voters)
+                .filter(voters -> voters.size() > 1)
+                .isPresent();
+    }
+
+    private static <T> Optional<T> await(CompletionStage<T> stage) {
+        CompletableFuture<T> future = stage.toCompletableFuture();
+        try {
+            long timeout = ANSWER_TIMEOUT_MILLISECONDS + CLOSE_TIMEOUT.toMillis();
+            return Optional.ofNullable(future.get(timeout, TimeUnit.MILLISECONDS));
+        } catch (ExecutionException | TimeoutException failure) {
+            LogEvent.of("stop_step_failed").with("cause", failure).warn(LOGGER);
+            return Optional.empty();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return Optional.empty();
+        }
+    }
+
+    private static void pause(long milliseconds) {
+        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(milliseconds));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
@@ -0,0 +1,108 @@
+package org.marjoramnotch.daemon;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apache.pekko.actor.typed.Behavior;
+import org.marjoramnotch.daemon.duty.CellDuty;
+import org.marjoramnotch.daemon.duty.CellInput;
+import org.marjoramnotch.daemon.duty.CellOutput;
+import org.marjoramnotch.daemon.duty.Duty;
+import org.marjoramnotch.daemon.duty.DutyInput;
+import org.marjoramnotch.daemon.link.LocalReplica;
+import org.marjoramnotch.daemon.settings.DaemonLimits;
+import org.marjoramnotch.daemon.settings.DaemonSettings;
+import org.marjoramnotch.daemon.settings.ReplicaAddress;
+import org.marjoramnotch.daemon.storage.FileReplicaStorage;
+import org.marjoramnotch.logic.cell.CellCore;
+import org.marjoramnotch.logic.cell.CellParts;
+import org.marjoramnotch.logic.cell.CellSettings;
+import org.marjoramnotch.logic.replication.Replica;
+import org.marjoramnotch.logic.replication.ReplicaSettings;
+import org.marjoramnotch.logic.replication.ReplicationStatus;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.time.Clock;
+import org.marjoramnotch.wire.CborCodec;
+import org.marjoramnotch.wire.CborMapper;
+
+/** The replica of a process with its storage. */
+final class ReplicaHost {
+    private final DaemonSettings settings;
+    private final CellParts parts;
+    private final Clock clock;
+    private final FileReplicaStorage storage;
+    private final ReplicaId self;
+    private final DutyInput<CellInput> input;
+
+    /** Opens the storage. */
+    ReplicaHost(DaemonSettings settings, Path dataFolder, CellParts parts, Clock clock) {
+        this.settings = settings;
+        this.parts = parts;
+        this.clock = clock;
+        this.storage = FileReplicaStorage.open(dataFolder);
+        this.self = new ReplicaId(settings.vm(), storage.identity());
+        this.input = new DutyInput<>(settings.limits().queueCapacity());
+    }
+
+    LocalReplica local() {
+        return new LocalReplica(self, input);
+    }
+
+    /** Returns the actor of the replica's duty, which starts from what is stored. */
+    Behavior<Duty.Turn> behavior(CellOutput output, Consumer<Throwable> failure) {
+        DaemonLimits limits = settings.limits();
+        Replica replica =
+                new Replica(
+                        replicaSettings(limits),
+                        storage.recover(),
+                        RandomSource.XO_RO_SHI_RO_128_PP.create(),
+                        clock.nowMilliseconds());
+        CellCore core =
+                new CellCore(
+                        new CellSettings(limits.snapshotEveryEntries()),
+                        replica,
+                        new CborCodec(new CborMapper()),
+                        parts);
+        return Duty.create(
+                input,
+                new CellDuty(self, core, storage::persist, output),
+                clock,
+                CellDuty.TICK_MILLISECONDS,
+                failure);
+    }
+
+    /** Asks what the replica knows of its group. */
+    CompletableFuture<ReplicationStatus> status() {
+        CompletableFuture<ReplicationStatus> result = new CompletableFuture<>();
+        input.offer(new CellInput.ReadReplication(result));
+        return result;
+    }
+
+    /** Hands leadership over and takes no more requests. */
+    CompletableFuture<Done> prepareStop() {
+        CompletableFuture<Done> result = new CompletableFuture<>();
+        input.offer(new CellInput.PrepareStop(result));
+        return result;
+    }
+
+    void close() {
+        storage.close();
+    }
+
+    private ReplicaSettings replicaSettings(DaemonLimits limits) {
+        List<ReplicaAddress> replicas = settings.replicas();
+        Set<VmId> vms = replicas.stream().map(ReplicaAddress::vm).collect(Collectors.toSet());
+        return ReplicaSettings.builder(self, vms)
+                .electionTimeoutMilliseconds(
+                        limits.electionTimeoutMinimumMilliseconds(),
+                        limits.electionTimeoutMaximumMilliseconds())
+                .heartbeatIntervalMilliseconds(limits.heartbeatIntervalMilliseconds())
+                .build();
+    }
+}
--- a/daemon/src/main/java/org/marjoramnotch/daemon/endpoint/AnswerReader.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/endpoint/AnswerReader.java
@@ -49,11 +49,4 @@
         return response.status().intValue() == UNAVAILABLE
                 && outcome.filter(header -> header.value().equals(NOT_RUN)).isPresent();
     }
-
-    /** Tells whether the connection may carry another request after the answer. */
-    public static boolean keepsConnection(HttpResponse response) {
-        return response.getHeader("Connection")
-                .map(header -> !header.value().equalsIgnoreCase("close"))
-                .orElse(true);
-    }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/entry/EndpointCall.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/entry/EndpointCall.java
@@ -1,10 +1,10 @@
 package org.marjoramnotch.daemon.entry;
 
-import java.util.Optional;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
 import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.Connection;
 import org.apache.pekko.util.ByteString;
 import org.jspecify.annotations.Nullable;
 import org.marjoramnotch.daemon.endpoint.AnswerReader;
@@ -37,6 +37,7 @@
         this.host = host;
         this.request =
                 forwarded
+                        .addHeader(Connection.create("close"))
                         .addHeader(
                                 HttpHeader.parse("Marjoramnotch-Attempt", grant.attempt().text()))
                         .addHeader(HttpHeader.parse("Marjoramnotch-Team", grant.team().value()));
@@ -44,7 +45,7 @@
         this.feed = feed;
     }
 
-    /** Takes an idle connection or opens one, then sends. */
+    /** Opens a connection, then sends. */
     void start(long nowMilliseconds) {
         if (!feed) {
             if (!host.connections().tryReserve(address)) {
@@ -52,12 +53,6 @@
                 return;
             }
             reserved = true;
-            Optional<EndpointConnection> idle =
-                    host.connections().takeIdle(nowMilliseconds, address);
-            if (idle.isPresent()) {
-                send(nowMilliseconds, idle.get());
-                return;
-            }
         }
         host.whenDone(host.connector().open(address), this::send, this::onConnectFailed);
     }
@@ -102,10 +97,7 @@
         } else if (feed && response.status().intValue() == OK) {
             owner.onFeedOpened(new CallerAnswer.Feed(FeedBody.watch(response, this::onFeedEvent)));
         } else {
-            host.whenDone(
-                    host.reader().read(response),
-                    (now, whole) -> onWhole(now, response, whole),
-                    this::onBroken);
+            host.whenDone(host.reader().read(response), this::onWhole, this::onBroken);
         }
     }
 
@@ -133,20 +125,12 @@
         }
     }
 
-    private void onWhole(long nowMilliseconds, HttpResponse response, WholeAnswer whole) {
-        EndpointConnection used = connection;
+    private void onWhole(long nowMilliseconds, WholeAnswer whole) {
         if (over) {
             host.metrics().count(CountedEvent.ANSWER_DISCARDED);
             return;
         }
-        over = true;
-        if (used != null && reserved && AnswerReader.keepsConnection(response)) {
-            used.prepareNext();
-            reserved = false;
-            host.connections().releaseIdle(nowMilliseconds, address, used);
-        } else {
-            disconnect();
-        }
+        disconnect();
         owner.onAnswerComplete(nowMilliseconds, whole);
     }
 
@@ -156,7 +140,6 @@
         }
         host.metrics().count(CountedEvent.ENDPOINT_CONNECTION_CLOSED);
         disconnect();
-        host.connections().closeIdle(address);
         owner.onAnswerBroken(nowMilliseconds);
     }
 
--- a/daemon/src/main/java/org/marjoramnotch/daemon/entry/Entry.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/entry/Entry.java
@@ -82,6 +82,11 @@
         return duty.lease().holds(clock.nowMilliseconds());
     }
 
+    /** Stops awaiting the endpoints of requests whose callers were answered at their deadlines. */
+    public void abandonExpired() {
+        enqueue(duty::abandonExpired);
+    }
+
     /** Returns how many quick requests and unanswered reports are open. */
     public int openWork() {
         return openRequests.get() + reports.open();
--- a/daemon/src/main/java/org/marjoramnotch/daemon/entry/EntryDuty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/entry/EntryDuty.java
@@ -19,8 +19,6 @@
     /** How long after its deadline a request's endpoint is still awaited. */
     private static final long ABANDON_AFTER_MILLISECONDS = 30_000;
 
-    private static final long SWEEP_INTERVAL_MILLISECONDS = 500;
-
     private final VmId vm;
     private final String incarnation;
     private final EntryHost host;
@@ -31,7 +29,6 @@
             new PriorityQueue<>(Comparator.comparingLong(Deadline::atMilliseconds));
     private long nextAttempt = 1;
     private long nextRequest = 1;
-    private long nextSweepMilliseconds;
 
     EntryDuty(VmId vm, String incarnation, EntryHost host) {
         this.vm = vm;
@@ -90,10 +87,11 @@
         }
         lease.tick(nowMilliseconds);
         host.reports().tick(nowMilliseconds);
-        if (nowMilliseconds >= nextSweepMilliseconds) {
-            nextSweepMilliseconds = nowMilliseconds + SWEEP_INTERVAL_MILLISECONDS;
-            host.connections().sweep(nowMilliseconds);
-        }
+    }
+
+    /** Stops awaiting the endpoints of requests whose deadlines have passed. */
+    void abandonExpired(long nowMilliseconds) {
+        List.copyOf(active.values()).forEach(request -> request.onAbandon(nowMilliseconds));
     }
 
     /** Answers the caller; an endpoint that may run the request is awaited for a while longer. */
--- a/daemon/src/main/java/org/marjoramnotch/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/log/LogEvent.java
@@ -1,12 +1,16 @@
 package org.marjoramnotch.daemon.log;
 
+import java.util.Arrays;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 
 /** Builds one log line of key=value pairs; values with other than plain characters are quoted. */
 public final class LogEvent {
     private static final Pattern PLAIN = Pattern.compile("[A-Za-z0-9._:/#+\\[\\]-]+");
 
+    private static final int LONGEST_TRACE_FRAMES = 12;
+
     private final StringBuilder line;
 
     private LogEvent(String name) {
@@ -34,9 +38,10 @@
         logger.warn(line);
     }
 
-    /** Writes the line as an error, with the trace of its cause. */
+    /** Writes the line as an error, with its cause and where that was thrown. */
     public void error(Logger logger, Throwable cause) {
-        logger.error(line, cause);
+        with("cause", cause).with("at", traceOf(cause));
+        logger.error(line);
     }
 
     @Override
@@ -44,6 +49,13 @@
         return line.toString();
     }
 
+    private static String traceOf(Throwable cause) {
+        return Arrays.stream(cause.getStackTrace())
+                .limit(LONGEST_TRACE_FRAMES)
+                .map(StackTraceElement::toString)
+                .collect(Collectors.joining(" < "));
+    }
+
     private static String quoted(String value) {
         if (PLAIN.matcher(value).matches()) {
             return value;
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/log/LogSetup.java
@@ -0,0 +1,28 @@
+package org.marjoramnotch.daemon.log;
+
+import java.util.Locale;
+import org.jboss.logging.Logger;
+import org.jboss.logmanager.Level;
+import org.jboss.logmanager.LogContext;
+import org.jboss.logmanager.formatters.PatternFormatter;
+import org.jboss.logmanager.handlers.ConsoleHandler;
+
+/** Sends log lines to standard error, one line of key=value pairs for each event. */
+public final class LogSetup {
+    private static final String MANAGER_PROPERTY = "java.util.logging.manager";
+    private static final String PATTERN =
+            "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} level=%p logger=%c{1} %m%n";
+
+    private LogSetup() {}
+
+    /** Sets the log manager; to be called before anything is logged. */
+    public static void configure(Logger.Level level) {
+        System.setProperty(MANAGER_PROPERTY, "org.jboss.logmanager.LogManager");
+        ConsoleHandler handler =
+                new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, new PatternFormatter(PATTERN));
+        handler.setAutoFlush(true);
+        org.jboss.logmanager.Logger root = LogContext.getLogContext().getLogger("");
+        root.setHandlers(new java.util.logging.Handler[] {handler});
+        root.setLevel(Level.parse(level.name().toUpperCase(Locale.ROOT)));
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/standin/StandInWorker.java
@@ -0,0 +1,169 @@
+package org.marjoramnotch.daemon.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Worker for tests. A task's payload is how many milliseconds it runs, or "fail" to fail at once.
+ * Its starts and ends are printed, one line each.
+ */
+public final class StandInWorker {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final long RENEWAL_WAIT_MILLISECONDS = 500;
+    private static final long RETRY_MILLISECONDS = 200;
+
+    private final String name;
+    private final String capacity;
+    private final StandInCalls calls;
+    private final Map<JsonNode, Long> running = new LinkedHashMap<>();
+    private final List<ObjectNode> ended = new ArrayList<>();
+    private long epoch;
+    private long leaseEndsMilliseconds;
+
+    private StandInWorker(String name, String capacity, StandInCalls calls) {
+        this.name = name;
+        this.capacity = capacity;
+        this.calls = calls;
+    }
+
+    /** Works for daemons until it is killed: NAME PROCESSOR_MILLIS MEMORY_MEGABYTES ADDRESS... */
+    public static void main(String[] arguments) throws InterruptedException {
+        String capacity =
+                "{\"processorMillis\":%s,\"memoryMegabytes\":%s,\"accelerators\":0,"
+                                .formatted(arguments[1], arguments[2])
+                        + "\"zone\":\"zone-1\",\"rack\":\"rack-1\"}";
+        StandInWorker worker =
+                new StandInWorker(arguments[0], capacity, new StandInCalls(arguments, 3));
+        while (true) {
+            worker.turn();
+        }
+    }
+
+    private void turn() throws InterruptedException {
+        if (now() >= leaseEndsMilliseconds) {
+            stopAll();
+        }
+        if (epoch == 0) {
+            announce();
+        } else {
+            renew();
+        }
+    }
+
+    private void announce() throws InterruptedException {
+        long sent = now();
+        StandInCalls.Answer answer = calls.put("/v1/workers/" + name, capacity);
+        if (answer.status() != 200) {
+            Thread.sleep(RETRY_MILLISECONDS);
+            return;
+        }
+        accept(sent, answer);
+    }
+
+    private void renew() throws InterruptedException {
+        collectEnded();
+        int reported = ended.size();
+        long sent = now();
+        StandInCalls.Answer answer =
+                calls.post(
+                        "/v1/workers/" + name + "/renewals",
+                        renewal(),
+                        Duration.ofMillis(RENEWAL_WAIT_MILLISECONDS));
+        if (answer.status() == 200) {
+            ended.subList(0, reported).clear();
+            accept(sent, answer);
+        } else if (answer.status() == 409 || answer.status() == 404) {
+            stopAll();
+        } else {
+            Thread.sleep(RETRY_MILLISECONDS);
+        }
+    }
+
+    private void accept(long sentMilliseconds, StandInCalls.Answer answer) {
+        epoch = answer.body().path("epoch").asLong();
+        leaseEndsMilliseconds = sentMilliseconds + answer.body().path("leaseMilliseconds").asLong();
+        answer.body().path("orders").forEach(this::obey);
+    }
+
+    private void obey(JsonNode order) {
+        JsonNode attempt = order.path("attempt");
+        switch (order.path("type").asText()) {
+            case "start" -> start(attempt, order);
+            case "stop", "checkpoint" -> {
+                if (running.remove(attempt) != null) {
+                    end(attempt, "stopped");
+                }
+            }
+            default -> {
+                // Throttling has no effect on a stand-in's runs.
+            }
+        }
+    }
+
+    private void start(JsonNode attempt, JsonNode order) {
+        boolean known = running.containsKey(attempt) || isEnded(attempt);
+        if (known || order.path("epoch").asLong() != epoch) {
+            return;
+        }
+        System.out.println("event=task_started attempt=" + attempt);
+        String payload = order.path("payload").asText();
+        if (payload.equals("fail")) {
+            end(attempt, "failed");
+        } else {
+            running.put(attempt, now() + Long.parseLong(payload));
+        }
+    }
+
+    private boolean isEnded(JsonNode attempt) {
+        return ended.stream().anyMatch(end -> end.path("attempt").equals(attempt));
+    }
+
+    private void collectEnded() {
+        for (Iterator<Map.Entry<JsonNode, Long>> all = running.entrySet().iterator();
+                all.hasNext(); ) {
+            Map.Entry<JsonNode, Long> run = all.next();
+            if (run.getValue() <= now()) {
+                all.remove();
+                end(run.getKey(), "succeeded");
+            }
+        }
+    }
+
+    private void end(JsonNode attempt, String how) {
+        System.out.println("event=task_ended attempt=" + attempt + " end=" + how);
+        ObjectNode report = MAPPER.createObjectNode();
+        report.set("attempt", attempt);
+        report.put("end", how);
+        ended.add(report);
+    }
+
+    private void stopAll() {
+        running.keySet().forEach(run -> System.out.println("event=task_dropped attempt=" + run));
+        running.clear();
+        ended.clear();
+        epoch = 0;
+    }
+
+    private String renewal() {
+        ObjectNode body = MAPPER.createObjectNode();
+        body.put("epoch", epoch);
+        body.put("waitMilliseconds", running.isEmpty() ? RENEWAL_WAIT_MILLISECONDS : 50);
+        ArrayNode runs = body.putArray("running");
+        running.keySet().forEach(runs::add);
+        body.putArray("ended").addAll(ended);
+        body.putArray("usage");
+        return body.toString();
+    }
+
+    private static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+}
