--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/ReferenceCodec.java
@@ -0,0 +1,37 @@
+package org.marjoramnotch.logic.cell;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import org.marjoramnotch.logic.ledger.LedgerSnapshot;
+import org.marjoramnotch.model.command.Command;
+
+/** Stands in for the wire codec: the bytes name an immutable object that the test keeps. */
+final class ReferenceCodec implements PayloadCodec {
+    private final List<Object> objects = new ArrayList<>();
+
+    @Override
+    public byte[] encode(Command command) {
+        return keep(command);
+    }
+
+    @Override
+    public Command decode(byte[] payload) {
+        return (Command) objects.get(ByteBuffer.wrap(payload).getInt());
+    }
+
+    @Override
+    public byte[] encodeSnapshot(LedgerSnapshot snapshot) {
+        return keep(snapshot);
+    }
+
+    @Override
+    public LedgerSnapshot decodeSnapshot(byte[] state) {
+        return (LedgerSnapshot) objects.get(ByteBuffer.wrap(state).getInt());
+    }
+
+    private byte[] keep(Object object) {
+        objects.add(object);
+        return ByteBuffer.allocate(Integer.BYTES).putInt(objects.size() - 1).array();
+    }
+}
