--- a/library/src/main/java/org/marjoramnotch/logic/placement/EndpointHealth.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/EndpointHealth.java
@@ -54,7 +54,7 @@
             slow = own.runMilliseconds() / all.runMilliseconds() - 1;
         }
         double slowWeight = Math.max(0, Math.min(LARGEST_SLOW_WEIGHT, slow));
-        return 1 + FAILURE_WEIGHT * own.failureRatio() + slowWeight;
+        return 1 + FAILURE_WEIGHT * own.cautiousFailureRatio() + slowWeight;
     }
 
     /** Takes an attempt that is being placed on it. */
--- a/library/src/main/java/org/marjoramnotch/logic/placement/RunAverages.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/RunAverages.java
@@ -5,6 +5,7 @@
     static final double HALF_LIFE_MILLISECONDS = 10_000;
     private static final double LATEST_WEIGHT = 0.05;
     private static final int LEAST_SAMPLES = 16;
+    private static final int PRESUMED_SUCCESSES = 4;
 
     private double ends;
     private double failures;
@@ -39,6 +40,11 @@
         return ends == 0 ? 0 : failures / ends;
     }
 
+    /** Returns the same, held down while few ends are known. */
+    double cautiousFailureRatio() {
+        return failures / (ends + PRESUMED_SUCCESSES);
+    }
+
     /** Tells whether enough running times are known to go by their average. */
     boolean knowsRunTime() {
         return samples >= LEAST_SAMPLES;
