--- a/library/src/test/java/org/marjoramnotch/logic/job/TestCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/job/TestCell.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.assertj.core.api.Assertions;
@@ -37,6 +38,7 @@
     final JobSettings settings;
     final Deque<Command> log = new ArrayDeque<>();
     final Map<RequestHandle, CellReply> replies = new HashMap<>();
+    final Map<String, Integer> coverage = new TreeMap<>();
     final UniformRandomProvider random;
     TeamUsage usage;
     JobLedger ledger;
@@ -108,12 +110,24 @@
 
     void commit() {
         while (!log.isEmpty()) {
-            Command command = log.remove();
-            CommandResult result = apply(command);
-            duty.onApplied(now, command, result, this);
+            commitFirst();
         }
     }
 
+    /** Commits the first command of the log and counts it with its result. */
+    void commitFirst() {
+        Command command = log.remove();
+        CommandResult result = apply(command);
+        String kind = command.getClass().getSimpleName();
+        String refused =
+                result instanceof CommandResult.Rejected rejected
+                        ? " " + rejected.refusal().code()
+                        : "";
+        String end = command instanceof EndTask ended ? " " + ended.end() : "";
+        coverage.merge(kind + end + refused, 1, Integer::sum);
+        duty.onApplied(now, command, result, this);
+    }
+
     void tick(long milliseconds) {
         now += milliseconds;
         duty.onTick(now, this);
