Reserve for the oldest gang, preempt for urgent work, hold runs to their use

Cause: large gangs could wait forever behind small tasks; urgent work waited for running batch work.

--- a/library/src/main/java/org/marjoramnotch/logic/job/FleetFit.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/FleetFit.java
@@ -41,7 +41,9 @@
             JobSpecification asked, Map<Resources, Integer> capacities, int upperLimit) {
         long together = 0;
         for (Map.Entry<Resources, Integer> size : capacities.entrySet()) {
-            together += size.getValue() * tasksThatFit(asked.perTask(), size.getKey());
+            together +=
+                    size.getValue()
+                            * ResourceDimension.tasksThatFit(asked.perTask(), size.getKey());
         }
         long most = Math.min(together, upperLimit);
         if (asked.tasks() > most) {
@@ -53,16 +55,6 @@
         }
     }
 
-    private static long tasksThatFit(Resources task, Resources size) {
-        long most = JobAcceptance.MOST_TASKS_PER_JOB;
-        for (ResourceDimension dimension : ResourceDimension.ALL) {
-            if (dimension.of(task) > 0) {
-                most = Math.min(most, dimension.of(size) / dimension.of(task));
-            }
-        }
-        return most;
-    }
-
     private static Resources nearest(Resources task, Map<Resources, Integer> capacities) {
         return capacities.keySet().stream()
                 .min(
--- a/library/src/main/java/org/marjoramnotch/logic/job/FreeCapacity.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/FreeCapacity.java
@@ -25,6 +25,7 @@
     private final Map<AvailabilityZone, CapacityTree> zones = new HashMap<>();
     private final List<NavigableSet<FreeAmount>> byAmount = new ArrayList<>();
     private Resources totalFree = Resources.NONE;
+    private int nextSample;
 
     FreeCapacity() {
         for (int dimension = 0; dimension < ResourceDimension.ALL.length; dimension++) {
@@ -111,6 +112,20 @@
         return at(tree.find(needed, first, slot -> isAllowed(slot, allowed)));
     }
 
+    /** Returns up to so many workers, going on where the sample before ended. */
+    List<WorkerSession> sample(int most) {
+        List<WorkerSession> sampled = new ArrayList<>();
+        int looked = Math.min(most, slots.size());
+        for (int i = 0; i < looked; i++) {
+            nextSample = (nextSample + 1) % slots.size();
+            WorkerSession worker = slots.get(nextSample);
+            if (worker != null) {
+                sampled.add(worker);
+            }
+        }
+        return sampled;
+    }
+
     Iterable<AvailabilityZone> zones() {
         return zones.keySet();
     }
--- a/library/src/main/java/org/marjoramnotch/logic/job/JobDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobDuty.java
@@ -15,6 +15,7 @@
 import org.marjoramnotch.model.command.SubmitJob;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.message.AnnounceWorker;
 import org.marjoramnotch.model.message.CancelJobRequest;
 import org.marjoramnotch.model.message.CellRequest;
@@ -115,6 +116,11 @@
         return parts.histograms;
     }
 
+    /** Returns what is known of a registered worker. */
+    WorkerSession session(WorkerId worker) {
+        return parts.pool.find(worker).orElseThrow();
+    }
+
     private void take(RequestHandle handle, CellRequest request) {
         if (request instanceof RenewWorker renew) {
             parts.workers.renew(handle, renew);
--- a/library/src/main/java/org/marjoramnotch/logic/job/JobDutyParts.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobDutyParts.java
@@ -34,8 +34,9 @@
         this.ledger = ledger;
         context = new DutyContext(termStartMilliseconds);
         waiting = new WaitingJobs(configuration, settings.order());
-        placer = new TaskPlacer(settings, usage, waiting, pool);
         workers = new WorkerRequests(settings, ledger, pool, context);
+        Preemption preemption = new Preemption(settings, pool, waiting, workers, context);
+        placer = new TaskPlacer(settings, usage, waiting, pool, runTimes, preemption, context);
         jobs = new JobRequests(settings, configuration, ledger, pool, context, random);
         readers = new JobReaders(context);
         stops = new StopWaves(pool);
@@ -56,7 +57,9 @@
     /** Returns a job as it waits now; expected long runs count as if they came a little later. */
     QueuedJob queued(JobEntry job) {
         double lateness = settings.runTimeWeight() * runTimes.estimate(job, TYPICAL_PERCENTILE);
-        return new QueuedJob(job, context.now() + lateness);
+        QueuedJob queued = new QueuedJob(job, context.now() + lateness);
+        queued.waitingSinceMilliseconds = context.now();
+        return queued;
     }
 
     private void load(JobEntry job) {
--- a/library/src/main/java/org/marjoramnotch/logic/job/LedgerEvents.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/LedgerEvents.java
@@ -81,6 +81,9 @@
                 .find(task.job)
                 .ifPresent(
                         queued -> {
+                            if (queued.isEmpty()) {
+                                queued.waitingSinceMilliseconds = parts.context.now();
+                            }
                             queued.giveBack(task);
                             parts.waiting.update(queued);
                         });
--- a/library/src/main/java/org/marjoramnotch/logic/job/QueuedJob.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/QueuedJob.java
@@ -27,6 +27,12 @@
     /** Workers of proposed placements that are not applied yet; kept for services only. */
     List<WorkerSession> proposed = List.of();
 
+    /** Since when it waits without a break, or when it last got a worker. */
+    long waitingSinceMilliseconds;
+
+    /** Workers that are being cleared for it. */
+    int preemptions;
+
     /** Where it is filed while tasks of it wait. */
     @Nullable ShapeQueue filed;
 
--- a/library/src/main/java/org/marjoramnotch/logic/job/TaskPlacer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/TaskPlacer.java
@@ -15,23 +15,41 @@
 import org.marjoramnotch.model.error.Invariant;
 import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.resource.Resources;
+import org.marjoramnotch.model.rule.QueuePolicy;
 
 /** Decides which waiting tasks start where, and proposes it. */
 final class TaskPlacer {
     /** Jobs of one shape that are tried when the first avoids the workers that have room. */
     private static final int MOST_JOBS_PER_SHAPE = 4;
 
+    private static final double LATE_PERCENTILE = 90;
+
     private final JobSettings settings;
     private final TeamUsage usage;
     private final WaitingJobs waiting;
     private final WorkerPool pool;
     private final PlacementPolicies policies;
+    private final RunTimes runTimes;
+    private final GangReservation gangs;
+    private final Preemption preemption;
+    private final DutyContext context;
     private final Map<StartTasks, List<ProposedStart>> proposed = new HashMap<>();
 
     /** Placements of each team that are proposed and not applied yet. */
     private final Map<TeamName, Integer> pending = new HashMap<>();
 
-    TaskPlacer(JobSettings settings, TeamUsage usage, WaitingJobs waiting, WorkerPool pool) {
+    TaskPlacer(
+            JobSettings settings,
+            TeamUsage usage,
+            WaitingJobs waiting,
+            WorkerPool pool,
+            RunTimes runTimes,
+            Preemption preemption,
+            DutyContext context) {
+        this.runTimes = runTimes;
+        this.gangs = new GangReservation(pool, runTimes);
+        this.preemption = preemption;
+        this.context = context;
         this.settings = settings;
         this.usage = usage;
         this.waiting = waiting;
@@ -41,6 +59,7 @@
 
     /** Proposes starts, a bounded number, from the team furthest below its share on. */
     void place(LeaderOutput output) {
+        gangs.check();
         Map<JobEntry, List<ProposedStart>> starts = new LinkedHashMap<>();
         int placed = 0;
         int attempts = 0;
@@ -59,7 +78,12 @@
             waiting.file(team.get());
             chosen.forEach(this::hold);
             JobEntry job = chosen.get(0).task().job;
-            waiting.find(job).ifPresent(waiting::update);
+            waiting.find(job)
+                    .ifPresent(
+                            queued -> {
+                                queued.waitingSinceMilliseconds = context.now();
+                                waiting.update(queued);
+                            });
             starts.computeIfAbsent(job, key -> new ArrayList<>()).addAll(chosen);
             placed += chosen.size();
         }
@@ -107,10 +131,15 @@
         if (room(queued.job) < tasks) {
             return List.of();
         }
-        Predicate<WorkerSession> allowed = worker -> !queued.avoided.contains(worker.id());
+        long end = context.now() + runTimes.estimate(queued.job, LATE_PERCENTILE);
+        Predicate<WorkerSession> allowed =
+                worker -> !queued.avoided.contains(worker.id()) && worker.admits(queued, end);
         List<WorkerSession> workers =
                 policies.of(queued.job.policy)
                         .choose(new PlacementRequest(queued, tasks, allowed), pool.free());
+        if (workers.isEmpty()) {
+            blocked(queued);
+        }
         List<ProposedStart> chosen = new ArrayList<>();
         for (WorkerSession worker : workers) {
             TaskEntry task = queued.take().orElseThrow();
@@ -120,6 +149,16 @@
         return chosen;
     }
 
+    private void blocked(QueuedJob queued) {
+        if (settings.order() == QueueOrder.FIRST_COME) {
+            return;
+        }
+        if (queued.job.policy == QueuePolicy.GANG) {
+            gangs.blocked(queued, context.now());
+        }
+        preemption.blocked(queued);
+    }
+
     private int room(JobEntry job) {
         return usage.room(job.team) - pending.getOrDefault(job.team, 0);
     }
--- a/library/src/main/java/org/marjoramnotch/logic/job/WaitingJobs.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/WaitingJobs.java
@@ -111,6 +111,13 @@
         }
     }
 
+    /** Returns the part of its share that a team uses, as of its last change. */
+    double shareUsed(TeamName name) {
+        TeamQueue team = team(name);
+        int share = configuration.team(name).map(TeamRule::share).orElse(1);
+        return ResourceDimension.dominantPart(team.held, fleet) / share;
+    }
+
     TeamQueue team(TeamName name) {
         TeamName key = order == QueueOrder.FIRST_COME ? ALL_TEAMS : name;
         return teams.computeIfAbsent(
@@ -135,8 +142,7 @@
 
     private void sort(TeamQueue team) {
         boolean urgentFirst = order == QueueOrder.URGENT_FIRST;
-        int share = configuration.team(team.name).map(TeamRule::share).orElse(1);
         team.rank = urgentFirst && !team.hasUrgent() ? 1 : 0;
-        team.shareUsed = ResourceDimension.dominantPart(team.held, fleet) / share;
+        team.shareUsed = shareUsed(team.name);
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/job/WorkerRequests.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/WorkerRequests.java
@@ -89,6 +89,7 @@
         session.reported = Set.copyOf(request.running());
         noteSeen(session);
         pool.changed(session);
+        UsageGuard.check(session, ledger, request.usage());
         request.ended().forEach(report -> proposeEnd(session, report));
         session.held.add(handle);
         session.answerPromptly |= !request.ended().isEmpty();
--- a/library/src/main/java/org/marjoramnotch/logic/job/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/WorkerSession.java
@@ -61,6 +61,9 @@
 
     @Nullable WorkerDescription announced;
 
+    /** Keeps the worker for one job. */
+    @Nullable CapacityReservation reservation;
+
     /** Position in the index of free capacity. */
     int slot = -1;
 
@@ -97,6 +100,13 @@
         pending = pending.minus(needed);
     }
 
+    /** Tells whether a job may use the worker that would end at the given time. */
+    boolean admits(QueuedJob queued, long endMilliseconds) {
+        return reservation == null
+                || reservation.owner == queued
+                || endMilliseconds <= reservation.startMilliseconds;
+    }
+
     boolean takesWork() {
         return confirmed && !ending && announcements.isEmpty() && health.takesWork();
     }
