--- a/library/src/main/java/org/marjoramnotch/logic/placement/RequestPlacer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/RequestPlacer.java
@@ -59,6 +59,10 @@
             known.replaceHandle(handle);
             return;
         }
+        if (context.releases().isReleasing(request.attempt())) {
+            output.reply(handle, new Refused(PlacementRefusals.ended()));
+            return;
+        }
         Optional<OpenAttempt> open = context.state().attempt(request.attempt());
         if (open.isPresent()) {
             answerOpen(handle, open.get(), output);
@@ -82,10 +86,6 @@
     }
 
     private void answerOpen(RequestHandle handle, OpenAttempt open, LeaderOutput output) {
-        if (context.releases().isReleasing(open.attempt())) {
-            output.reply(handle, new Refused(PlacementRefusals.ended()));
-            return;
-        }
         Repetition repetition =
                 context.configuration()
                         .queue(open.queue())
@@ -105,6 +105,7 @@
                 attempt,
                 team,
                 endpoint.endpoint(),
+                endpoint.incarnation(),
                 endpoint.host(),
                 endpoint.port(),
                 repetition,
@@ -150,11 +151,10 @@
     void onApplied(
             long nowMilliseconds, ReserveSlot command, CommandResult result, LeaderOutput output) {
         @Nullable WaitingRequest request = waiting.get(command.attempt());
-        if (request == null || request.reserved().isEmpty()) {
+        if (request == null || request.stage() != WaitingRequest.Stage.RESERVING) {
             return;
         }
-        EndpointLoad endpoint = request.reserved().get();
-        request.clearReserved();
+        EndpointLoad endpoint = request.reserved().orElseThrow();
         context.pools().reserving(request, endpoint, -1);
         if (result instanceof CommandResult.Accepted) {
             onReserved(nowMilliseconds, request, output);
@@ -174,6 +174,7 @@
         }
         OpenAttempt open = context.state().attempt(request.attempt()).orElseThrow();
         if (request.deadlineMilliseconds() <= nowMilliseconds) {
+            request.free();
             context.releases().releaseUnused(request.attempt(), output);
             return;
         }
@@ -209,6 +210,7 @@
                 refusal.code() == ErrorCode.NO_ENDPOINT
                         || refusal.code() == ErrorCode.TEAM_AT_LIMIT;
         if (passing && nowMilliseconds < request.deadlineMilliseconds()) {
+            request.requeue();
             context.pools().pool(request.pool()).team(request.team()).addFirst(request);
             return;
         }
@@ -220,7 +222,7 @@
         if (request.isWithdrawn()) {
             return;
         }
-        if (request.reserved().isEmpty() && !context.releases().isReleasing(request.attempt())) {
+        if (request.stage() == WaitingRequest.Stage.QUEUED) {
             refuseQueued(request, PlacementRefusals.withdrawn(), output);
             return;
         }
@@ -231,7 +233,7 @@
     /** Answers a request whose unused slot has been freed again. */
     void onUnusedReleased(AttemptId attempt, LeaderOutput output) {
         @Nullable WaitingRequest request = waiting.get(attempt);
-        if (request == null || request.reserved().isPresent()) {
+        if (request == null || request.stage() != WaitingRequest.Stage.FREEING) {
             return;
         }
         if (request.isWithdrawn()) {
@@ -246,10 +248,7 @@
         while (!deadlines.isEmpty()
                 && deadlines.first().deadlineMilliseconds() <= nowMilliseconds) {
             WaitingRequest request = deadlines.pollFirst();
-            boolean queued =
-                    request.reserved().isEmpty()
-                            && !context.releases().isReleasing(request.attempt());
-            if (queued) {
+            if (request.stage() == WaitingRequest.Stage.QUEUED) {
                 refuseQueued(request, PlacementRefusals.deadlineExceeded(), output);
             }
         }
--- a/library/src/main/java/org/marjoramnotch/logic/placement/WaitingRequest.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/WaitingRequest.java
@@ -22,8 +22,19 @@
     private final long sequence;
     private RequestHandle handle;
     private @Nullable EndpointLoad reserved;
+    private Stage stage = Stage.QUEUED;
     private boolean withdrawn;
 
+    /** How far it has come. */
+    enum Stage {
+        /** It waits for a slot. */
+        QUEUED,
+        /** Its reservation is being committed. */
+        RESERVING,
+        /** Its slot came too late and is being freed. */
+        FREEING
+    }
+
     WaitingRequest(
             RequestHandle handle,
             PlaceRequest request,
@@ -85,20 +96,30 @@
         handle = newHandle;
     }
 
-    /** Returns the endpoint whose slot is being reserved for it, if any. */
+    /** Returns the endpoint whose slot is being reserved or freed, if any. */
     Optional<EndpointLoad> reserved() {
         return Optional.ofNullable(reserved);
     }
 
+    Stage stage() {
+        return stage;
+    }
+
     void reserve(EndpointLoad endpoint) {
-        Invariant.check(reserved == null, "A request is given two slots");
+        Invariant.check(stage == Stage.QUEUED, "A request is given two slots");
+        stage = Stage.RESERVING;
         reserved = endpoint;
     }
 
-    void clearReserved() {
+    void requeue() {
+        stage = Stage.QUEUED;
         reserved = null;
     }
 
+    void free() {
+        stage = Stage.FREEING;
+    }
+
     /** Tells whether it is answered or given up, so that it must not be placed any more. */
     boolean isWithdrawn() {
         return withdrawn;
--- a/library/src/main/java/org/marjoramnotch/model/message/Granted.java
+++ b/library/src/main/java/org/marjoramnotch/model/message/Granted.java
@@ -11,6 +11,8 @@
  * @param attempt the attempt
  * @param team the team that the work counts for
  * @param endpoint the endpoint
+ * @param incarnation the process of the endpoint that the slot belongs to; sent along, so that a
+ *     later process refuses the attempt
  * @param host its IP number
  * @param port its TCP port
  * @param repetition whether the work may be sent again after it may have run
@@ -20,6 +22,7 @@
         AttemptId attempt,
         TeamName team,
         EndpointId endpoint,
+        String incarnation,
         String host,
         int port,
         Repetition repetition,
--- a/library/src/test/java/org/marjoramnotch/logic/entry/RequestAttemptsTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/entry/RequestAttemptsTest.java
@@ -139,6 +139,7 @@
                 attempt,
                 new TeamName("t"),
                 new EndpointId("e" + attempt.sequence()),
+                "i1",
                 "127.0.0.1",
                 1,
                 repetition,
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEndpoint.java
@@ -0,0 +1,73 @@
+package org.marjoramnotch.logic.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.marjoramnotch.model.endpoint.EndpointDescription;
+import org.marjoramnotch.model.endpoint.EndpointState;
+import org.marjoramnotch.model.identifier.AttemptId;
+import org.marjoramnotch.model.message.AnnounceEndpoint;
+import org.marjoramnotch.model.message.EndpointRenewed;
+import org.marjoramnotch.model.message.Granted;
+
+/** An endpoint that keeps the announcement rules and fails when it is given too much. */
+final class SimulatedEndpoint {
+    private final String name;
+    private final int slots;
+    private final TestCell cell;
+    private final Set<AttemptId> running = new LinkedHashSet<>();
+    private final Set<AttemptId> abandoned = new LinkedHashSet<>();
+    private int incarnation;
+    EndpointState state = EndpointState.ACTIVE;
+    boolean alive = true;
+
+    SimulatedEndpoint(String name, int slots, TestCell cell) {
+        this.name = name;
+        this.slots = slots;
+        this.cell = cell;
+    }
+
+    int incarnation() {
+        return incarnation;
+    }
+
+    void restart() {
+        incarnation++;
+        running.clear();
+        abandoned.clear();
+        alive = true;
+        state = EndpointState.ACTIVE;
+    }
+
+    AnnounceEndpoint announcement() {
+        EndpointDescription description = TestCell.endpoint(name, "i" + incarnation, slots);
+        return new AnnounceEndpoint(
+                description, state, List.copyOf(running), List.copyOf(abandoned));
+    }
+
+    void onRenewed(EndpointRenewed renewed) {
+        abandoned.retainAll(renewed.abandon());
+        renewed.abandon().stream()
+                .filter(attempt -> !running.contains(attempt))
+                .forEach(abandoned::add);
+    }
+
+    /** Starts an attempt; false when it was told to abandon it, or it is for an earlier process. */
+    boolean start(Granted granted) {
+        AttemptId attempt = granted.attempt();
+        if (abandoned.contains(attempt) || !granted.incarnation().equals("i" + incarnation)) {
+            return false;
+        }
+        assertThat(cell.state.attempt(attempt)).as("reservation of %s", attempt).isPresent();
+        assertThat(running.add(attempt)).as("first start of %s", attempt).isTrue();
+        assertThat(running).as("running on %s", name).hasSizeLessThanOrEqualTo(slots);
+        return true;
+    }
+
+    /** Ends an attempt; false if the process that ran it is gone. */
+    boolean end(AttemptId attempt, int ofIncarnation) {
+        return alive && incarnation == ofIncarnation && running.remove(attempt);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEntry.java
@@ -0,0 +1,219 @@
+package org.marjoramnotch.logic.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.marjoramnotch.logic.entry.EndpointAnswer;
+import org.marjoramnotch.logic.entry.EntryRequest;
+import org.marjoramnotch.logic.entry.EntryStep;
+import org.marjoramnotch.logic.entry.RequestAttempts;
+import org.marjoramnotch.logic.entry.RetryBudget;
+import org.marjoramnotch.model.endpoint.EndpointState;
+import org.marjoramnotch.model.endpoint.IdempotencyClaim;
+import org.marjoramnotch.model.endpoint.SlotKind;
+import org.marjoramnotch.model.error.ExecutionOutcome;
+import org.marjoramnotch.model.identifier.AttemptId;
+import org.marjoramnotch.model.identifier.QueueName;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.EndAttempt;
+import org.marjoramnotch.model.message.Granted;
+import org.marjoramnotch.model.message.PlaceRequest;
+import org.marjoramnotch.model.message.Refused;
+import org.marjoramnotch.model.message.RenewEntry;
+
+/** An entry process that carries out the steps of {@link RequestAttempts}. */
+final class SimulatedEntry {
+    private static final long RESEND_MILLISECONDS = 200;
+
+    private final VmId vm;
+    private final PlacementSimulation simulation;
+    private final RetryBudget budget = RetryBudget.withDefaults();
+    private int incarnation;
+    private long sequence;
+    private int open;
+
+    SimulatedEntry(String name, PlacementSimulation simulation) {
+        this.vm = new VmId(name);
+        this.simulation = simulation;
+        renewAlways();
+    }
+
+    private void renewAlways() {
+        simulation.send(new RenewEntry(vm, "i" + incarnation), reply -> {});
+        simulation.after(1_000, this::renewAlways);
+    }
+
+    void restart() {
+        incarnation++;
+        for (; open > 0; open--) {
+            simulation.onCallerLost();
+        }
+    }
+
+    void onCaller() {
+        boolean idempotent = simulation.random.nextBoolean();
+        QueueName queue = idempotent ? TestConfiguration.IDEMPOTENT : TestConfiguration.ONCE;
+        String team = simulation.random.nextInt(3) == 0 ? "small" : "big";
+        simulation.onCaller();
+        open++;
+        new Call(queue, team).start();
+    }
+
+    /** One caller's request. */
+    private final class Call {
+        private final int process = incarnation;
+        private final QueueName queue;
+        private final RequestAttempts attempts;
+        private final Optional<IdempotencyClaim> claim;
+        private final Set<AttemptId> waitingReports = new HashSet<>();
+        private int runs;
+        private Optional<ExecutionOutcome> told = Optional.empty();
+
+        Call(QueueName queue, String team) {
+            this.queue = queue;
+            boolean claims =
+                    queue.equals(TestConfiguration.ONCE) && simulation.random.nextBoolean();
+            String key = team + simulation.random.nextInt(100);
+            this.claim = claims ? Optional.of(new IdempotencyClaim(key, key)) : Optional.empty();
+            EntryRequest request =
+                    new EntryRequest(
+                            Optional.of(TestConfiguration.credential(team)),
+                            queue,
+                            SlotKind.REQUEST,
+                            simulation.random.nextInt(4) == 0,
+                            TestCell.ZONE,
+                            claim,
+                            now() + 500 + simulation.random.nextInt(4_000));
+            String name = "i" + process;
+            attempts =
+                    new RequestAttempts(request, () -> new AttemptId(vm, name, sequence++), budget);
+            simulation.after(
+                    request.deadlineMilliseconds() - now(),
+                    () -> onEvent(() -> carryOut(attempts.onDeadline(now()))));
+        }
+
+        void start() {
+            carryOut(attempts.start(now()));
+        }
+
+        private long now() {
+            return simulation.cell().now;
+        }
+
+        private void onEvent(Runnable action) {
+            if (process == incarnation) {
+                action.run();
+            }
+        }
+
+        private void carryOut(Iterable<EntryStep> steps) {
+            for (EntryStep step : steps) {
+                if (step instanceof EntryStep.Place place) {
+                    place(place.request());
+                } else if (step instanceof EntryStep.Send send) {
+                    simulation.after(
+                            simulation.random.nextInt(5),
+                            () -> onEvent(() -> connect(send.granted())));
+                } else if (step instanceof EntryStep.Report report) {
+                    waitingReports.add(report.end().attempt());
+                    report(report.end());
+                } else if (step instanceof EntryStep.Relay) {
+                    tell(ExecutionOutcome.RAN);
+                } else if (step instanceof EntryStep.Refuse refuse) {
+                    tell(refuse.refusal().outcome());
+                }
+            }
+        }
+
+        private void tell(ExecutionOutcome outcome) {
+            assertThat(told).as("first answer to the caller").isEmpty();
+            told = Optional.of(outcome);
+            simulation.onAnswered();
+            open--;
+            checkTruth();
+        }
+
+        private void checkTruth() {
+            if (told.equals(Optional.of(ExecutionOutcome.NOT_RUN))) {
+                assertThat(runs).as("runs of a request told not run").isZero();
+            }
+            if (queue.equals(TestConfiguration.ONCE)) {
+                assertThat(runs).as("runs of a request to run once").isLessThanOrEqualTo(1);
+            }
+        }
+
+        private void place(PlaceRequest request) {
+            boolean waits =
+                    process == incarnation
+                            && request.attempt().equals(attempts.attempt())
+                            && !waitingReports.contains(request.attempt())
+                            && told.isEmpty();
+            if (waits) {
+                simulation.send(request, reply -> onEvent(() -> onPlaced(request, reply)));
+                simulation.after(RESEND_MILLISECONDS, () -> place(request));
+            }
+        }
+
+        private void onPlaced(PlaceRequest request, CellReply reply) {
+            if (reply instanceof Granted granted) {
+                carryOut(attempts.onGranted(now(), granted));
+            } else if (reply instanceof Refused refused) {
+                carryOut(attempts.onRefused(request.attempt(), refused.refusal()));
+            }
+        }
+
+        private void report(EndAttempt end) {
+            if (process == incarnation && waitingReports.contains(end.attempt())) {
+                simulation.send(end, reply -> onEvent(() -> waitingReports.remove(end.attempt())));
+                simulation.after(RESEND_MILLISECONDS, () -> report(end));
+            }
+        }
+
+        private void connect(Granted granted) {
+            SimulatedEndpoint endpoint = simulation.endpoint(granted.endpoint().value());
+            if (!endpoint.alive) {
+                carryOut(attempts.onConnectFailed(now()));
+            } else if (!attempts.beginSending(now())) {
+                carryOut(attempts.onGrantTooLate(now()));
+            } else if (endpoint.state == EndpointState.LEAVING || !endpoint.start(granted)) {
+                carryOut(attempts.onEndpointRefused(now()));
+            } else {
+                onStarted(endpoint, granted.attempt());
+            }
+        }
+
+        private void onStarted(SimulatedEndpoint endpoint, AttemptId attempt) {
+            runs++;
+            claim.ifPresent(key -> simulation.onClaimRun(key.keyDigest()));
+            checkTruth();
+            int ran = endpoint.incarnation();
+            int duration = 50 + simulation.random.nextInt(600);
+            boolean silent = simulation.faults() && simulation.random.nextInt(20) == 0;
+            if (silent) {
+                simulation.after(
+                        duration / 2,
+                        () -> onEvent(() -> carryOut(attempts.onAnswerBroken(now()))));
+            }
+            simulation.after(
+                    duration,
+                    () -> {
+                        boolean whole = endpoint.end(attempt, ran) && !silent;
+                        onEvent(() -> onEnded(attempt, whole));
+                    });
+        }
+
+        private void onEnded(AttemptId attempt, boolean whole) {
+            if (!attempts.attempt().equals(attempt)) {
+                return;
+            }
+            carryOut(
+                    whole
+                            ? attempts.onAnswerComplete(
+                                    now(), new EndpointAnswer(200, Optional.empty()))
+                            : attempts.onAnswerBroken(now()));
+        }
+    }
+}
--- a/library/src/test/java/org/marjoramnotch/logic/placement/TestCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/placement/TestCell.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.logic.ledger.TeamUsage;
@@ -44,6 +45,7 @@
     final PlacementState state;
     final PlacementSettings settings;
     final Map<RequestHandle, CellReply> replies = new HashMap<>();
+    BiConsumer<RequestHandle, CellReply> listener = (handle, reply) -> {};
     PlacementPolicy policy = PlacementPolicy.FAIR;
     PlacementMeasures measures = PlacementMeasures.NONE;
     PlacementDuty duty;
@@ -83,6 +85,7 @@
     @Override
     public void reply(RequestHandle handle, CellReply reply) {
         assertThat(replies.put(handle, reply)).as("first answer of %s", handle).isNull();
+        listener.accept(handle, reply);
     }
 
     RequestHandle send(CellRequest request) {
