--- a/command-line/src/main/java/org/marjoramnotch/commandline/DaemonLauncher.java
+++ b/command-line/src/main/java/org/marjoramnotch/commandline/DaemonLauncher.java
@@ -1,8 +1,12 @@
 package org.marjoramnotch.commandline;
 
+import org.apache.commons.rng.simple.RandomSource;
+import org.marjoramnotch.daemon.Daemon;
 import org.marjoramnotch.daemon.settings.DaemonSettings;
-import org.marjoramnotch.model.error.ErrorCode;
-import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.logic.cell.CellParts;
+import org.marjoramnotch.logic.cell.StandardCellParts;
+import org.marjoramnotch.logic.job.JobSettings;
+import org.marjoramnotch.logic.placement.PlacementSettings;
 
 /** The one place where the program meets the daemon. */
 final class DaemonLauncher {
@@ -10,8 +14,11 @@
 
     /** Runs a daemon until it has stopped. */
     static void run(DaemonSettings settings) {
-        throw new MarjoramnotchException(
-                ErrorCode.STOPPING,
-                "This build has no daemon for VM " + settings.vm() + "; install one that has.");
+        CellParts parts =
+                new StandardCellParts(
+                        PlacementSettings.defaults(),
+                        JobSettings.defaults(),
+                        RandomSource.XO_RO_SHI_RO_128_PP.create());
+        Daemon.run(settings, parts);
     }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/entry/EndpointCall.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/entry/EndpointCall.java
@@ -38,13 +38,17 @@
         this.request =
                 forwarded
                         .addHeader(Connection.create("close"))
-                        .addHeader(
-                                HttpHeader.parse("Marjoramnotch-Attempt", grant.attempt().text()))
-                        .addHeader(HttpHeader.parse("Marjoramnotch-Team", grant.team().value()));
+                        .addHeader(named("Attempt", grant.attempt().text()))
+                        .addHeader(named("Incarnation", grant.incarnation()))
+                        .addHeader(named("Team", grant.team().value()));
         this.address = new EndpointAddress(grant.host(), grant.port());
         this.feed = feed;
     }
 
+    private static HttpHeader named(String name, String value) {
+        return HttpHeader.parse("Marjoramnotch-" + name, value);
+    }
+
     /** Opens a connection, then sends. */
     void start(long nowMilliseconds) {
         if (!feed) {
--- a/daemon/src/test/java/org/marjoramnotch/daemon/FakeLeader.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/FakeLeader.java
@@ -103,6 +103,7 @@
                                 attempt,
                                 new TeamName("team-a"),
                                 chosen.get().endpoint(),
+                                chosen.get().incarnation(),
                                 chosen.get().host(),
                                 chosen.get().port(),
                                 repetition,
--- a/daemon/src/test/java/org/marjoramnotch/daemon/standin/StandInEndpoint.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/standin/StandInEndpoint.java
@@ -140,8 +140,9 @@
         }
         String attempt = request.headers().getOrDefault("marjoramnotch-attempt", "");
         lastTeam = request.headers().getOrDefault("marjoramnotch-team", "");
-        StandInBehavior behavior =
-                abandoned.contains(attempt) ? StandInBehavior.NOT_RUN : request.behavior();
+        String granted = request.headers().getOrDefault("marjoramnotch-incarnation", "");
+        boolean refused = abandoned.contains(attempt) || !granted.equals(incarnation);
+        StandInBehavior behavior = refused ? StandInBehavior.NOT_RUN : request.behavior();
         if (behavior != StandInBehavior.NOT_RUN) {
             executions.merge(request.bodyText(), 1, Integer::sum);
         }
--- /dev/null
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/CallerLoad.java
@@ -0,0 +1,79 @@
+package org.marjoramnotch.endtoend;
+
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Sends a bounded number of quick requests through all entries at once. */
+final class CallerLoad {
+    private final HttpCaller caller;
+    private final List<String> addresses;
+    private final String queue;
+    private final String key;
+    private final AtomicInteger ended = new AtomicInteger();
+
+    CallerLoad(HttpCaller caller, List<String> addresses, String queue, String key) {
+        this.caller = caller;
+        this.addresses = addresses;
+        this.queue = queue;
+        this.key = key;
+    }
+
+    /** Runs callers side by side; the disturbance runs once half of the requests have ended. */
+    List<CallerAnswer> run(int callers, int requestsEach, Runnable disturbance) {
+        ExecutorService threads = Executors.newFixedThreadPool(callers);
+        try {
+            List<Future<List<CallerAnswer>>> futures = new ArrayList<>();
+            for (int number = 0; number < callers; number++) {
+                int own = number;
+                futures.add(threads.submit(() -> runOne(own, requestsEach)));
+            }
+            Poll.until("half of the load", () -> ended.get() >= callers * requestsEach / 2);
+            disturbance.run();
+            List<CallerAnswer> answers = new ArrayList<>();
+            for (Future<List<CallerAnswer>> future : futures) {
+                answers.addAll(future.get());
+            }
+            return answers;
+        } catch (InterruptedException | ExecutionException exception) {
+            throw new IllegalStateException(exception);
+        } finally {
+            threads.shutdownNow();
+        }
+    }
+
+    private List<CallerAnswer> runOne(int number, int requests) {
+        List<CallerAnswer> answers = new ArrayList<>();
+        for (int request = 0; request < requests; request++) {
+            String address = addresses.get((number + request) % addresses.size());
+            answers.add(call(address, queue + "-" + number + "-" + request));
+            ended.incrementAndGet();
+        }
+        return answers;
+    }
+
+    CallerAnswer call(String address, String body) {
+        HttpRequest.Builder request =
+                HttpRequest.newBuilder(
+                                URI.create(address + "/v1/queues/" + queue + "/requests/echo"))
+                        .header("Authorization", "Bearer " + key)
+                        .header("Content-Type", "text/plain")
+                        .header("Marjoramnotch-Deadline-Milliseconds", "10000")
+                        .POST(HttpRequest.BodyPublishers.ofString(body));
+        try {
+            HttpResponse<String> answer = caller.send(request);
+            String outcome = answer.headers().firstValue("Marjoramnotch-Outcome").orElse(null);
+            return new CallerAnswer(body, answer.statusCode(), outcome, answer.body());
+        } catch (UncheckedIOException exception) {
+            return new CallerAnswer(body, 0, null, "");
+        }
+    }
+}
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/Cell.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/Cell.java
@@ -51,8 +51,9 @@
         caller.operator("POST", daemons.get(0).httpAddress() + "/v1/operator/form", "");
         Poll.until(
                 "all replicas vote",
-                () -> status().map(status -> status.path("voters").size() == replicaCount)
-                        .orElse(false));
+                () ->
+                        status().map(status -> status.path("voters").size() == replicaCount)
+                                .orElse(false));
         ObjectNode change = JSON.createObjectNode();
         change.put("requestId", "first").put("expectedVersion", 0).put("text", rules);
         Poll.until(
--- /dev/null
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/Jobs.java
@@ -0,0 +1,60 @@
+package org.marjoramnotch.endtoend;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.http.HttpResponse;
+
+/** Hands in jobs and follows them as callers do. */
+final class Jobs {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final HttpCaller caller;
+    private final String key;
+
+    Jobs(HttpCaller caller, String key) {
+        this.caller = caller;
+        this.key = key;
+    }
+
+    /** Returns the name of the job. */
+    String submit(String address, String queue, int tasks, String payload) {
+        ObjectNode body = JSON.createObjectNode();
+        body.put("name", "bundle").put("tasks", tasks).put("payload", payload);
+        body.put("processorMillis", 500).put("memoryMegabytes", 100).put("accelerators", 0);
+        body.put("expectedRunMilliseconds", 100).put("urgent", false);
+        HttpResponse<String> answer =
+                caller.send(
+                        "POST", address + "/v1/queues/" + queue + "/jobs", key, body.toString());
+        if (answer.statusCode() != 202) {
+            throw new AssertionError(answer.statusCode() + " " + answer.body());
+        }
+        return read(answer.body()).path("job").asText();
+    }
+
+    /** Returns the status of the job once it has ended. */
+    JsonNode awaitEnd(String address, String job) {
+        JsonNode[] status = new JsonNode[1];
+        Poll.until(
+                "job " + job + " has ended",
+                () -> {
+                    String uri = address + "/v1/jobs/" + job + "?waitMilliseconds=1000";
+                    HttpResponse<String> answer = caller.send("GET", uri, key, "");
+                    status[0] = read(answer.body());
+                    String state = status[0].path("state").asText();
+                    return answer.statusCode() == 200
+                            && !state.equals("queued")
+                            && !state.equals("running");
+                });
+        return status[0];
+    }
+
+    private static JsonNode read(String text) {
+        try {
+            return JSON.readTree(text);
+        } catch (JsonProcessingException exception) {
+            throw new IllegalStateException(text, exception);
+        }
+    }
+}
--- a/library/src/test/java/org/marjoramnotch/logic/cell/CellCoreTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/CellCoreTest.java
@@ -77,6 +77,7 @@
                                 attempt(1),
                                 new TeamName("wards"),
                                 new EndpointId("e-1"),
+                                "x",
                                 "127.0.0.1",
                                 1,
                                 Repetition.ONCE,
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/CellSimulation.java
@@ -0,0 +1,155 @@
+package org.marjoramnotch.logic.cell;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.logic.replication.Coverage;
+import org.marjoramnotch.logic.replication.SimulatedNetwork;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.NotLeader;
+import org.marjoramnotch.model.replication.ReplicationEnvelope;
+
+/** Whole replicas with their clients in virtual time, one millisecond a step. */
+final class CellSimulation {
+    private static final long TICK_MILLISECONDS = 20;
+    private static final long RESEND_MILLISECONDS = 400;
+
+    private record Event(long dueMilliseconds, long sequence, Runnable action) {}
+
+    final UniformRandomProvider random;
+    final SimulatedNetwork network;
+    final List<SimulatedHost> hosts = new ArrayList<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::dueMilliseconds)
+                            .thenComparingLong(Event::sequence));
+    private final Map<RequestHandle, Consumer<CellReply>> awaiting = new HashMap<>();
+    private long sequence;
+    private int believedLeader;
+    double lossRate;
+    long time;
+
+    CellSimulation(long seed, int replicas) {
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        network = new SimulatedNetwork(random, new Coverage());
+        ReferenceCodec codec = new ReferenceCodec();
+        Set<VmId> vms =
+                IntStream.range(0, replicas)
+                        .mapToObj(number -> new VmId("vm-" + number))
+                        .collect(Collectors.toSet());
+        vms.stream().sorted().forEach(vm -> hosts.add(new SimulatedHost(vm, vms, codec, random)));
+        hosts.forEach(host -> host.start(time));
+        hosts.get(0).core().form(hosts.get(0).local(time));
+    }
+
+    void after(long milliseconds, Runnable action) {
+        events.add(new Event(time + milliseconds, sequence++, action));
+    }
+
+    void run(long milliseconds, Runnable eachStep) {
+        for (long end = time + milliseconds; time < end; ) {
+            step();
+            eachStep.run();
+        }
+    }
+
+    /** Sends a request again and again until it is answered or not wanted any more. */
+    void ask(
+            CellRequest request,
+            java.util.function.BooleanSupplier wanted,
+            Consumer<CellReply> receiver) {
+        boolean[] answered = {false};
+        Runnable[] attempt = new Runnable[1];
+        attempt[0] =
+                () -> {
+                    if (answered[0] || !wanted.getAsBoolean()) {
+                        return;
+                    }
+                    send(
+                            request,
+                            reply -> {
+                                if (!answered[0] && wanted.getAsBoolean()) {
+                                    answered[0] = true;
+                                    receiver.accept(reply);
+                                }
+                            });
+                    after(RESEND_MILLISECONDS, attempt[0]);
+                };
+        attempt[0].run();
+    }
+
+    private void send(CellRequest request, Consumer<CellReply> receiver) {
+        SimulatedHost target = hosts.get(believedLeader);
+        RequestHandle handle = new RequestHandle("client", sequence++);
+        awaiting.put(handle, receiver);
+        if (isLost()) {
+            believedLeader = random.nextInt(hosts.size());
+            return;
+        }
+        after(1 + random.nextInt(4), () -> arrive(target, handle, request));
+    }
+
+    private void arrive(SimulatedHost target, RequestHandle handle, CellRequest request) {
+        if (target.isPaused(time)) {
+            after(1, () -> arrive(target, handle, request));
+            believedLeader = random.nextInt(hosts.size());
+        } else if (target.isRunning()) {
+            target.core().request(target.local(time), handle, request);
+        } else {
+            believedLeader = random.nextInt(hosts.size());
+        }
+    }
+
+    private void deliver(CellReplyTo replyTo) {
+        Consumer<CellReply> receiver = awaiting.remove(replyTo.handle());
+        if (replyTo.reply() instanceof NotLeader) {
+            believedLeader = random.nextInt(hosts.size());
+        } else if (receiver != null && !isLost()) {
+            after(1 + random.nextInt(4), () -> receiver.accept(replyTo.reply()));
+        }
+    }
+
+    private boolean isLost() {
+        return random.nextDouble() < lossRate;
+    }
+
+    private void step() {
+        time++;
+        for (ReplicationEnvelope envelope : network.due(time)) {
+            hosts.stream()
+                    .filter(host -> host.isAddressed(envelope))
+                    .forEach(host -> deliver(host, envelope));
+        }
+        while (!events.isEmpty() && events.peek().dueMilliseconds() <= time) {
+            events.poll().action().run();
+        }
+        for (SimulatedHost host : hosts) {
+            if (host.isRunning() && !host.isPaused(time)) {
+                if (time % TICK_MILLISECONDS == 0) {
+                    host.core().tick(host.local(time));
+                }
+                host.carryOut(time, network, this::deliver);
+            }
+        }
+    }
+
+    private void deliver(SimulatedHost host, ReplicationEnvelope envelope) {
+        if (host.isPaused(time)) {
+            network.keep(time + 1, envelope);
+        } else if (host.isRunning()) {
+            host.core().receive(host.local(time), envelope.from(), envelope.message());
+        }
+    }
+}
--- a/library/src/test/java/org/marjoramnotch/logic/replication/Coverage.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/Coverage.java
@@ -4,10 +4,10 @@
 import java.util.Map;
 
 /** Counts what simulated runs met. */
-final class Coverage {
+public final class Coverage {
     private final Map<Covered, Long> counts = new EnumMap<>(Covered.class);
 
-    void count(Covered covered) {
+    public void count(Covered covered) {
         counts.merge(covered, 1L, Long::sum);
     }
 
--- a/library/src/test/java/org/marjoramnotch/logic/replication/SimulatedNetwork.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/SimulatedNetwork.java
@@ -11,7 +11,7 @@
 import org.marjoramnotch.model.replication.ReplicationEnvelope;
 
 /** Delivers messages late, twice, out of order or not at all. */
-final class SimulatedNetwork {
+public final class SimulatedNetwork {
     private record Delivery(long time, long sequence, ReplicationEnvelope envelope) {}
 
     private record Link(VmId from, VmId to) {}
@@ -25,24 +25,25 @@
     private double faultRate;
     private long sequence;
 
-    SimulatedNetwork(UniformRandomProvider random, Coverage coverage) {
+    public SimulatedNetwork(UniformRandomProvider random, Coverage coverage) {
         this.random = random;
         this.coverage = coverage;
     }
 
-    void faultRate(double rate) {
+    public void faultRate(double rate) {
         faultRate = rate;
     }
 
-    void cut(VmId from, VmId to) {
+    public void cut(VmId from, VmId to) {
         cuts.add(new Link(from, to));
     }
 
-    void heal() {
+    public void heal() {
         cuts.clear();
     }
 
-    void send(long now, ReplicationEnvelope envelope) {
+    /** Sends a message with the faults of the time. */
+    public void send(long now, ReplicationEnvelope envelope) {
         if (cuts.contains(new Link(envelope.from().vm(), envelope.to().vm()))) {
             coverage.count(Covered.MESSAGE_CUT);
             return;
@@ -59,11 +60,12 @@
     }
 
     /** Keeps a message that a paused process could not take. */
-    void keep(long until, ReplicationEnvelope envelope) {
+    public void keep(long until, ReplicationEnvelope envelope) {
         deliveries.add(new Delivery(until, sequence++, envelope));
     }
 
-    List<ReplicationEnvelope> due(long now) {
+    /** Returns the messages that have arrived. */
+    public List<ReplicationEnvelope> due(long now) {
         List<ReplicationEnvelope> due = new ArrayList<>();
         while (!deliveries.isEmpty() && deliveries.peek().time() <= now) {
             due.add(deliveries.poll().envelope());
--- a/library/src/test/java/org/marjoramnotch/logic/replication/SimulatedStorage.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/SimulatedStorage.java
@@ -10,7 +10,7 @@
 import org.marjoramnotch.model.replication.Snapshot;
 
 /** Keeps the synced state of one simulated replica in memory. */
-final class SimulatedStorage implements ReplicaStorage {
+public final class SimulatedStorage implements ReplicaStorage {
     private HardState hardState = HardState.empty();
     private Optional<Snapshot> snapshot = Optional.empty();
     private List<LogEntry> entries = new ArrayList<>();
