--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -6,6 +6,7 @@
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
+import org.apache.commons.rng.simple.RandomSource;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.DispatcherSelector;
@@ -30,6 +31,9 @@
 import org.marjoramnotch.daemon.settings.DaemonSettings;
 import org.marjoramnotch.daemon.settings.OperatorKeyHash;
 import org.marjoramnotch.logic.cell.CellParts;
+import org.marjoramnotch.logic.cell.StandardCellParts;
+import org.marjoramnotch.logic.job.JobSettings;
+import org.marjoramnotch.logic.placement.PlacementSettings;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
 import org.marjoramnotch.model.time.Clock;
@@ -92,14 +96,10 @@
                         linkPort.map(port -> new InetSocketAddress(settings.linkHost(), port)));
     }
 
-    /**
-     * Runs a process until it is told to stop by a signal.
-     *
-     * @param parts makes the leader's decisions
-     */
-    public static void run(DaemonSettings settings, CellParts parts) {
+    /** Runs a process until it is told to stop by a signal. */
+    public static void run(DaemonSettings settings) {
         LogSetup.configure(settings.logLevel());
-        Daemon daemon = start(settings, parts);
+        Daemon daemon = start(settings, standardParts());
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
         System.out.println(
                 "event=daemon_started vm="
@@ -111,7 +111,19 @@
         daemon.awaitStop();
     }
 
-    /** Starts a process and returns once it serves. */
+    /** Returns the leader's decisions as the product ships them. */
+    public static CellParts standardParts() {
+        return new StandardCellParts(
+                PlacementSettings.defaults(),
+                JobSettings.defaults(),
+                RandomSource.XO_RO_SHI_RO_128_PP.create());
+    }
+
+    /**
+     * Starts a process and returns once it serves.
+     *
+     * @param parts makes the leader's decisions
+     */
     public static Daemon start(DaemonSettings settings, CellParts parts) {
         return new Daemon(settings, parts);
     }
--- a/daemon/src/test/java/org/marjoramnotch/daemon/DaemonFixture.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/DaemonFixture.java
@@ -1,6 +1,8 @@
 package org.marjoramnotch.daemon;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -9,7 +11,9 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.marjoramnotch.daemon.settings.DaemonLimits;
@@ -22,43 +26,79 @@
 import org.marjoramnotch.model.identifier.AvailabilityZone;
 import org.marjoramnotch.model.identifier.VmId;
 
-/** One daemon in this process that is the only replica of its cell. */
+/** A daemon in this process. */
 final class DaemonFixture implements AutoCloseable {
     static final String OPERATOR_KEY = "operator-secret";
     static final int LONGEST_BODY_BYTES = 64 * 1024;
     private static final Duration PATIENCE = Duration.ofSeconds(20);
 
     final Daemon daemon;
+    final String vm;
     final String address;
+    private static final long POLL_NANOSECONDS = 5_000_000;
+
     private final HttpClient client = HttpClient.newHttpClient();
 
-    DaemonFixture(Path folder, CellParts parts) throws Exception {
+    /** Starts a daemon with the only replica of its cell, formed and ready. */
+    static DaemonFixture single(Path folder, CellParts parts) throws Exception {
+        ReplicaAddress self = new ReplicaAddress(new VmId("vm-1"), "127.0.0.1", 0);
+        DaemonFixture fixture = new DaemonFixture(folder, "vm-1", List.of(self), parts);
+        fixture.form();
+        fixture.awaitReady();
+        return fixture;
+    }
+
+    /** Starts a daemon of a cell; it has a replica if it is one of the addresses. */
+    DaemonFixture(Path folder, String vm, List<ReplicaAddress> replicas, CellParts parts)
+            throws Exception {
+        this.vm = vm;
         Path keyFile = folder.resolve("operator-key.sha256");
         Files.writeString(keyFile, DigestUtils.sha256Hex(OPERATOR_KEY));
-        VmId vm = new VmId("vm-1");
+        Optional<ReplicaAddress> self =
+                replicas.stream().filter(replica -> replica.vm().value().equals(vm)).findFirst();
         daemon =
                 Daemon.start(
                         DaemonSettings.builder()
-                                .vm(vm)
+                                .vm(new VmId(vm))
                                 .availabilityZone(new AvailabilityZone("zone-1"))
-                                .roles(Set.of(DaemonRole.ENTRY, DaemonRole.REPLICA))
+                                .roles(
+                                        self.isPresent()
+                                                ? Set.of(DaemonRole.ENTRY, DaemonRole.REPLICA)
+                                                : Set.of(DaemonRole.ENTRY))
                                 .httpHost("127.0.0.1")
                                 .linkHost("127.0.0.1")
-                                .replicas(List.of(new ReplicaAddress(vm, "127.0.0.1", 1)))
-                                .dataFolder(folder.resolve("data"))
+                                .linkPort(self.map(ReplicaAddress::port).orElse(0))
+                                .replicas(replicas)
+                                .dataFolder(folder.resolve("data-" + vm))
                                 .operatorKeySha256File(keyFile)
-                                .limits(
-                                        DaemonLimits.builder()
-                                                .maximumBodyBytes(LONGEST_BODY_BYTES)
-                                                .maximumOpenRequests(200)
-                                                .electionTimeoutMinimumMilliseconds(300)
-                                                .electionTimeoutMaximumMilliseconds(600)
-                                                .heartbeatIntervalMilliseconds(50)
-                                                .build())
+                                .limits(limits())
                                 .build(),
                         parts);
         address = "127.0.0.1:" + daemon.addresses().http().getPort();
+    }
+
+    private static DaemonLimits limits() {
+        return DaemonLimits.builder()
+                .maximumBodyBytes(LONGEST_BODY_BYTES)
+                .maximumOpenRequests(200)
+                .electionTimeoutMinimumMilliseconds(300)
+                .electionTimeoutMaximumMilliseconds(600)
+                .heartbeatIntervalMilliseconds(50)
+                .build();
+    }
+
+    /** Returns a port that was free just now. */
+    static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    void form() {
         operator("POST", "/v1/operator/form", "");
+    }
+
+    void awaitReady() {
         await(() -> get("/health/ready").statusCode() == 200);
     }
 
@@ -105,7 +145,7 @@
             if (System.nanoTime() > end) {
                 throw new AssertionError("The condition did not come to hold.");
             }
-            Thread.onSpinWait();
+            LockSupport.parkNanos(POLL_NANOSECONDS);
         }
     }
 
--- a/daemon/src/test/java/org/marjoramnotch/daemon/QuickRequestContractTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/QuickRequestContractTest.java
@@ -31,7 +31,7 @@
     @BeforeAll
     static void start() throws Exception {
         leader = new FakeLeader();
-        fixture = new DaemonFixture(folder, leader);
+        fixture = DaemonFixture.single(folder, leader);
         endpoint = new StandInEndpoint("e-1", "gas-check");
         fixture.announce(endpoint);
     }
