--- a/library/src/main/java/org/marjoramnotch/logic/placement/TeamBacklog.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/TeamBacklog.java
@@ -22,7 +22,7 @@
     private int urgentInRow;
     private int share = 1;
     private int outstanding;
-    private long headSequence;
+    private long oldestSequence;
     private boolean ranked;
     private int reserving;
     private int countedShare;
@@ -46,9 +46,9 @@
         return outstanding;
     }
 
-    /** Returns the order of arrival of the request that goes next. */
-    public long headSequence() {
-        return headSequence;
+    /** Returns the order of arrival of the request that has waited longest, urgent or not. */
+    public long oldestSequence() {
+        return oldestSequence;
     }
 
     int waiting() {
@@ -89,7 +89,9 @@
     void measure(int newShare, int newOutstanding) {
         share = newShare;
         outstanding = newOutstanding;
-        headSequence = head().map(WaitingRequest::sequence).orElse(Long.MAX_VALUE);
+        skipWithdrawn(urgent);
+        skipWithdrawn(normal);
+        oldestSequence = Math.min(firstSequence(urgent), firstSequence(normal));
     }
 
     void add(WaitingRequest request) {
@@ -135,6 +137,11 @@
         }
     }
 
+    private static long firstSequence(Deque<WaitingRequest> queue) {
+        @Nullable WaitingRequest first = queue.peekFirst();
+        return first == null ? Long.MAX_VALUE : first.sequence();
+    }
+
     private Deque<WaitingRequest> queue(WaitingRequest request) {
         return request.request().urgent() ? urgent : normal;
     }
--- a/library/src/main/java/org/marjoramnotch/logic/placement/WeightedFairOrder.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/WeightedFairOrder.java
@@ -9,7 +9,7 @@
  */
 public final class WeightedFairOrder implements TeamOrder {
     private static final Comparator<TeamBacklog> AMONG_EQUALS =
-            Comparator.comparingLong(TeamBacklog::headSequence).thenComparing(TeamBacklog::team);
+            Comparator.comparingLong(TeamBacklog::oldestSequence).thenComparing(TeamBacklog::team);
 
     @Override
     public int compare(TeamBacklog first, TeamBacklog second) {
