--- a/library/src/main/java/org/marjoramnotch/logic/job/CapacityReservation.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/CapacityReservation.java
@@ -6,6 +6,10 @@
 final class CapacityReservation {
     final QueuedJob owner;
     final long startMilliseconds;
+
+    /** Since when the job waited; another value shows that it got a worker meanwhile. */
+    final long waitingSinceMilliseconds;
+
     private final List<WorkerSession> workers;
 
     private CapacityReservation(
@@ -13,6 +17,7 @@
         this.owner = owner;
         this.startMilliseconds = startMilliseconds;
         this.workers = workers;
+        this.waitingSinceMilliseconds = owner.waitingSinceMilliseconds;
     }
 
     /** Keeps those workers that are not kept for another job. */
--- a/library/src/main/java/org/marjoramnotch/logic/job/JobSettings.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobSettings.java
@@ -16,6 +16,8 @@
  * @param mostStopsPerTick runs of stopped jobs handled in one tick
  * @param mostQueuedTasks waiting tasks above which jobs are refused
  * @param preemptionDelayMilliseconds how long urgent work waits before other runs are stopped
+ * @param reservationDelayMilliseconds how long a task that does not fit waits before a worker is
+ *     kept for it
  * @param quarantineMilliseconds time before the first probe of a quarantined worker
  * @param runTimeWeight how much of its learned run time counts as later arrival of a job, from 0
  */
@@ -30,6 +32,7 @@
         int mostStopsPerTick,
         int mostQueuedTasks,
         long preemptionDelayMilliseconds,
+        long reservationDelayMilliseconds,
         long quarantineMilliseconds,
         double runTimeWeight) {
     /** Refuses settings that cannot work. */
--- a/library/src/main/java/org/marjoramnotch/logic/job/JobSettingsBuilder.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobSettingsBuilder.java
@@ -12,6 +12,7 @@
     private int mostStopsPerTick = 256;
     private int mostQueuedTasks = 100_000;
     private long preemptionDelayMilliseconds = 1_000;
+    private long reservationDelayMilliseconds = 10_000;
     private long quarantineMilliseconds = 10_000;
     private double runTimeWeight = 0.25;
 
@@ -57,6 +58,12 @@
         return this;
     }
 
+    /** Sets how long a task that does not fit waits before a worker is kept for it. */
+    public JobSettingsBuilder reservationDelayMilliseconds(long value) {
+        reservationDelayMilliseconds = value;
+        return this;
+    }
+
     /** Sets the time before the first probe of a quarantined worker. */
     public JobSettingsBuilder quarantineMilliseconds(long value) {
         quarantineMilliseconds = value;
@@ -82,6 +89,7 @@
                 mostStopsPerTick,
                 mostQueuedTasks,
                 preemptionDelayMilliseconds,
+                reservationDelayMilliseconds,
                 quarantineMilliseconds,
                 runTimeWeight);
     }
--- a/library/src/main/java/org/marjoramnotch/logic/job/Preemption.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/Preemption.java
@@ -95,7 +95,8 @@
                 && !job.stopping
                 && task.interruptions < MOST_INTERRUPTIONS
                 && !worker.extraOrders.containsKey(task.attempt())
-                && (job.team.equals(urgent.team)
+                && (settings.order() == QueueOrder.URGENT_FIRST
+                        || job.team.equals(urgent.team)
                         || waiting.shareUsed(job.team) > waiting.shareUsed(urgent.team));
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/job/TaskPlacer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/TaskPlacer.java
@@ -24,13 +24,17 @@
 
     private static final double LATE_PERCENTILE = 90;
 
+    /** Jobs besides gangs for which workers are kept at once. */
+    private static final int MOST_RESERVATIONS = 4;
+
     private final JobSettings settings;
     private final TeamUsage usage;
     private final WaitingJobs waiting;
     private final WorkerPool pool;
     private final PlacementPolicies policies;
     private final RunTimes runTimes;
-    private final GangReservation gangs;
+    private final Reservations gangs;
+    private final Reservations others;
     private final Preemption preemption;
     private final DutyContext context;
     private final Map<StartTasks, List<ProposedStart>> proposed = new HashMap<>();
@@ -47,7 +51,8 @@
             Preemption preemption,
             DutyContext context) {
         this.runTimes = runTimes;
-        this.gangs = new GangReservation(pool, runTimes);
+        this.gangs = new Reservations(1, pool, runTimes);
+        this.others = new Reservations(MOST_RESERVATIONS, pool, runTimes);
         this.preemption = preemption;
         this.context = context;
         this.settings = settings;
@@ -60,6 +65,7 @@
     /** Proposes starts, a bounded number, from the team furthest below its share on. */
     void place(LeaderOutput output) {
         gangs.check();
+        others.check();
         Map<JobEntry, List<ProposedStart>> starts = new LinkedHashMap<>();
         int placed = 0;
         int attempts = 0;
@@ -153,8 +159,11 @@
         if (settings.order() == QueueOrder.FIRST_COME) {
             return;
         }
+        long waited = context.now() - queued.waitingSinceMilliseconds;
         if (queued.job.policy == QueuePolicy.GANG) {
-            gangs.blocked(queued, context.now());
+            gangs.blocked(queued, queued.waiting(), context.now());
+        } else if (waited >= settings.reservationDelayMilliseconds()) {
+            others.blocked(queued, 1, context.now());
         }
         preemption.blocked(queued);
     }
