Bound what a tick looks at; keep room for old gangs below limits

Change: percentiles are cached, sizes that did not fit are remembered for the tick, plans and forecasts are rationed; a gang that waited long keeps room below the limit every other minute.

--- a/library/src/main/java/org/marjoramnotch/logic/job/CapacityReservation.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/CapacityReservation.java
@@ -26,6 +26,7 @@
         List<WorkerSession> unkept =
                 workers.stream().filter(worker -> worker.reservation == null).toList();
         CapacityReservation reservation = new CapacityReservation(owner, startMilliseconds, unkept);
+        owner.hasReservation = true;
         unkept.forEach(worker -> worker.reservation = reservation);
         return reservation;
     }
--- a/library/src/main/java/org/marjoramnotch/logic/job/DrainForecast.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/DrainForecast.java
@@ -11,7 +11,6 @@
 
 /** Expects when workers will have room for the tasks of a gang, from learned run times. */
 final class DrainForecast {
-    private static final double LATE_PERCENTILE = 90;
     private static final long SHORTEST_OVERRUN_MILLISECONDS = 1_000;
 
     private final RunTimes runTimes;
@@ -44,7 +43,7 @@
     /** Returns when a run is expected to end; one that is overdue goes on for half its time. */
     long expectedEnd(TaskEntry task) {
         long ran = nowMilliseconds - task.sinceMilliseconds;
-        long left = runTimes.estimate(task.job, LATE_PERCENTILE) - ran;
+        long left = runTimes.late(task.job) - ran;
         long overrun = Math.max(SHORTEST_OVERRUN_MILLISECONDS, ran / 2);
         return nowMilliseconds + (left > 0 ? left : overrun);
     }
--- a/library/src/main/java/org/marjoramnotch/logic/job/JobDutyParts.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobDutyParts.java
@@ -7,8 +7,6 @@
 
 /** The parts of a duty, wired once for a term. */
 final class JobDutyParts {
-    private static final double TYPICAL_PERCENTILE = 50;
-
     final JobSettings settings;
     final JobLedger ledger;
     final DutyContext context;
@@ -56,7 +54,7 @@
 
     /** Returns a job as it waits now; expected long runs count as if they came a little later. */
     QueuedJob queued(JobEntry job) {
-        double lateness = settings.runTimeWeight() * runTimes.estimate(job, TYPICAL_PERCENTILE);
+        double lateness = settings.runTimeWeight() * runTimes.typical(job);
         QueuedJob queued = new QueuedJob(job, context.now() + lateness);
         queued.waitingSinceMilliseconds = context.now();
         return queued;
--- a/library/src/main/java/org/marjoramnotch/logic/job/Preemption.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/Preemption.java
@@ -20,12 +20,15 @@
     private static final long WORTH_SAVING_MILLISECONDS = 2_000;
     private static final long CHECKPOINT_MILLISECONDS = 5_000;
     private static final long KEPT_MILLISECONDS = 15_000;
+    private static final long RETRY_MILLISECONDS = 100;
+    private static final int PLANS_PER_TICK = 4;
 
     private final JobSettings settings;
     private final WorkerPool pool;
     private final WaitingJobs waiting;
     private final WorkerRequests workers;
     private final DutyContext context;
+    private int planned;
 
     Preemption(
             JobSettings settings,
@@ -40,6 +43,11 @@
         this.context = context;
     }
 
+    /** Starts a tick, in which a bounded number of plans is made. */
+    void startTick() {
+        planned = 0;
+    }
+
     /** Takes over that a job whose team has room does not fit now. */
     void blocked(QueuedJob queued) {
         boolean due =
@@ -47,8 +55,12 @@
                         && queued.job.policy != QueuePolicy.GANG
                         && context.now() - queued.waitingSinceMilliseconds
                                 >= settings.preemptionDelayMilliseconds()
-                        && queued.preemptions < queued.waiting();
+                        && queued.preemptions < queued.waiting()
+                        && context.now() >= queued.nextPreemptionMilliseconds
+                        && planned < PLANS_PER_TICK;
         if (due) {
+            planned++;
+            queued.nextPreemptionMilliseconds = context.now() + RETRY_MILLISECONDS;
             pool.free().sample(WORKERS_LOOKED_AT).stream()
                     .filter(worker -> worker.reservation == null)
                     .filter(worker -> worker.capacity().holds(queued.job.perTask()))
--- a/library/src/main/java/org/marjoramnotch/logic/job/QueuedJob.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/QueuedJob.java
@@ -30,6 +30,12 @@
     /** Since when it waits without a break, or when it last got a worker. */
     long waitingSinceMilliseconds;
 
+    /** Whether workers were ever kept for it, so that it may fit where others do not. */
+    boolean hasReservation;
+
+    /** When making room for it may be tried again. */
+    long nextPreemptionMilliseconds;
+
     /** Workers that are being cleared for it. */
     int preemptions;
 
--- a/library/src/main/java/org/marjoramnotch/logic/job/Reservations.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/Reservations.java
@@ -11,7 +11,7 @@
  * before it starts, so that two of them cannot wait for each other.
  */
 final class Reservations {
-    private static final int FEWEST_WORKERS_LOOKED_AT = 256;
+    private static final int FEWEST_WORKERS_LOOKED_AT = 32;
     private static final long RETRY_MILLISECONDS = 2_000;
     private static final Comparator<CapacityReservation> BY_AGE =
             Comparator.comparing(reservation -> reservation.owner);
@@ -48,6 +48,17 @@
         }
     }
 
+    /** Lets the workers go that are kept for a job whose team has no room. */
+    void release(QueuedJob job) {
+        for (CapacityReservation reservation : current) {
+            if (reservation.owner == job) {
+                reservation.release();
+                current.remove(reservation);
+                return;
+            }
+        }
+    }
+
     private boolean isAmongOldest(QueuedJob job) {
         boolean known = current.stream().anyMatch(reservation -> reservation.owner == job);
         if (known || current.size() < most) {
--- a/library/src/main/java/org/marjoramnotch/logic/job/TaskPlacer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/TaskPlacer.java
@@ -22,7 +22,7 @@
     /** Jobs of one shape that are tried when the first avoids the workers that have room. */
     private static final int MOST_JOBS_PER_SHAPE = 4;
 
-    private static final double LATE_PERCENTILE = 90;
+    private static final long ROOM_PERIOD_MILLISECONDS = 60_000;
 
     /** Jobs besides gangs for which workers are kept at once. */
     private static final int MOST_RESERVATIONS = 4;
@@ -37,11 +37,18 @@
     private final Reservations others;
     private final Preemption preemption;
     private final DutyContext context;
+
+    /** What did not fit in this tick, with the shortest expected run time that it did not for. */
+    private final Map<Resources, Long> failed = new HashMap<>();
+
     private final Map<StartTasks, List<ProposedStart>> proposed = new HashMap<>();
 
     /** Placements of each team that are proposed and not applied yet. */
     private final Map<TeamName, Integer> pending = new HashMap<>();
 
+    /** Jobs looked at in this tick. */
+    private int attempts;
+
     TaskPlacer(
             JobSettings settings,
             TeamUsage usage,
@@ -64,18 +71,19 @@
 
     /** Proposes starts, a bounded number, from the team furthest below its share on. */
     void place(LeaderOutput output) {
+        preemption.startTick();
         gangs.check();
         others.check();
         Map<JobEntry, List<ProposedStart>> starts = new LinkedHashMap<>();
         int placed = 0;
-        int attempts = 0;
+        attempts = 0;
+        failed.clear();
         while (placed < settings.mostPlacementsPerTick()
                 && attempts < settings.mostAttemptsPerTick()) {
             Optional<TeamQueue> team = waiting.next();
             if (team.isEmpty()) {
                 break;
             }
-            attempts += Math.max(1, team.get().shapes().size());
             List<ProposedStart> chosen = choose(team.get());
             if (chosen.isEmpty()) {
                 waiting.park(team.get());
@@ -112,14 +120,22 @@
         }
     }
 
+    /**
+     * Returns starts for the first job that fits. A gang that has waited long keeps room below the
+     * team's limit: what stands behind it must leave room for all its tasks.
+     */
     private List<ProposedStart> choose(TeamQueue team) {
+        int kept = 0;
         for (ShapeQueue shape : team.shapes()) {
             int tried = 0;
             for (QueuedJob queued : shape.jobs) {
-                List<ProposedStart> chosen = choose(queued);
+                List<ProposedStart> chosen = choose(queued, kept);
                 if (!chosen.isEmpty()) {
                     return chosen;
                 }
+                if (kept == 0 && keepsRoom(queued)) {
+                    kept = queued.waiting();
+                }
                 tried++;
                 if (queued.avoided.isEmpty() || tried == MOST_JOBS_PER_SHAPE) {
                     break;
@@ -132,14 +148,37 @@
         return List.of();
     }
 
-    private List<ProposedStart> choose(QueuedJob queued) {
+    /** Room is kept every other period, since services may hold the rest of the limit for good. */
+    private boolean keepsRoom(QueuedJob queued) {
+        if (queued.job.policy != QueuePolicy.GANG || !isOverdue(queued)) {
+            return false;
+        }
+        long overdue =
+                context.now()
+                        - queued.waitingSinceMilliseconds
+                        - settings.reservationDelayMilliseconds();
+        int limit = usage.room(queued.job.team) + usage.running(queued.job.team);
+        boolean inPeriod = overdue / ROOM_PERIOD_MILLISECONDS % 2 == 0;
+        return inPeriod && queued.waiting() <= limit;
+    }
+
+    private boolean isOverdue(QueuedJob queued) {
+        long waited = context.now() - queued.waitingSinceMilliseconds;
+        return waited >= settings.reservationDelayMilliseconds();
+    }
+
+    private List<ProposedStart> choose(QueuedJob queued, int keptRoom) {
+        attempts++;
         int tasks = TaskShape.of(queued).together();
-        if (room(queued.job) < tasks) {
+        if (room(queued.job) - keptRoom < tasks) {
+            gangs.release(queued);
+            others.release(queued);
             return List.of();
         }
-        long end = context.now() + runTimes.estimate(queued.job, LATE_PERCENTILE);
-        Predicate<WorkerSession> allowed =
-                worker -> !queued.avoided.contains(worker.id()) && worker.admits(queued, end);
+        if (hasFailed(queued)) {
+            return List.of();
+        }
+        Predicate<WorkerSession> allowed = worker -> admits(worker, queued);
         List<WorkerSession> workers =
                 policies.of(queued.job.policy)
                         .choose(new PlacementRequest(queued, tasks, allowed), pool.free());
@@ -155,14 +194,31 @@
         return chosen;
     }
 
+    /** Tells whether a task of the size that ends no later did not fit in this tick. */
+    private boolean hasFailed(QueuedJob queued) {
+        Long late = failed.get(queued.job.perTask());
+        return late != null && !queued.hasReservation && runTimes.late(queued.job) >= late;
+    }
+
+    private boolean admits(WorkerSession worker, QueuedJob queued) {
+        if (!queued.avoided.isEmpty() && queued.avoided.contains(worker.id())) {
+            return false;
+        }
+        return !worker.isReserved()
+                || worker.admits(queued, context.now() + runTimes.late(queued.job));
+    }
+
+    /** Remembers for this tick what did not fit, and sees to it that it will. */
     private void blocked(QueuedJob queued) {
+        if (queued.avoided.isEmpty() && queued.job.policy != QueuePolicy.GANG) {
+            failed.merge(queued.job.perTask(), runTimes.late(queued.job), Math::min);
+        }
         if (settings.order() == QueueOrder.FIRST_COME) {
             return;
         }
-        long waited = context.now() - queued.waitingSinceMilliseconds;
         if (queued.job.policy == QueuePolicy.GANG) {
             gangs.blocked(queued, queued.waiting(), context.now());
-        } else if (waited >= settings.reservationDelayMilliseconds()) {
+        } else if (isOverdue(queued)) {
             others.blocked(queued, 1, context.now());
         }
         preemption.blocked(queued);
@@ -179,6 +235,7 @@
                 "A placement exceeds what is free of worker " + start.worker().id());
         start.worker().addPending(job.perTask());
         start.worker().health.placed();
+        start.worker().endReservation(job);
         pool.changed(start.worker());
         waiting.hold(job, job.perTask(), Resources.NONE);
         pending.merge(job.team, 1, Integer::sum);
--- a/library/src/main/java/org/marjoramnotch/logic/job/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/WorkerSession.java
@@ -100,13 +100,27 @@
         pending = pending.minus(needed);
     }
 
+    boolean isReserved() {
+        return reservation != null;
+    }
+
     /** Tells whether a job may use the worker that would end at the given time. */
     boolean admits(QueuedJob queued, long endMilliseconds) {
+        if (reservation != null && reservation.owner.isEmpty()) {
+            reservation = null;
+        }
         return reservation == null
                 || reservation.owner == queued
                 || endMilliseconds <= reservation.startMilliseconds;
     }
 
+    /** Lets the worker go when the job that it is kept for has started on it. */
+    void endReservation(JobEntry job) {
+        if (reservation != null && reservation.owner.job == job) {
+            reservation = null;
+        }
+    }
+
     boolean takesWork() {
         return confirmed && !ending && announcements.isEmpty() && health.takesWork();
     }
