--- a/library/src/main/java/org/marjoramnotch/logic/job/CapacityReservation.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/CapacityReservation.java
@@ -6,6 +6,10 @@
 final class CapacityReservation {
     final QueuedJob owner;
     final long startMilliseconds;
+
+    /** Since when the job waited; another value shows that it got a worker meanwhile. */
+    final long waitingSinceMilliseconds;
+
     private final List<WorkerSession> workers;
 
     private CapacityReservation(
@@ -13,6 +17,7 @@
         this.owner = owner;
         this.startMilliseconds = startMilliseconds;
         this.workers = workers;
+        this.waitingSinceMilliseconds = owner.waitingSinceMilliseconds;
     }
 
     /** Keeps those workers that are not kept for another job. */
@@ -21,6 +26,7 @@
         List<WorkerSession> unkept =
                 workers.stream().filter(worker -> worker.reservation == null).toList();
         CapacityReservation reservation = new CapacityReservation(owner, startMilliseconds, unkept);
+        owner.hasReservation = true;
         unkept.forEach(worker -> worker.reservation = reservation);
         return reservation;
     }
