--- a/daemon/src/main/java/org/marjoramnotch/daemon/storage/FileReplicaStorage.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/storage/FileReplicaStorage.java
@@ -2,12 +2,15 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.UUID;
@@ -17,6 +20,7 @@
 import org.marjoramnotch.logic.replication.ReplicaStorage;
 import org.marjoramnotch.logic.replication.StorageWrite;
 import org.marjoramnotch.model.error.Invariant;
+import org.marjoramnotch.model.error.MarjoramnotchException;
 import org.marjoramnotch.model.replication.Snapshot;
 
 /**
@@ -45,12 +49,15 @@
      *     if it cannot be used or another process uses it
      */
     public static FileReplicaStorage open(Path path) {
-        StorageFolder folder = null;
         try {
-            folder = StorageFolder.open(path);
-            return new FileReplicaStorage(folder);
+            StorageFolder folder = StorageFolder.open(path);
+            try {
+                return new FileReplicaStorage(folder);
+            } catch (IOException | MarjoramnotchException e) {
+                folder.close();
+                throw e;
+            }
         } catch (IOException e) {
-            closeQuietly(folder);
             throw StorageErrors.failed(path, e);
         }
     }
@@ -109,8 +116,14 @@
 
     @Override
     public void close() {
-        closeQuietly(log);
-        closeQuietly(folder);
+        try {
+            if (log != null) {
+                log.close();
+            }
+            folder.close();
+        } catch (IOException e) {
+            throw StorageErrors.failed(folder.path(), e);
+        }
     }
 
     private void append(List<StorageWrite> batch) throws IOException {
@@ -168,30 +181,23 @@
     private String createOrReadIdentity() throws IOException {
         Path path = folder.identity();
         if (Files.exists(path)) {
-            return Files.readString(path).strip();
+            String read = Files.readString(path).strip();
+            if (read.isEmpty()) {
+                throw StorageErrors.damaged(path, "the file is empty");
+            }
+            return read;
         }
         if (folder.latestSnapshot().isPresent()) {
             throw StorageErrors.damaged(path, "the file is missing");
         }
         LogSegment.create(folder.log(0), codec).close();
         String created = UUID.randomUUID().toString();
-        byte[] content = (created + "\n").getBytes(java.nio.charset.StandardCharsets.US_ASCII);
-        folder.writeWhole(path, channel -> channel.write(java.nio.ByteBuffer.wrap(content)));
+        byte[] content = (created + "\n").getBytes(StandardCharsets.US_ASCII);
+        folder.writeWhole(path, channel -> channel.write(ByteBuffer.wrap(content)));
         return created;
     }
 
     private LogSegment current() {
-        return java.util.Objects.requireNonNull(log);
-    }
-
-    private static void closeQuietly(@Nullable Closeable closeable) {
-        if (closeable == null) {
-            return;
-        }
-        try {
-            closeable.close();
-        } catch (IOException e) {
-            throw new java.io.UncheckedIOException(e);
-        }
+        return Objects.requireNonNull(log);
     }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/storage/RecordFrame.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/storage/RecordFrame.java
@@ -21,8 +21,8 @@
     /** Writes a record at the channel's position. */
     static void write(FileChannel channel, byte[] content) throws IOException {
         ByteBuffer header = ByteBuffer.allocate(HEADER_BYTES);
-        header.putInt(content.length).putInt(checksum(content, 0, content.length));
-        header.putInt(checksum(header.array(), 0, CHECKED_HEADER_BYTES)).flip();
+        header.putInt(content.length).putInt(checksum(content));
+        header.putInt(headerChecksum(header, channel.position())).flip();
         ByteBuffer[] parts = {header, ByteBuffer.wrap(content)};
         while (parts[0].hasRemaining() || parts[1].hasRemaining()) {
             channel.write(parts);
@@ -38,11 +38,11 @@
         ByteBuffer fields = ByteBuffer.wrap(header);
         int length = fields.getInt();
         int contentChecksum = fields.getInt();
-        if (fields.getInt() != checksum(header, 0, CHECKED_HEADER_BYTES)) {
+        if (fields.getInt() != headerChecksum(fields, position)) {
             return Optional.empty();
         }
         byte[] content = readBytes(channel, position + HEADER_BYTES, length);
-        if (content == null || checksum(content, 0, length) != contentChecksum) {
+        if (content == null || checksum(content) != contentChecksum) {
             return Optional.empty();
         }
         return Optional.of(content);
@@ -62,9 +62,15 @@
         return buffer.array();
     }
 
-    private static int checksum(byte[] bytes, int offset, int length) {
+    private static int headerChecksum(ByteBuffer header, long position) {
+        ByteBuffer checked = ByteBuffer.allocate(CHECKED_HEADER_BYTES + Long.BYTES);
+        checked.put(header.array(), 0, CHECKED_HEADER_BYTES).putLong(position);
+        return checksum(checked.array());
+    }
+
+    private static int checksum(byte[] bytes) {
         CRC32C checksum = new CRC32C();
-        checksum.update(bytes, offset, length);
+        checksum.update(bytes, 0, bytes.length);
         return (int) checksum.getValue();
     }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/storage/StorageFolder.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/storage/StorageFolder.java
@@ -35,9 +35,10 @@
         this.lockChannel = lockChannel;
     }
 
-    /** Creates the folder if need be and locks it. */
-    static StorageFolder open(Path folder) throws IOException {
-        Files.createDirectories(folder);
+    /** Creates the folder if need be, so that it outlasts a power failure, and locks it. */
+    static StorageFolder open(Path path) throws IOException {
+        Path folder = path.toAbsolutePath();
+        createDurably(folder);
         FileChannel channel =
                 FileChannel.open(
                         folder.resolve("lock"),
@@ -105,9 +106,7 @@
 
     /** Makes created, renamed and deleted names durable. */
     void sync() throws IOException {
-        try (FileChannel channel = FileChannel.open(folder, StandardOpenOption.READ)) {
-            channel.force(true);
-        }
+        sync(folder);
     }
 
     @Override
@@ -115,6 +114,22 @@
         lockChannel.close();
     }
 
+    private static void createDurably(Path folder) throws IOException {
+        Path parent = folder.getParent();
+        if (Files.isDirectory(folder) || parent == null) {
+            return;
+        }
+        createDurably(parent);
+        Files.createDirectory(folder);
+        sync(parent);
+    }
+
+    private static void sync(Path directory) throws IOException {
+        try (FileChannel channel = FileChannel.open(directory, StandardOpenOption.READ)) {
+            channel.force(true);
+        }
+    }
+
     private List<Path> files() throws IOException {
         List<Path> files = new ArrayList<>();
         try (DirectoryStream<Path> stream = Files.newDirectoryStream(folder)) {
--- a/library/src/main/java/org/marjoramnotch/model/replication/LogEntry.java
+++ b/library/src/main/java/org/marjoramnotch/model/replication/LogEntry.java
@@ -1,9 +1,11 @@
 package org.marjoramnotch.model.replication;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import java.util.Optional;
 
 /**
- * An entry of the log.
+ * An entry of the log. It is encoded without field names, since there are many.
  *
  * @param index its position, from 1 on
  * @param term the term of the leader that appended it
@@ -11,6 +13,8 @@
  * @param payload the payload of a {@link EntryKind#PAYLOAD}, else empty
  * @param membership the members of a {@link EntryKind#MEMBERSHIP}
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+@JsonPropertyOrder({"index", "term", "kind", "payload", "membership"})
 public record LogEntry(
         long index, long term, EntryKind kind, byte[] payload, Optional<Membership> membership) {
     private static final int FRAME_BYTES = 64;
--- a/library/src/test/java/org/marjoramnotch/logic/replication/ReplicaTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/ReplicaTest.java
@@ -20,6 +20,8 @@
 import org.marjoramnotch.model.replication.JoinRequest;
 import org.marjoramnotch.model.replication.LogEntry;
 import org.marjoramnotch.model.replication.Membership;
+import org.marjoramnotch.model.replication.SnapshotChunk;
+import org.marjoramnotch.model.replication.SnapshotChunkReply;
 import org.marjoramnotch.model.replication.TimeoutNow;
 import org.marjoramnotch.model.replication.VoteKind;
 import org.marjoramnotch.model.replication.VoteReply;
@@ -149,6 +151,39 @@
         assertThat(leader.status(1_510).voters()).containsExactly(ONE, TWO);
     }
 
+    @Test
+    void onlyComparedEntriesAreAcknowledged() {
+        storeLog(3);
+        storage.persist(
+                List.of(new StorageWrite.AppendLog(List.of(LogEntry.payload(2, 3, PAYLOAD)))));
+        Replica replica = start(0);
+        replica.receive(0, TWO, heartbeat(4));
+        assertThat(replica.takeEffects().messages())
+                .containsExactly(new ReplicationEffects.Outgoing(TWO, new AppendAccepted(4, 1, 0)));
+    }
+
+    @Test
+    void snapshotBringsStateAndMembership() {
+        Replica replica = start(0);
+        for (byte part = 0; part < 2; part++) {
+            replica.receive(
+                    0,
+                    TWO,
+                    new SnapshotChunk(GROUP, 4, 9, 3, VOTERS, part, 2, new byte[] {part}, part));
+        }
+        ReplicationEffects effects = replica.takeEffects();
+        assertThat(effects.restored().orElseThrow())
+                .usingRecursiveComparison()
+                .isEqualTo(new ReplicationEffects.RestoredState(9, new byte[] {0, 1}));
+        assertThat(effects.messages())
+                .extracting(ReplicationEffects.Outgoing::message)
+                .containsExactly(
+                        new SnapshotChunkReply(4, 9, 1, 0), new SnapshotChunkReply(4, 9, 2, 1));
+        storage.persist(effects.writes());
+        assertThat(replica.status(0).voters()).isEqualTo(VOTERS.voters());
+        assertThat(start(5).status(5).voters()).isEqualTo(VOTERS.voters());
+    }
+
     @Test
     void messagesOfAnotherGroupAreIgnored() {
         storeLog(3);
