Part the election timer and the followers' answers from the replica's state

Cause: ReplicaState and Replica held several jobs, and an answer's term was read in three places. Change: ElectionTimer; the sealed FollowerReply; the restart rows of the vote table start at a time other than 0, since the clock's origin hid a replica that does not count itself as having heard a leader.

--- a/library/src/main/java/org/marjoramnotch/logic/replication/Election.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Election.java
@@ -18,9 +18,9 @@
     }
 
     void tick() {
-        if (state.role() != Role.LEADER && state.votes() && state.electionDue()) {
+        if (state.role() != Role.LEADER && state.votes() && state.timer().isDue(state.now())) {
             state.askPreVotes();
-            awaitRetry();
+            state.timer().awaitRetry(state.now());
             ask(VoteKind.PRE_VOTE, state.term() + 1);
         }
     }
@@ -55,7 +55,7 @@
         if (grant) {
             state.vote(from);
             state.follow(state.term(), null);
-            awaitTimeout();
+            state.timer().awaitTimeout(state.now());
         }
         reply(from, request, grant);
     }
@@ -79,7 +79,7 @@
 
     private void campaign(VoteKind kind) {
         state.campaign();
-        awaitRetry();
+        state.timer().awaitRetry(state.now());
         ask(kind, state.term());
     }
 
@@ -111,9 +111,7 @@
     private boolean supportsLeader() {
         return state.leadership()
                 .map(Leadership::mayHoldLease)
-                .orElse(
-                        state.millisecondsSinceLeader()
-                                < state.settings().electionTimeoutMinimumMilliseconds());
+                .orElseGet(() -> state.timer().supportsLeader(state.now()));
     }
 
     private boolean isUpToDate(VoteRequest request) {
@@ -126,16 +124,4 @@
     private void reply(ReplicaId to, VoteRequest request, boolean grant) {
         state.send(to, new VoteReply(state.term(), request.kind(), request.term(), grant));
     }
-
-    /** Votes bind nobody before the timeout, so a failed attempt may be repeated sooner. */
-    private void awaitRetry() {
-        long minimum = state.settings().electionTimeoutMinimumMilliseconds();
-        state.awaitElection(minimum / 4, minimum / 2 + 1);
-    }
-
-    private void awaitTimeout() {
-        state.awaitElection(
-                state.settings().electionTimeoutMinimumMilliseconds(),
-                state.settings().electionTimeoutMaximumMilliseconds());
-    }
 }
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ElectionTimer.java
@@ -0,0 +1,50 @@
+package org.marjoramnotch.logic.replication;
+
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Measures how long the leader has been silent and when to seek election, on the own clock. */
+final class ElectionTimer {
+    private final ReplicaSettings settings;
+    private final UniformRandomProvider random;
+    private long leaderHeardAt;
+    private long deadline;
+
+    ElectionTimer(ReplicaSettings settings, UniformRandomProvider random) {
+        this.settings = settings;
+        this.random = random;
+    }
+
+    /** Notes that the leader of the current term was heard. */
+    void hearLeader(long now) {
+        leaderHeardAt = now;
+        awaitTimeout(now);
+    }
+
+    long millisecondsSinceLeader(long now) {
+        return now - leaderHeardAt;
+    }
+
+    /** Tells whether a leader that was heard may still hold a lease that rests on this replica. */
+    boolean supportsLeader(long now) {
+        return millisecondsSinceLeader(now) < settings.electionTimeoutMinimumMilliseconds();
+    }
+
+    boolean isDue(long now) {
+        return now >= deadline;
+    }
+
+    /** Sets the next election to a whole random timeout from now. */
+    void awaitTimeout(long now) {
+        deadline =
+                now
+                        + random.nextLong(
+                                settings.electionTimeoutMinimumMilliseconds(),
+                                settings.electionTimeoutMaximumMilliseconds());
+    }
+
+    /** Sets the next attempt after one that may fail; no leader is waited for, so it is sooner. */
+    void awaitRetry(long now) {
+        long minimum = settings.electionTimeoutMinimumMilliseconds();
+        deadline = now + random.nextLong(minimum / 4, minimum / 2 + 1);
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/replication/JoinDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/JoinDuty.java
@@ -50,7 +50,7 @@
             return true;
         }
         boolean heard =
-                state.millisecondsSinceLeader()
+                state.timer().millisecondsSinceLeader(state.now())
                         < 2 * state.settings().electionTimeoutMaximumMilliseconds();
         return heard && state.membership().contains(state.self());
     }
--- a/library/src/main/java/org/marjoramnotch/logic/replication/Leadership.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Leadership.java
@@ -4,10 +4,11 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
-import java.util.function.Consumer;
+import java.util.function.ToLongFunction;
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.replication.AppendAccepted;
 import org.marjoramnotch.model.replication.AppendRejected;
+import org.marjoramnotch.model.replication.FollowerReply;
 import org.marjoramnotch.model.replication.LogEntry;
 import org.marjoramnotch.model.replication.Membership;
 import org.marjoramnotch.model.replication.SnapshotChunkReply;
@@ -90,25 +91,21 @@
         advanceCommit();
     }
 
-    void onAccepted(ReplicaId from, AppendAccepted message) {
-        onAnswer(
-                from,
-                message.sentAtMilliseconds(),
-                progress -> progress.onMatch(message.matchIndex()));
-    }
-
-    void onRejected(ReplicaId from, AppendRejected message) {
-        onAnswer(
-                from,
-                message.sentAtMilliseconds(),
-                progress -> progress.onRejected(message.previousIndex(), message.nextIndexHint()));
-    }
-
-    void onSnapshotReply(ReplicaId from, SnapshotChunkReply message) {
-        onAnswer(
-                from,
-                message.sentAtMilliseconds(),
-                progress -> sender.onSnapshotReply(progress, message));
+    void onReply(ReplicaId from, FollowerReply reply) {
+        Progress progress = members.get(from);
+        if (progress == null) {
+            return;
+        }
+        progress.onAnswer(reply.sentAtMilliseconds(), state.now());
+        if (reply instanceof AppendAccepted accepted) {
+            progress.onMatch(accepted.matchIndex());
+        } else if (reply instanceof AppendRejected rejected) {
+            progress.onRejected(rejected.previousIndex(), rejected.nextIndexHint());
+        } else if (reply instanceof SnapshotChunkReply chunkReply) {
+            sender.onSnapshotReply(progress, chunkReply);
+        }
+        advanceCommit();
+        transfer.tick();
     }
 
     /** Returns until when no other replica can lead. */
@@ -126,17 +123,6 @@
                 || state.now() - startedAt < state.settings().electionTimeoutMinimumMilliseconds();
     }
 
-    private void onAnswer(ReplicaId from, long sentAt, Consumer<Progress> change) {
-        Progress progress = members.get(from);
-        if (progress == null) {
-            return;
-        }
-        progress.onAnswer(sentAt, state.now());
-        change.accept(progress);
-        advanceCommit();
-        transfer.tick();
-    }
-
     private void trackMembers() {
         Membership membership = state.membership();
         members.keySet().removeIf(member -> !membership.contains(member));
@@ -166,7 +152,7 @@
     }
 
     /** Returns the highest value that a majority of the voters has reached. */
-    private long quorumOf(long ownValue, java.util.function.ToLongFunction<Progress> value) {
+    private long quorumOf(long ownValue, ToLongFunction<Progress> value) {
         long[] values =
                 state.membership().voters().stream()
                         .mapToLong(
--- a/library/src/main/java/org/marjoramnotch/logic/replication/LogReceiver.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/LogReceiver.java
@@ -59,7 +59,7 @@
     private void hearLeader(ReplicaId from, String group, long term) {
         state.joinGroup(group);
         state.follow(term, from);
-        state.hearLeader();
+        state.timer().hearLeader(state.now());
     }
 
     /** Committed entries equal those of every leader, so only later ones are compared. */
--- a/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
@@ -7,16 +7,14 @@
 import org.marjoramnotch.model.error.MarjoramnotchException;
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.VmId;
-import org.marjoramnotch.model.replication.AppendAccepted;
 import org.marjoramnotch.model.replication.AppendEntries;
-import org.marjoramnotch.model.replication.AppendRejected;
+import org.marjoramnotch.model.replication.FollowerReply;
 import org.marjoramnotch.model.replication.JoinReply;
 import org.marjoramnotch.model.replication.JoinRequest;
 import org.marjoramnotch.model.replication.LogEntry;
 import org.marjoramnotch.model.replication.Membership;
 import org.marjoramnotch.model.replication.ReplicationMessage;
 import org.marjoramnotch.model.replication.SnapshotChunk;
-import org.marjoramnotch.model.replication.SnapshotChunkReply;
 import org.marjoramnotch.model.replication.TimeoutNow;
 import org.marjoramnotch.model.replication.VoteReply;
 import org.marjoramnotch.model.replication.VoteRequest;
@@ -88,8 +86,8 @@
             join.onRequest(from, request);
         } else if (message instanceof JoinReply reply) {
             join.onReply(reply);
-        } else {
-            receiveAsLeader(from, message);
+        } else if (message instanceof FollowerReply reply) {
+            receiveReply(from, reply);
         }
     }
 
@@ -162,29 +160,11 @@
                 state.membership().learners());
     }
 
-    private void receiveAsLeader(ReplicaId from, ReplicationMessage message) {
-        long term = 0;
-        if (message instanceof AppendAccepted accepted) {
-            term = accepted.term();
-        } else if (message instanceof AppendRejected rejected) {
-            term = rejected.term();
-        } else if (message instanceof SnapshotChunkReply reply) {
-            term = reply.term();
-        }
-        if (term > state.term()) {
-            state.follow(term, null);
-            return;
-        }
-        if (term < state.term() || state.leadership().isEmpty()) {
-            return;
-        }
-        Leadership leadership = state.leadership().orElseThrow();
-        if (message instanceof AppendAccepted accepted) {
-            leadership.onAccepted(from, accepted);
-        } else if (message instanceof AppendRejected rejected) {
-            leadership.onRejected(from, rejected);
-        } else if (message instanceof SnapshotChunkReply reply) {
-            leadership.onSnapshotReply(from, reply);
+    private void receiveReply(ReplicaId from, FollowerReply reply) {
+        if (reply.term() > state.term()) {
+            state.follow(reply.term(), null);
+        } else if (reply.term() == state.term()) {
+            state.leadership().ifPresent(leadership -> leadership.onReply(from, reply));
         }
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/replication/ReplicaState.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ReplicaState.java
@@ -14,7 +14,7 @@
 /** The state that all parts of a replica share, and the steps that change it safely. */
 final class ReplicaState {
     private final ReplicaSettings settings;
-    private final UniformRandomProvider random;
+    private final ElectionTimer timer;
     private final EffectBuffer effects = new EffectBuffer();
     private final ReplicaLog log;
     private HardState hardState;
@@ -22,8 +22,6 @@
     private @Nullable ReplicaId leader;
     private @Nullable Leadership leadership;
     private long now;
-    private long leaderHeardAt;
-    private long electionDeadline;
     private long commitIndex;
 
     ReplicaState(
@@ -32,7 +30,7 @@
             UniformRandomProvider random,
             long now) {
         this.settings = settings;
-        this.random = random;
+        this.timer = new ElectionTimer(settings, random);
         this.hardState = recovered.hardState();
         this.log = new ReplicaLog(recovered, settings.trailingEntries(), effects);
         this.now = now;
@@ -42,7 +40,7 @@
             joinGroup(membership().group());
         }
         // A vote may have been refused, or a lease supported, just before the restart.
-        hearLeader();
+        timer.hearLeader(now);
     }
 
     /** Moves the time on; a time before the last one is ignored. */
@@ -106,31 +104,14 @@
         return membership().voters().contains(self());
     }
 
-    boolean electionDue() {
-        return now >= electionDeadline;
-    }
-
-    long millisecondsSinceLeader() {
-        return now - leaderHeardAt;
+    ElectionTimer timer() {
+        return timer;
     }
 
     void send(ReplicaId to, ReplicationMessage message) {
         effects.send(to, message);
     }
 
-    /** Notes that the leader of the current term was heard; votes are refused for a while. */
-    void hearLeader() {
-        leaderHeardAt = now;
-        awaitElection(
-                settings.electionTimeoutMinimumMilliseconds(),
-                settings.electionTimeoutMaximumMilliseconds());
-    }
-
-    /** Sets the next election to a random time from now. */
-    void awaitElection(long minimumMilliseconds, long maximumMilliseconds) {
-        electionDeadline = now + random.nextLong(minimumMilliseconds, maximumMilliseconds);
-    }
-
     /** Follows the leader of a term, or waits for one. */
     void follow(long term, @Nullable ReplicaId newLeader) {
         Invariant.check(term >= term(), "The term went back");
@@ -139,9 +120,7 @@
             leader = null;
         }
         if (role == Role.LEADER) {
-            awaitElection(
-                    settings.electionTimeoutMinimumMilliseconds(),
-                    settings.electionTimeoutMaximumMilliseconds());
+            timer.awaitTimeout(now);
         }
         role = Role.FOLLOWER;
         leadership = null;
--- a/library/src/main/java/org/marjoramnotch/model/replication/AppendAccepted.java
+++ b/library/src/main/java/org/marjoramnotch/model/replication/AppendAccepted.java
@@ -8,4 +8,4 @@
  * @param sentAtMilliseconds of the acknowledged message
  */
 public record AppendAccepted(long term, long matchIndex, long sentAtMilliseconds)
-        implements ReplicationMessage {}
+        implements FollowerReply {}
--- a/library/src/main/java/org/marjoramnotch/model/replication/AppendRejected.java
+++ b/library/src/main/java/org/marjoramnotch/model/replication/AppendRejected.java
@@ -11,4 +11,4 @@
  */
 public record AppendRejected(
         long term, long previousIndex, long nextIndexHint, long sentAtMilliseconds)
-        implements ReplicationMessage {}
+        implements FollowerReply {}
--- a/library/src/main/java/org/marjoramnotch/model/replication/ReplicationMessage.java
+++ b/library/src/main/java/org/marjoramnotch/model/replication/ReplicationMessage.java
@@ -21,10 +21,8 @@
         permits VoteRequest,
                 VoteReply,
                 AppendEntries,
-                AppendAccepted,
-                AppendRejected,
                 SnapshotChunk,
-                SnapshotChunkReply,
+                FollowerReply,
                 TimeoutNow,
                 JoinRequest,
                 JoinReply {}
--- a/library/src/main/java/org/marjoramnotch/model/replication/SnapshotChunkReply.java
+++ b/library/src/main/java/org/marjoramnotch/model/replication/SnapshotChunkReply.java
@@ -10,4 +10,4 @@
  */
 public record SnapshotChunkReply(
         long term, long snapshotIndex, long nextOffset, long sentAtMilliseconds)
-        implements ReplicationMessage {}
+        implements FollowerReply {}
--- a/library/src/test/java/org/marjoramnotch/logic/replication/ReplicaTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/ReplicaTest.java
@@ -69,8 +69,8 @@
     })
     void voteIsRefusedWhileLeaderMayHoldLease(VoteKind kind, long term, long now, boolean granted) {
         storeLog(3);
-        Replica replica = start(0);
-        assertThat(askVote(replica, now, TWO, kind, term)).isEqualTo(granted);
+        Replica replica = start(10_000);
+        assertThat(askVote(replica, 10_000 + now, TWO, kind, term)).isEqualTo(granted);
     }
 
     @Test
--- a/library/src/test/java/org/marjoramnotch/logic/replication/SimulatedReplica.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/SimulatedReplica.java
@@ -1,5 +1,7 @@
 package org.marjoramnotch.logic.replication;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
@@ -9,6 +11,7 @@
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.replication.ReplicationEnvelope;
+import org.marjoramnotch.model.replication.TimeoutNow;
 
 /** A replica with its storage, its clock and the state that it applied, on one simulated VM. */
 final class SimulatedReplica {
@@ -154,7 +157,7 @@
         }
         for (ReplicationEffects.Outgoing outgoing : effects.messages()) {
             checker.checkSynced(this, outgoing.to(), outgoing.message());
-            if (outgoing.message() instanceof org.marjoramnotch.model.replication.TimeoutNow) {
+            if (outgoing.message() instanceof TimeoutNow) {
                 coverage.count(Covered.TRANSFER);
             }
             network.send(time, new ReplicationEnvelope(id(), outgoing.to(), outgoing.message()));
@@ -192,7 +195,7 @@
     }
 
     private void apply(CommittedEntry entry) {
-        org.assertj.core.api.Assertions.assertThat(entry.index()).isGreaterThan(appliedIndex);
+        assertThat(entry.index()).isGreaterThan(appliedIndex);
         appliedIndex = entry.index();
         hash = 31 * hash + ByteBuffer.wrap(entry.payload()).getLong() + entry.term();
         checker.onApplied(appliedIndex, hash);
