--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/Announcer.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/Announcer.java
@@ -31,6 +31,12 @@
         return endpoints.values().stream().mapToInt(endpoint -> endpoint.executions(body)).sum();
     }
 
+    /** Returns the address of one endpoint, for calls past the cell. */
+    String anyAddress() {
+        int port = endpoints.values().iterator().next().port();
+        return "http://127.0.0.1:" + port + "/echo";
+    }
+
     @Override
     public void close() {
         open = false;
--- /dev/null
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/CellBench.java
@@ -0,0 +1,114 @@
+package org.marjoramnotch.endtoend;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Prints the waiting time that a cell of three replicas adds to a quick request against calling the
+ * endpoint directly, and the time without a leader after each kind of loss.
+ */
+public final class CellBench {
+    private static final int WARM_UP_REQUESTS = 1_500;
+    private static final int REQUESTS = 1_500;
+    private static final int ROUNDS = 3;
+    private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
+
+    private final Cell cell;
+    private final Announcer endpoints;
+    private final CallerLoad load;
+
+    private CellBench(Cell cell, Announcer endpoints) {
+        this.cell = cell;
+        this.endpoints = endpoints;
+        this.load =
+                new CallerLoad(
+                        cell.caller(), cell.addresses(), TestRules.ONCE_QUEUE, TestRules.KEY);
+    }
+
+    /** Runs all measurements on one cell. */
+    public static void main(String[] arguments) throws IOException {
+        Path folder = Files.createTempDirectory("marjoramnotch-bench");
+        try (Cell cell = new Cell(folder, 3, 1);
+                Announcer endpoints = new Announcer(cell.addresses(), TestRules.SERVICE, 2)) {
+            cell.form(TestRules.TEXT);
+            CellBench bench = new CellBench(cell, endpoints);
+            Poll.until("a request is answered", () -> bench.answered("first"));
+            bench.compareWithDirectCalls();
+            bench.lossOfLeader("killed", DaemonProcess::kill, DaemonProcess::restart);
+            bench.lossOfLeader(
+                    "frozen", leader -> leader.signal("STOP"), leader -> leader.signal("CONT"));
+            bench.lossOfLeader("planned_stop", DaemonProcess::stop, DaemonProcess::restart);
+        }
+    }
+
+    private void compareWithDirectCalls() {
+        Supplier<Boolean> direct =
+                () ->
+                        cell.caller().send("POST", endpoints.anyAddress(), "", "x").statusCode()
+                                == 200;
+        Supplier<Boolean> through = () -> answered("x" + System.nanoTime());
+        time(WARM_UP_REQUESTS, direct);
+        time(WARM_UP_REQUESTS, through);
+        Histogram directTimes = time(REQUESTS, direct);
+        Histogram cellTimes = time(REQUESTS, through);
+        for (double percentile : new double[] {50, 99}) {
+            double directMilliseconds = milliseconds(directTimes, percentile);
+            double cellMilliseconds = milliseconds(cellTimes, percentile);
+            System.out.printf(
+                    "quick_request percentile=%.0f direct_ms=%.2f cell_ms=%.2f ratio=%.1f%n",
+                    percentile,
+                    directMilliseconds,
+                    cellMilliseconds,
+                    cellMilliseconds / directMilliseconds);
+        }
+    }
+
+    private void lossOfLeader(
+            String how, Consumer<DaemonProcess> lose, Consumer<DaemonProcess> bringBack) {
+        for (int round = 0; round < ROUNDS; round++) {
+            DaemonProcess leader = cell.leader();
+            long start = System.nanoTime();
+            lose.accept(leader);
+            Poll.until("a request is answered again", () -> answered("y" + System.nanoTime()));
+            double milliseconds = (System.nanoTime() - start) / NANOSECONDS_PER_MILLISECOND;
+            System.out.printf("leader_%s without_service_ms=%.0f%n", how, milliseconds);
+            bringBack.accept(leader);
+            Poll.until("all live daemons serve", this::allServe);
+        }
+    }
+
+    private boolean allServe() {
+        return cell.daemons().stream()
+                .allMatch(
+                        daemon ->
+                                cell.caller()
+                                                .get(daemon.httpAddress() + "/health/ready")
+                                                .statusCode()
+                                        == 200);
+    }
+
+    /** Asks through the plain entry, which outlives every loss. */
+    private boolean answered(String body) {
+        String entry = cell.addresses().get(cell.addresses().size() - 1);
+        return load.call(entry, body).answered();
+    }
+
+    private static Histogram time(int requests, Supplier<Boolean> request) {
+        Histogram times = new Histogram(3);
+        for (int number = 0; number < requests; number++) {
+            long start = System.nanoTime();
+            if (request.get()) {
+                times.recordValue(System.nanoTime() - start);
+            }
+        }
+        return times;
+    }
+
+    private static double milliseconds(Histogram times, double percentile) {
+        return times.getValueAtPercentile(percentile) / NANOSECONDS_PER_MILLISECOND;
+    }
+}
