--- a/daemon/src/test/java/org/marjoramnotch/daemon/storage/FileReplicaStorageTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/storage/FileReplicaStorageTest.java
@@ -46,13 +46,14 @@
     }
 
     @Test
-    void snapshotReplacesLogUpToItsIndex() {
+    void snapshotReplacesLogUpToItsIndex() throws IOException {
         write(
                 List.of(new StorageWrite.SaveHardState(HARD_STATE), append(1, 2, 3)),
                 List.of(
                         append(4),
                         new StorageWrite.SaveSnapshot(SNAPSHOT, entries(3, 4)),
                         append(5)));
+        Files.writeString(folder.resolve("log-0"), "left by a death before its deletion");
         assertRecovered(new RecoveredState(HARD_STATE, Optional.of(SNAPSHOT), entries(3, 4, 5)));
         assertThat(folder.toFile().list())
                 .containsExactlyInAnyOrder("identity", "lock", "log-1", "snapshot-1");
--- a/library/src/test/java/org/marjoramnotch/logic/replication/FaultPlan.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/FaultPlan.java
@@ -1,7 +1,6 @@
 package org.marjoramnotch.logic.replication;
 
 import java.util.List;
-import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.replication.Membership;
@@ -52,7 +51,9 @@
 
     private void cutOneWay() {
         SimulatedReplica from = leaderOrAny();
-        others(from, other -> simulation.network().cut(from.id().vm(), other.id().vm()));
+        for (SimulatedReplica other : simulation.replicas()) {
+            simulation.network().cut(from.id().vm(), other.id().vm());
+        }
         cut(Covered.ONE_WAY_CUT);
     }
 
@@ -146,10 +147,6 @@
                 .forEach(replica -> replica.start(now()));
     }
 
-    private void others(SimulatedReplica one, Consumer<SimulatedReplica> action) {
-        simulation.replicas().stream().filter(other -> other != one).forEach(action);
-    }
-
     private SimulatedReplica any() {
         return simulation.replicas().get(random.nextInt(simulation.replicas().size()));
     }
--- a/library/src/test/java/org/marjoramnotch/logic/replication/ReplicaTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/ReplicaTest.java
@@ -184,6 +184,19 @@
         assertThat(start(5).status(5).voters()).isEqualTo(VOTERS.voters());
     }
 
+    @Test
+    void membershipIsUndoneWithItsEntry() {
+        storeLog(3);
+        Replica replica = start(0);
+        LogEntry change = LogEntry.membership(2, 4, VOTERS.without(THREE));
+        replica.receive(0, TWO, append(4, change));
+        assertThat(replica.status(0).voters()).containsExactly(ONE, TWO);
+        replica.receive(0, THREE, append(5, LogEntry.noOp(2, 5)));
+        assertThat(replica.status(0).voters()).isEqualTo(VOTERS.voters());
+        carryOut(replica);
+        assertThat(start(5).status(5).voters()).isEqualTo(VOTERS.voters());
+    }
+
     @Test
     void messagesOfAnotherGroupAreIgnored() {
         storeLog(3);
@@ -243,7 +256,11 @@
     }
 
     private static AppendEntries heartbeat(long term) {
-        return new AppendEntries(GROUP, term, 1, 3, List.of(), 0, 0);
+        return append(term);
+    }
+
+    private static AppendEntries append(long term, LogEntry... entries) {
+        return new AppendEntries(GROUP, term, 1, 3, List.of(entries), 0, 0);
     }
 
     private static void assertGroupState(Runnable action) {
--- a/library/src/test/java/org/marjoramnotch/logic/replication/ReplicationSimulation.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/ReplicationSimulation.java
@@ -6,9 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.marjoramnotch.model.identifier.VmId;
@@ -41,23 +38,9 @@
         this.settings = settings;
         this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(settings.seed());
         this.network = new SimulatedNetwork(random, coverage);
-        Set<VmId> vms =
-                IntStream.range(0, settings.replicas())
-                        .mapToObj(number -> new VmId("vm-" + number))
-                        .collect(Collectors.toSet());
-        vms.stream()
-                .sorted()
-                .forEach(
-                        vm ->
-                                replicas.add(
-                                        new SimulatedReplica(
-                                                vm,
-                                                vms,
-                                                settings,
-                                                clockRate(replicas.size()),
-                                                random,
-                                                checker,
-                                                coverage)));
+        for (VmId vm : settings.vms()) {
+            replicas.add(new SimulatedReplica(vm, clockRate(replicas.size()), this));
+        }
         replicas.forEach(replica -> replica.start(time));
     }
 
@@ -69,6 +52,14 @@
         return network;
     }
 
+    SimulationSettings settings() {
+        return settings;
+    }
+
+    SafetyChecker checker() {
+        return checker;
+    }
+
     Coverage coverage() {
         return coverage;
     }
--- a/library/src/test/java/org/marjoramnotch/logic/replication/SimulatedReplica.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/SimulatedReplica.java
@@ -5,7 +5,6 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.marjoramnotch.logic.replication.ReplicationEffects.CommittedEntry;
 import org.marjoramnotch.model.identifier.ReplicaId;
@@ -26,7 +25,6 @@
     private static final int STATE_BYTES = 700;
 
     private final VmId vm;
-    private final Set<VmId> vms;
     private final SimulationSettings settings;
     private final UniformRandomProvider random;
     private final SafetyChecker checker;
@@ -43,21 +41,13 @@
     private long hash;
     private int appliedSinceCompaction;
 
-    SimulatedReplica(
-            VmId vm,
-            Set<VmId> vms,
-            SimulationSettings settings,
-            double clockRate,
-            UniformRandomProvider random,
-            SafetyChecker checker,
-            Coverage coverage) {
+    SimulatedReplica(VmId vm, double clockRate, ReplicationSimulation simulation) {
         this.vm = vm;
-        this.vms = vms;
-        this.settings = settings;
         this.clockRate = clockRate;
-        this.random = random;
-        this.checker = checker;
-        this.coverage = coverage;
+        this.settings = simulation.settings();
+        this.random = simulation.random();
+        this.checker = simulation.checker();
+        this.coverage = simulation.coverage();
     }
 
     ReplicaId id() {
@@ -109,7 +99,7 @@
         replica =
                 Optional.of(
                         new Replica(
-                                settings.replicaSettings(id(), vms),
+                                settings.replicaSettings(id()),
                                 storage.recover(),
                                 random,
                                 local(time)));
--- a/library/src/test/java/org/marjoramnotch/logic/replication/SimulationSettings.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/SimulationSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.VmId;
 
@@ -29,12 +30,16 @@
         this(seed, replicas, steps, electionTimeoutSpreadMilliseconds, 10, List.of());
     }
 
+    List<VmId> vms() {
+        return IntStream.range(0, replicas).mapToObj(number -> new VmId("vm-" + number)).toList();
+    }
+
     int entriesBetweenCompactions() {
         return 40;
     }
 
-    ReplicaSettings replicaSettings(ReplicaId self, Set<VmId> vms) {
-        return ReplicaSettings.builder(self, vms)
+    ReplicaSettings replicaSettings(ReplicaId self) {
+        return ReplicaSettings.builder(self, Set.copyOf(vms()))
                 .electionTimeoutMilliseconds(
                         ELECTION_TIMEOUT_MILLISECONDS,
                         ELECTION_TIMEOUT_MILLISECONDS + electionTimeoutSpreadMilliseconds)
