Hand a slot on when its release is proposed; report refused attempts that were resent

Cause: each slot idled for two commits between attempts. Change: proposed releases count at once, since the log applies them before later reservations; an entry reports the end of a refused attempt whose request it had sent again.

--- a/library/src/main/java/org/marjoramnotch/logic/entry/EntryStep.java
+++ b/library/src/main/java/org/marjoramnotch/logic/entry/EntryStep.java
@@ -10,7 +10,8 @@
 public sealed interface EntryStep {
     /**
      * Sends the request to the leader, and again until it is answered, withdrawn by a {@link
-     * Report} of the same attempt, or the deadline has passed.
+     * Report} of the same attempt, or the deadline has passed. Each further sending is told by
+     * {@link RequestAttempts#onPlaceResent}.
      *
      * @param request what to send
      */
--- a/library/src/main/java/org/marjoramnotch/logic/entry/RequestAttempts.java
+++ b/library/src/main/java/org/marjoramnotch/logic/entry/RequestAttempts.java
@@ -10,7 +10,6 @@
 import org.marjoramnotch.model.error.Refusal;
 import org.marjoramnotch.model.identifier.AttemptId;
 import org.marjoramnotch.model.identifier.EndpointId;
-import org.marjoramnotch.model.message.EndAttempt;
 import org.marjoramnotch.model.message.Granted;
 import org.marjoramnotch.model.message.PlaceRequest;
 import org.marjoramnotch.model.rule.Repetition;
@@ -38,6 +37,7 @@
     private long sentMilliseconds;
     private boolean earlierMaybeRan;
     private boolean refusedByLeader;
+    private boolean resent;
     private boolean answered;
 
     /** Creates the attempts of a request; the budget is that of the caller's team. */
@@ -76,23 +76,23 @@
             grantedMilliseconds = nowMilliseconds;
             steps.add(new EntryStep.Send(grant));
         } else if (grant.attempt().equals(attempt) && refusedByLeader) {
-            steps.add(
-                    new EntryStep.Report(
-                            new EndAttempt(
-                                    attempt,
-                                    ExecutionOutcome.NOT_RUN,
-                                    false,
-                                    0,
-                                    Optional.empty())));
+            steps.add(AttemptReports.notSent(attempt));
         }
         return takeSteps();
     }
 
-    /** The leader refused an attempt. */
+    /** The request for a place was sent again; the leader may still meet it after its refusal. */
+    public void onPlaceResent() {
+        resent = true;
+    }
+
+    /**
+     * The leader refused an attempt. If its request was sent more than once, it is reported as
+     * ended, so that a copy on its way cannot reserve a slot that nobody frees.
+     */
     public List<EntryStep> onRefused(AttemptId refused, Refusal refusal) {
         if (isOpen(refused) && granted == null) {
-            state = AttemptState.ENDED;
-            refusedByLeader = true;
+            endUnplaced();
             refuse(refusal);
         }
         return takeSteps();
@@ -101,8 +101,7 @@
     /** The leader has the answer of an earlier request with the same idempotency key. */
     public List<EntryStep> onReplayed(AttemptId replayed, StoredAnswer answer) {
         if (isOpen(replayed) && granted == null) {
-            state = AttemptState.ENDED;
-            refusedByLeader = true;
+            endUnplaced();
             answer(new EntryStep.Replay(answer));
         }
         return takeSteps();
@@ -160,16 +159,12 @@
         if (state == AttemptState.MAYBE_SENT) {
             state = AttemptState.ENDED;
             answer(new EntryStep.Relay());
-            Optional<StoredAnswer> stored =
-                    request.claim().isPresent() ? answer.stored() : Optional.empty();
             steps.add(
-                    new EntryStep.Report(
-                            new EndAttempt(
-                                    attempt,
-                                    ExecutionOutcome.RAN,
-                                    answer.failed(),
-                                    nowMilliseconds - sentMilliseconds,
-                                    stored)));
+                    AttemptReports.answered(
+                            attempt,
+                            answer,
+                            request.claim().isPresent(),
+                            nowMilliseconds - sentMilliseconds));
         }
         return takeSteps();
     }
@@ -241,15 +236,21 @@
         return granted;
     }
 
+    private void endUnplaced() {
+        state = AttemptState.ENDED;
+        refusedByLeader = true;
+        if (resent) {
+            steps.add(AttemptReports.notSent(attempt));
+        }
+    }
+
     private void giveUp(ExecutionOutcome outcome, boolean endpointFailed, long nowMilliseconds) {
         long run =
                 state == AttemptState.MAYBE_SENT
                         ? Math.max(0, nowMilliseconds - sentMilliseconds)
                         : 0;
         state = AttemptState.ENDED;
-        steps.add(
-                new EntryStep.Report(
-                        new EndAttempt(attempt, outcome, endpointFailed, run, Optional.empty())));
+        steps.add(AttemptReports.ended(attempt, outcome, endpointFailed, run));
     }
 
     private void retryOrRefuse(long nowMilliseconds, Refusal refusal) {
@@ -258,6 +259,7 @@
             attempt = sequence.next();
             state = AttemptState.NOT_SENT;
             granted = null;
+            resent = false;
             place(nowMilliseconds);
             return;
         }
--- a/library/src/main/java/org/marjoramnotch/logic/placement/AttemptReleases.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/AttemptReleases.java
@@ -13,7 +13,6 @@
 import org.marjoramnotch.model.endpoint.StoredAnswer;
 import org.marjoramnotch.model.error.ExecutionOutcome;
 import org.marjoramnotch.model.identifier.AttemptId;
-import org.marjoramnotch.model.identifier.EndpointId;
 import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.message.Done;
 import org.marjoramnotch.model.message.EndAttempt;
@@ -24,6 +23,9 @@
  * <p>When an entry cannot tell whether its attempt still runs, the slot stays taken until the
  * endpoint says that it does not run the attempt and never will. The entry's report is answered
  * only then, so that a later leader hears of it too.
+ *
+ * <p>A slot is given to the next request as soon as its release is proposed: the log applies the
+ * release before the reservation, and one commit is saved on each slot's way from one to the other.
  */
 final class AttemptReleases {
     private final PlacementContext context;
@@ -31,7 +33,7 @@
     private final Map<AttemptId, RequestHandle> abandoning = new HashMap<>();
 
     /** What an attempt holds, as known when its release was proposed. */
-    private record Held(SlotPoolId pool, TeamName team, EndpointId endpoint) {}
+    private record Held(SlotPoolId pool, TeamName team, EndpointLoad endpoint) {}
 
     /** A release that is being committed. */
     private record Release(Optional<Held> held, List<RequestHandle> handles) {}
@@ -70,20 +72,26 @@
         }
         Optional<WaitingRequest> waiting = context.placer().find(end.attempt());
         Optional<Held> held =
-                open.map(this::held).or(() -> waiting.flatMap(AttemptReleases::reserving));
+                open.flatMap(this::held).or(() -> waiting.flatMap(AttemptReleases::reserving));
         waiting.ifPresent(request -> context.placer().onWithdrawn(request, output));
         propose(end.attempt(), held, end.outcome(), end.answer(), output).handles().add(handle);
+        held.ifPresent(freed -> onChanging(nowMilliseconds, freed, -1, output));
     }
 
-    private Held held(OpenAttempt open) {
-        EndpointSlots slots = context.state().endpoint(open.endpoint()).orElseThrow();
-        SlotPoolId pool = new SlotPoolId(slots.description().service(), open.kind());
-        return new Held(pool, open.team(), open.endpoint());
+    private Optional<Held> held(OpenAttempt open) {
+        return context.endpoints()
+                .find(open.endpoint())
+                .map(
+                        load ->
+                                new Held(
+                                        new SlotPoolId(load.service(), open.kind()),
+                                        open.team(),
+                                        load));
     }
 
     private static Optional<Held> reserving(WaitingRequest request) {
         return request.reserved()
-                .map(endpoint -> new Held(request.pool(), request.team(), endpoint.id()));
+                .map(endpoint -> new Held(request.pool(), request.team(), endpoint));
     }
 
     private void recordResult(
@@ -100,19 +108,24 @@
     }
 
     /** Frees the slot of a request that can no longer use it, and never did. */
-    void releaseUnused(AttemptId attempt, LeaderOutput output) {
-        release(attempt, ExecutionOutcome.NOT_RUN, output);
+    void releaseUnused(long nowMilliseconds, AttemptId attempt, LeaderOutput output) {
+        release(nowMilliseconds, attempt, ExecutionOutcome.NOT_RUN, output);
     }
 
     /** Frees the slot of an attempt that its endpoint has abandoned. */
-    void releaseAbandoned(AttemptId attempt, LeaderOutput output) {
-        release(attempt, ExecutionOutcome.UNKNOWN, output);
+    void releaseAbandoned(long nowMilliseconds, AttemptId attempt, LeaderOutput output) {
+        release(nowMilliseconds, attempt, ExecutionOutcome.UNKNOWN, output);
     }
 
-    private void release(AttemptId attempt, ExecutionOutcome outcome, LeaderOutput output) {
+    private void release(
+            long nowMilliseconds,
+            AttemptId attempt,
+            ExecutionOutcome outcome,
+            LeaderOutput output) {
         if (!isReleasing(attempt)) {
-            Optional<Held> held = context.state().attempt(attempt).map(this::held);
+            Optional<Held> held = context.state().attempt(attempt).flatMap(this::held);
             propose(attempt, held, outcome, Optional.empty(), output);
+            held.ifPresent(freed -> onChanging(nowMilliseconds, freed, -1, output));
         }
     }
 
@@ -136,11 +149,12 @@
         release.handles().forEach(handle -> output.reply(handle, new Done()));
         answerAbandoned(command.attempt(), output);
         context.placer().onUnusedReleased(command.attempt(), output);
-        release.held().ifPresent(held -> onFreed(nowMilliseconds, held, output));
+        release.held().ifPresent(held -> onChanging(nowMilliseconds, held, 1, output));
     }
 
-    private void onFreed(long nowMilliseconds, Held held, LeaderOutput output) {
-        context.endpoints().refresh(held.endpoint(), nowMilliseconds);
+    private void onChanging(long nowMilliseconds, Held held, int change, LeaderOutput output) {
+        context.pools().changing(held.pool(), held.team(), held.endpoint(), change);
+        context.endpoints().refresh(held.endpoint().id(), nowMilliseconds);
         context.pools().refreshTeam(held.pool(), held.team());
         context.placer().drain(nowMilliseconds, held.pool(), output);
     }
--- a/library/src/main/java/org/marjoramnotch/logic/placement/EndpointAnnouncements.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/EndpointAnnouncements.java
@@ -61,7 +61,7 @@
             return;
         }
         if (known.filter(slots -> isSameProcess(slots, announcement)).isPresent()) {
-            freeAbandoned(announcement, output);
+            freeAbandoned(nowMilliseconds, announcement, output);
         }
         closeIfNeeded(nowMilliseconds, announcement);
         @Nullable Pending waiting = pending.get(id);
@@ -116,7 +116,8 @@
         return Optional.empty();
     }
 
-    private void freeAbandoned(AnnounceEndpoint announcement, LeaderOutput output) {
+    private void freeAbandoned(
+            long nowMilliseconds, AnnounceEndpoint announcement, LeaderOutput output) {
         Set<AttemptId> running = new HashSet<>(announcement.running());
         for (AttemptId attempt : announcement.abandoned()) {
             boolean held =
@@ -125,7 +126,7 @@
                             .filter(open -> isOn(open, announcement))
                             .isPresent();
             if (held && !running.contains(attempt)) {
-                context.releases().releaseAbandoned(attempt, output);
+                context.releases().releaseAbandoned(nowMilliseconds, attempt, output);
             }
         }
     }
--- a/library/src/main/java/org/marjoramnotch/logic/placement/EndpointLoad.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/EndpointLoad.java
@@ -14,8 +14,8 @@
     private String knownIncarnation;
     private long leaseUntilMilliseconds;
     private boolean closed;
-    private int reservingRequests;
-    private int reservingFeeds;
+    private int changingRequests;
+    private int changingFeeds;
 
     EndpointLoad(EndpointSlots slots, EndpointHealth health, long leaseUntilMilliseconds) {
         this.slots = slots;
@@ -97,14 +97,15 @@
     }
 
     private int inUse(SlotKind kind) {
-        return slots.inUse(kind) + (kind == SlotKind.REQUEST ? reservingRequests : reservingFeeds);
+        return slots.inUse(kind) + (kind == SlotKind.REQUEST ? changingRequests : changingFeeds);
     }
 
-    void reserving(SlotKind kind, int change) {
+    /** Counts a proposed change of its slots in use. */
+    void changing(SlotKind kind, int change) {
         if (kind == SlotKind.REQUEST) {
-            reservingRequests += change;
+            changingRequests += change;
         } else {
-            reservingFeeds += change;
+            changingFeeds += change;
         }
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/placement/RequestPlacer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/RequestPlacer.java
@@ -142,7 +142,7 @@
         context.pools().pool(request.pool()).team(request.team()).removeHead();
         request.reserve(endpoint);
         endpoint.health().onPlaced(request.attempt());
-        context.pools().reserving(request, endpoint, 1);
+        context.pools().changing(request.pool(), request.team(), endpoint, 1);
         context.pools().refreshEndpoint(endpoint, nowMilliseconds);
         context.pools().refreshTeam(request.pool(), request.team());
         output.propose(request.command(endpoint));
@@ -155,7 +155,7 @@
             return;
         }
         EndpointLoad endpoint = request.reserved().orElseThrow();
-        context.pools().reserving(request, endpoint, -1);
+        context.pools().changing(request.pool(), request.team(), endpoint, -1);
         if (result instanceof CommandResult.Accepted) {
             onReserved(nowMilliseconds, request, output);
         } else {
@@ -175,7 +175,7 @@
         OpenAttempt open = context.state().attempt(request.attempt()).orElseThrow();
         if (request.deadlineMilliseconds() <= nowMilliseconds) {
             request.free();
-            context.releases().releaseUnused(request.attempt(), output);
+            context.releases().releaseUnused(nowMilliseconds, request.attempt(), output);
             return;
         }
         forget(request);
--- a/library/src/main/java/org/marjoramnotch/logic/placement/SlotPool.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/SlotPool.java
@@ -89,7 +89,7 @@
      * Takes what has changed about a team.
      *
      * @param share its weight
-     * @param outstanding slots that it holds or is being given
+     * @param outstanding slots that it holds once what is proposed is applied
      * @param room whether it is below its upper limit
      */
     void refresh(TeamBacklog team, int share, int outstanding, boolean room) {
@@ -99,7 +99,7 @@
         }
         team.measure(share, outstanding);
         boolean waits = team.waiting() > 0;
-        boolean active = waits || outstanding > 0;
+        boolean active = waits || outstanding > 0 || team.changing() != 0;
         shares -= team.countedShare();
         team.countedShare(active ? share : 0);
         shares += team.countedShare();
--- a/library/src/main/java/org/marjoramnotch/logic/placement/SlotPools.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/SlotPools.java
@@ -14,14 +14,14 @@
 import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.rule.TeamRule;
 
-/** All slot pools of a cell, kept in step with the ledger and with what is being reserved. */
+/** All slot pools of a cell, kept in step with the ledger and with what is proposed. */
 final class SlotPools {
     private final ConfigurationView configuration;
     private final PlacementState state;
     private final TeamUsage usage;
     private final PlacementPolicy policy;
     private final Map<SlotPoolId, SlotPool> pools = new HashMap<>();
-    private final Map<TeamName, Integer> reserving = new HashMap<>();
+    private final Map<TeamName, Integer> changing = new HashMap<>();
     private final Set<Blocked> atLimit = new LinkedHashSet<>();
     private long configurationVersion;
 
@@ -68,7 +68,7 @@
     void refreshTeam(SlotPoolId id, TeamName team) {
         SlotPool pool = pool(id);
         TeamBacklog backlog = pool.team(team);
-        boolean room = usage.room(team) > reserving.getOrDefault(team, 0);
+        boolean room = usage.room(team) > changing.getOrDefault(team, 0);
         Blocked blocked = new Blocked(id, team);
         if (room || backlog.waiting() == 0) {
             atLimit.remove(blocked);
@@ -76,7 +76,7 @@
             atLimit.add(blocked);
         }
         int share = configuration.team(team).map(TeamRule::share).orElse(1);
-        int outstanding = state.inUse(id, team) + backlog.reserving();
+        int outstanding = state.inUse(id, team) + backlog.changing();
         pool.refresh(backlog, Math.max(1, share), outstanding, room);
     }
 
@@ -88,14 +88,15 @@
         }
     }
 
-    /** Counts a slot that is being reserved, or no longer is. */
-    void reserving(WaitingRequest request, EndpointLoad endpoint, int change) {
-        endpoint.reserving(request.request().kind(), change);
-        pool(request.pool()).team(request.team()).reserving(change);
-        reserving.merge(
-                request.team(),
-                change,
-                (before, more) -> before + more == 0 ? null : before + more);
+    /**
+     * Counts a change of the slots in use that is proposed, and takes it back once it is applied.
+     *
+     * @param change 1 for a reservation, -1 for a release; the opposite once it is applied
+     */
+    void changing(SlotPoolId pool, TeamName team, EndpointLoad endpoint, int change) {
+        endpoint.changing(pool.kind(), change);
+        pool(pool).team(team).changing(change);
+        changing.merge(team, change, (before, more) -> before + more == 0 ? null : before + more);
     }
 
     /** Looks again at teams that were at their upper limit, and at shares that were changed. */
--- a/library/src/main/java/org/marjoramnotch/logic/placement/TeamBacklog.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/TeamBacklog.java
@@ -24,7 +24,7 @@
     private int outstanding;
     private long oldestSequence;
     private boolean ranked;
-    private int reserving;
+    private int changing;
     private int countedShare;
 
     TeamBacklog(TeamName team) {
@@ -41,7 +41,7 @@
         return share;
     }
 
-    /** Returns how many slots of the pool the team holds or is being given. */
+    /** Returns how many slots of the pool the team holds once what is proposed is applied. */
     public int outstanding() {
         return outstanding;
     }
@@ -67,13 +67,13 @@
         ranked = value;
     }
 
-    /** Returns how many of its slots are being reserved. */
-    int reserving() {
-        return reserving;
+    /** Returns by how much its slots in use change by what is proposed. */
+    int changing() {
+        return changing;
     }
 
-    void reserving(int change) {
-        reserving += change;
+    void changing(int change) {
+        changing += change;
     }
 
     /** Returns the share that the pool counts for it; 0 while it neither holds slots nor waits. */
--- a/library/src/test/java/org/marjoramnotch/logic/entry/RequestAttemptsTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/entry/RequestAttemptsTest.java
@@ -32,7 +32,8 @@
 
     /**
      * Events: g grant, s send, c connect failed, n refused not run, b broken, a answer, d deadline,
-     * x caller gone, l leader refuses, p replayed, w wait 3 s. Steps are listed in short form.
+     * x caller gone, l leader refuses, p replayed, r place resent, w wait 3 s. Steps are listed in
+     * short form.
      */
     @ParameterizedTest
     @CsvSource(
@@ -62,6 +63,7 @@
                 "ONCE | REQUEST | gsxa | place send end:RAN",
                 "IDEMPOTENT | FEED | gsx | place send disconnect end:RAN",
                 "ONCE | REQUEST | l | place NO_ENDPOINT:NOT_RUN",
+                "ONCE | REQUEST | rl | place end:NOT_RUN NO_ENDPOINT:NOT_RUN",
                 "ONCE | REQUEST | lg | place NO_ENDPOINT:NOT_RUN end:NOT_RUN",
                 "ONCE | REQUEST | gsag | place send relay end:RAN",
                 "ONCE | REQUEST | p | place replay",
@@ -111,6 +113,7 @@
                 now = DEADLINE;
                 record(attempts.onDeadline(now));
             }
+            case 'r' -> attempts.onPlaceResent();
             case 'x' -> record(attempts.onCallerGone(now));
             case 'l' ->
                     record(
--- a/library/src/test/java/org/marjoramnotch/logic/placement/PlacementDutyTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/placement/PlacementDutyTest.java
@@ -156,7 +156,8 @@
         cell.commitMilliseconds = 100;
         cell.send(TestCell.end(1, ExecutionOutcome.RAN));
         RequestHandle inLog = place("big", 3);
-        cell.advance(100);
+        cell.advance(60);
+        assertThat(kind(inLog)).isEmpty();
         cell.send(TestCell.end(3, ExecutionOutcome.NOT_RUN));
         cell.advance(300);
 
--- a/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEntry.java
+++ b/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEntry.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import org.marjoramnotch.logic.entry.AttemptState;
 import org.marjoramnotch.logic.entry.EndpointAnswer;
 import org.marjoramnotch.logic.entry.EntryRequest;
 import org.marjoramnotch.logic.entry.EntryStep;
@@ -145,18 +146,26 @@
             }
         }
 
-        private void place(PlaceRequest request) {
-            boolean waits =
-                    process == incarnation
-                            && request.attempt().equals(attempts.attempt())
-                            && !waitingReports.contains(request.attempt())
-                            && told.isEmpty();
-            if (waits) {
-                simulation.send(request, reply -> onEvent(() -> onPlaced(request, reply)));
-                simulation.after(RESEND_MILLISECONDS, () -> place(request));
+        private void resend(PlaceRequest request) {
+            if (isWaiting(request)) {
+                attempts.onPlaceResent();
+                place(request);
             }
         }
 
+        private boolean isWaiting(PlaceRequest request) {
+            return process == incarnation
+                    && request.attempt().equals(attempts.attempt())
+                    && !waitingReports.contains(request.attempt())
+                    && attempts.state() == AttemptState.NOT_SENT
+                    && told.isEmpty();
+        }
+
+        private void place(PlaceRequest request) {
+            simulation.send(request, reply -> onEvent(() -> onPlaced(request, reply)));
+            simulation.after(RESEND_MILLISECONDS, () -> resend(request));
+        }
+
         private void onPlaced(PlaceRequest request, CellReply reply) {
             if (reply instanceof Granted granted) {
                 carryOut(attempts.onGranted(now(), granted));
