Grant only what can still be answered in time

Cause: in the replay most requests of overloaded teams were granted just before the caller's deadline and answered after it; their slots' work was for nobody. Change: a request waits, and is expected to wait, for its deadline less three times the learned run time, at most half of the wait asked. The replay reports true run times.

--- a/library/src/main/java/org/marjoramnotch/logic/placement/RequestAdmission.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/RequestAdmission.java
@@ -16,6 +16,8 @@
 
 /** Decides whether a new request is queued, or answered at once. */
 final class RequestAdmission {
+    private static final double RUN_TIME_FACTOR = 3;
+
     private final PlacementContext context;
 
     RequestAdmission(PlacementContext context) {
@@ -27,8 +29,9 @@
      *
      * @param work what its queue takes it as
      * @param pool the slots that it waits for
+     * @param patienceMilliseconds how long it may wait and still be answered in time
      */
-    record Admitted(AuthorizedWork work, SlotPoolId pool) {}
+    record Admitted(AuthorizedWork work, SlotPoolId pool, long patienceMilliseconds) {}
 
     /**
      * What becomes of a request.
@@ -50,7 +53,11 @@
                     WorkAuthorization.authorize(
                             context.configuration(), request.queue(), request.credential());
             ServiceName service = PlacementChecks.requireService(work.queue(), request.kind());
-            Admitted admitted = new Admitted(work, new SlotPoolId(service, request.kind()));
+            Admitted admitted =
+                    new Admitted(
+                            work,
+                            new SlotPoolId(service, request.kind()),
+                            patience(request, service));
             return decide(request, admitted);
         } catch (MarjoramnotchException refusal) {
             if (refusal.code() == ErrorCode.INVARIANT_VIOLATED) {
@@ -113,11 +120,24 @@
             return Optional.of(PlacementRefusals.queueFull(capacity));
         }
         long expected = expectedWait(request, admitted, pool, backlog);
-        return expected > request.waitMilliseconds()
+        return expected > admitted.patienceMilliseconds()
                 ? Optional.of(PlacementRefusals.deadlineTooShort(expected))
                 : Optional.empty();
     }
 
+    /**
+     * Returns how long a request may wait: less than asked by the time that most runs take, since a
+     * caller does not await what is answered after its deadline.
+     */
+    private long patience(PlaceRequest request, ServiceName service) {
+        RunAverages runs = context.endpoints().health(service).averages();
+        if (request.kind() == SlotKind.FEED || !runs.knowsRunTime()) {
+            return request.waitMilliseconds();
+        }
+        long mostRuns = (long) (RUN_TIME_FACTOR * runs.runMilliseconds());
+        return request.waitMilliseconds() - Math.min(mostRuns, request.waitMilliseconds() / 2);
+    }
+
     /** Returns the wait in milliseconds, from the learned run time and the team's own backlog. */
     private long expectedWait(
             PlaceRequest request, Admitted admitted, SlotPool pool, TeamBacklog backlog) {
--- a/library/src/main/java/org/marjoramnotch/logic/placement/RequestPlacer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/RequestPlacer.java
@@ -81,6 +81,7 @@
                         admitted.work(),
                         admitted.pool(),
                         nowMilliseconds,
+                        admitted.patienceMilliseconds(),
                         nextSequence++));
         drain(nowMilliseconds, admitted.pool(), output);
     }
--- a/library/src/main/java/org/marjoramnotch/logic/placement/WaitingRequest.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/WaitingRequest.java
@@ -19,6 +19,7 @@
     private final AuthorizedWork work;
     private final SlotPoolId pool;
     private final long arrivedMilliseconds;
+    private final long patienceMilliseconds;
     private final long sequence;
     private RequestHandle handle;
     private @Nullable EndpointLoad reserved;
@@ -41,12 +42,14 @@
             AuthorizedWork work,
             SlotPoolId pool,
             long arrivedMilliseconds,
+            long patienceMilliseconds,
             long sequence) {
         this.handle = handle;
         this.request = request;
         this.work = work;
         this.pool = pool;
         this.arrivedMilliseconds = arrivedMilliseconds;
+        this.patienceMilliseconds = patienceMilliseconds;
         this.sequence = sequence;
     }
 
@@ -78,8 +81,9 @@
         return arrivedMilliseconds;
     }
 
+    /** Returns when it is too late to grant it. */
     long deadlineMilliseconds() {
-        return arrivedMilliseconds + request.waitMilliseconds();
+        return arrivedMilliseconds + patienceMilliseconds;
     }
 
     /** Returns the order of arrival. */
--- a/library/src/test/java/org/marjoramnotch/logic/placement/PlacementReplay.java
+++ b/library/src/test/java/org/marjoramnotch/logic/placement/PlacementReplay.java
@@ -3,9 +3,11 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.HdrHistogram.Histogram;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -19,6 +21,7 @@
 import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.EndAttempt;
 import org.marjoramnotch.model.message.Granted;
 import org.marjoramnotch.model.message.RenewEntry;
 import org.marjoramnotch.model.rule.TeamRule;
@@ -43,14 +46,18 @@
     private static final double LARGE_RATE = 900;
     private static final double SLOT_MILLISECONDS =
             (double) ENDPOINTS * SLOTS * WINDOW_MILLISECONDS;
+    private static final long DEADLINE_MILLISECONDS = 5_000;
     private static final double MEAN_RUN_MILLISECONDS = 250;
     private static final VmId ENTRY = new VmId("entry");
 
     private final TestCell cell;
     private final PlacementHistograms histograms = new PlacementHistograms();
     private final UniformRandomProvider random;
-    private final TreeMap<Long, List<AttemptId>> ends = new TreeMap<>();
+    private final TreeMap<Long, List<EndAttempt>> ends = new TreeMap<>();
     private final Map<TeamName, double[]> heldMilliseconds = new TreeMap<>();
+    private final Map<AttemptId, Long> deadlines = new HashMap<>();
+    private final Map<TeamName, Integer> answeredInTime = new TreeMap<>();
+    private final Map<TeamName, Integer> answeredLate = new TreeMap<>();
     private long sequence;
 
     private PlacementReplay(PlacementPolicy policy, long seed) {
@@ -132,7 +139,10 @@
         if (random.nextDouble() < chance) {
             boolean urgent = random.nextInt(10) == 0;
             AttemptId attempt = new AttemptId(ENTRY, "i1", sequence++);
-            cell.send(TestCell.request(team, attempt, SlotKind.REQUEST, urgent, 5_000));
+            deadlines.put(attempt, cell.now + DEADLINE_MILLISECONDS);
+            cell.send(
+                    TestCell.request(
+                            team, attempt, SlotKind.REQUEST, urgent, DEADLINE_MILLISECONDS));
         }
     }
 
@@ -140,15 +150,22 @@
         if (reply instanceof Granted granted) {
             double run = -Math.log(1 - random.nextDouble()) * MEAN_RUN_MILLISECONDS;
             long due = cell.now + 2 + (long) run;
-            ends.computeIfAbsent(due, time -> new ArrayList<>()).add(granted.attempt());
+            boolean inTime = due <= deadlines.remove(granted.attempt());
+            (inTime ? answeredInTime : answeredLate).merge(granted.team(), 1, Integer::sum);
+            ends.computeIfAbsent(due, time -> new ArrayList<>())
+                    .add(
+                            new EndAttempt(
+                                    granted.attempt(),
+                                    ExecutionOutcome.RAN,
+                                    false,
+                                    due - cell.now,
+                                    Optional.empty()));
         }
     }
 
     private void finish() {
         while (!ends.isEmpty() && ends.firstKey() <= cell.now) {
-            for (AttemptId attempt : ends.pollFirstEntry().getValue()) {
-                cell.send(TestCell.end(attempt, ExecutionOutcome.RAN, false));
-            }
+            ends.pollFirstEntry().getValue().forEach(cell::send);
         }
     }
 
@@ -215,10 +232,11 @@
             Histogram urgent = histograms.urgentWaits().get(team);
             out.printf(
                     Locale.ROOT,
-                    "  team=%s granted=%d refused=%d normal_p50=%d normal_p99=%d urgent_p50=%d"
-                            + " urgent_p99=%d largest_distance_percent=%.1f%n",
+                    "  team=%s in_time=%d late=%d refused=%d normal_p50=%d normal_p99=%d"
+                            + " urgent_p50=%d urgent_p99=%d largest_distance_percent=%.1f%n",
                     team,
-                    normal.getTotalCount() + urgent.getTotalCount(),
+                    answeredInTime.getOrDefault(team, 0),
+                    answeredLate.getOrDefault(team, 0),
                     histograms.refusals().getOrDefault(team, 0L),
                     normal.getValueAtPercentile(50),
                     normal.getValueAtPercentile(99),
