Let simulated entries freeze between the last check and the first byte

Cause: a trial that let endpoints start abandoned attempts passed the randomised run. Change: requests of frozen or dead entries arrive late in the simulation.

--- a/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEndpoint.java
+++ b/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEndpoint.java
@@ -18,6 +18,7 @@
     private final int slots;
     private final TestCell cell;
     private final Set<AttemptId> running = new LinkedHashSet<>();
+    private final Set<AttemptId> toldToAbandon = new LinkedHashSet<>();
     private final Set<AttemptId> abandoned = new LinkedHashSet<>();
     private int incarnation;
     EndpointState state = EndpointState.ACTIVE;
@@ -37,6 +38,7 @@
         incarnation++;
         running.clear();
         abandoned.clear();
+        toldToAbandon.clear();
         alive = true;
         state = EndpointState.ACTIVE;
     }
@@ -49,6 +51,7 @@
 
     void onRenewed(EndpointRenewed renewed) {
         abandoned.retainAll(renewed.abandon());
+        toldToAbandon.addAll(renewed.abandon());
         renewed.abandon().stream()
                 .filter(attempt -> !running.contains(attempt))
                 .forEach(abandoned::add);
@@ -57,7 +60,7 @@
     /** Starts an attempt; false when it was told to abandon it, or it is for an earlier process. */
     boolean start(Granted granted) {
         AttemptId attempt = granted.attempt();
-        if (abandoned.contains(attempt) || !granted.incarnation().equals("i" + incarnation)) {
+        if (toldToAbandon.contains(attempt) || !granted.incarnation().equals("i" + incarnation)) {
             return false;
         }
         assertThat(cell.state.attempt(attempt)).as("reservation of %s", attempt).isPresent();
--- a/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEntry.java
+++ b/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEntry.java
@@ -35,6 +35,7 @@
     private int incarnation;
     private long sequence;
     private int open;
+    private long pausedUntil;
 
     SimulatedEntry(String name, PlacementSimulation simulation) {
         this.vm = new VmId(name);
@@ -43,7 +44,9 @@
     }
 
     private void renewAlways() {
-        simulation.send(new RenewEntry(vm, "i" + incarnation), reply -> {});
+        if (simulation.cell().now >= pausedUntil) {
+            simulation.send(new RenewEntry(vm, "i" + incarnation), reply -> {});
+        }
         simulation.after(1_000, this::renewAlways);
     }
 
@@ -187,13 +190,37 @@
                 carryOut(attempts.onConnectFailed(now()));
             } else if (!attempts.beginSending(now())) {
                 carryOut(attempts.onGrantTooLate(now()));
+            } else {
+                simulation.after(pause(), () -> arrive(granted, endpoint));
+            }
+        }
+
+        /** Returns how long the first byte is on its way; now and then the entry is frozen. */
+        private long pause() {
+            if (!simulation.faults() || simulation.random.nextInt(100) > 0) {
+                return 1;
+            }
+            pausedUntil = now() + 9_000;
+            return simulation.random.nextInt(9_000);
+        }
+
+        /** The endpoint gets the request, whether or not the entry still lives. */
+        private void arrive(Granted granted, SimulatedEndpoint endpoint) {
+            if (!endpoint.alive) {
+                onEvent(() -> onEnded(granted.attempt(), false));
             } else if (endpoint.state == EndpointState.LEAVING || !endpoint.start(granted)) {
-                carryOut(attempts.onEndpointRefused(now()));
+                onEvent(() -> onRefusedByEndpoint(granted.attempt()));
             } else {
                 onStarted(endpoint, granted.attempt());
             }
         }
 
+        private void onRefusedByEndpoint(AttemptId attempt) {
+            if (attempts.attempt().equals(attempt)) {
+                carryOut(attempts.onEndpointRefused(now()));
+            }
+        }
+
         private void onStarted(SimulatedEndpoint endpoint, AttemptId attempt) {
             runs++;
             claim.ifPresent(key -> simulation.onClaimRun(key.keyDigest()));
