Run feeds in the simulation too

Cause: the randomised run placed quick requests only. Change: a third of the simulated callers ask for feeds; endpoints check both kinds.

--- a/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEndpoint.java
+++ b/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEndpoint.java
@@ -2,11 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.marjoramnotch.model.endpoint.EndpointDescription;
 import org.marjoramnotch.model.endpoint.EndpointState;
+import org.marjoramnotch.model.endpoint.SlotKind;
 import org.marjoramnotch.model.identifier.AttemptId;
 import org.marjoramnotch.model.message.AnnounceEndpoint;
 import org.marjoramnotch.model.message.EndpointRenewed;
@@ -17,7 +21,7 @@
     private final String name;
     private final int slots;
     private final TestCell cell;
-    private final Set<AttemptId> running = new LinkedHashSet<>();
+    private final Map<AttemptId, SlotKind> running = new LinkedHashMap<>();
     private final Set<AttemptId> toldToAbandon = new LinkedHashSet<>();
     private final Set<AttemptId> abandoned = new LinkedHashSet<>();
     private int incarnation;
@@ -46,31 +50,33 @@
     AnnounceEndpoint announcement() {
         EndpointDescription description = TestCell.endpoint(name, "i" + incarnation, slots);
         return new AnnounceEndpoint(
-                description, state, List.copyOf(running), List.copyOf(abandoned));
+                description, state, List.copyOf(running.keySet()), List.copyOf(abandoned));
     }
 
     void onRenewed(EndpointRenewed renewed) {
         abandoned.retainAll(renewed.abandon());
         toldToAbandon.addAll(renewed.abandon());
         renewed.abandon().stream()
-                .filter(attempt -> !running.contains(attempt))
+                .filter(attempt -> !running.containsKey(attempt))
                 .forEach(abandoned::add);
     }
 
     /** Starts an attempt; false when it was told to abandon it, or it is for an earlier process. */
-    boolean start(Granted granted) {
+    boolean start(Granted granted, SlotKind kind) {
         AttemptId attempt = granted.attempt();
         if (toldToAbandon.contains(attempt) || !granted.incarnation().equals("i" + incarnation)) {
             return false;
         }
         assertThat(cell.state.attempt(attempt)).as("reservation of %s", attempt).isPresent();
-        assertThat(running.add(attempt)).as("first start of %s", attempt).isTrue();
-        assertThat(running).as("running on %s", name).hasSizeLessThanOrEqualTo(slots);
+        assertThat(running.put(attempt, kind)).as("earlier start of %s", attempt).isNull();
+        assertThat(Collections.frequency(running.values(), kind))
+                .as("attempts of kind %s on %s", kind, name)
+                .isLessThanOrEqualTo(slots);
         return true;
     }
 
     /** Ends an attempt; false if the process that ran it is gone. */
     boolean end(AttemptId attempt, int ofIncarnation) {
-        return alive && incarnation == ofIncarnation && running.remove(attempt);
+        return alive && incarnation == ofIncarnation && running.remove(attempt) != null;
     }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEntry.java
+++ b/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEntry.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.marjoramnotch.logic.entry.AttemptState;
@@ -27,6 +28,8 @@
 
 /** An entry process that carries out the steps of {@link RequestAttempts}. */
 final class SimulatedEntry {
+    private static final List<QueueName> QUEUES =
+            List.of(TestConfiguration.ONCE, TestConfiguration.IDEMPOTENT, TestConfiguration.FEED);
     private static final long RESEND_MILLISECONDS = 200;
 
     private final VmId vm;
@@ -58,8 +61,7 @@
     }
 
     void onCaller() {
-        boolean idempotent = simulation.random.nextBoolean();
-        QueueName queue = idempotent ? TestConfiguration.IDEMPOTENT : TestConfiguration.ONCE;
+        QueueName queue = QUEUES.get(simulation.random.nextInt(QUEUES.size()));
         String team = simulation.random.nextInt(3) == 0 ? "small" : "big";
         simulation.onCaller();
         open++;
@@ -70,6 +72,7 @@
     private final class Call {
         private final int process = incarnation;
         private final QueueName queue;
+        private final SlotKind kind;
         private final RequestAttempts attempts;
         private final Optional<IdempotencyClaim> claim;
         private final Set<AttemptId> waitingReports = new HashSet<>();
@@ -78,6 +81,8 @@
 
         Call(QueueName queue, String team) {
             this.queue = queue;
+            boolean feed = queue.equals(TestConfiguration.FEED);
+            this.kind = feed ? SlotKind.FEED : SlotKind.REQUEST;
             boolean claims =
                     queue.equals(TestConfiguration.ONCE) && simulation.random.nextBoolean();
             String key = team + simulation.random.nextInt(100);
@@ -86,7 +91,7 @@
                     new EntryRequest(
                             Optional.of(TestConfiguration.credential(team)),
                             queue,
-                            SlotKind.REQUEST,
+                            kind,
                             simulation.random.nextInt(4) == 0,
                             TestCell.ZONE,
                             claim,
@@ -208,7 +213,7 @@
         private void arrive(Granted granted, SimulatedEndpoint endpoint) {
             if (!endpoint.alive) {
                 onEvent(() -> onEnded(granted.attempt(), false));
-            } else if (endpoint.state == EndpointState.LEAVING || !endpoint.start(granted)) {
+            } else if (endpoint.state == EndpointState.LEAVING || !endpoint.start(granted, kind)) {
                 onEvent(() -> onRefusedByEndpoint(granted.attempt()));
             } else {
                 onStarted(endpoint, granted.attempt());
