--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
@@ -17,7 +17,7 @@
  */
 public final class CellDuty implements DutyWork<CellInput> {
     /** Interval of the core's timers. */
-    public static final long TICK_MILLISECONDS = 20;
+    public static final long TICK_MILLISECONDS = 25;
 
     private final ReplicaId self;
     private final CellCore core;
--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/Duty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/Duty.java
@@ -15,6 +15,7 @@
  */
 public final class Duty<T> {
     private static final int LARGEST_BATCH = 1024;
+    private static final long TURN_MILLISECONDS = 500;
 
     private final DutyInput<T> input;
     private final DutyWork<T> work;
@@ -73,25 +74,33 @@
                 });
     }
 
-    /** Ticks when due, then takes a batch; returns whether the duty can go on. */
+    /** Works for a while, since a turn of an actor costs more than one of its wake-ups. */
     private boolean runTurn() {
         try {
-            long now = clock.nowMilliseconds();
-            if (now < nextTickMilliseconds) {
-                input.await(nextTickMilliseconds - now);
-                now = clock.nowMilliseconds();
+            long end = clock.nowMilliseconds() + TURN_MILLISECONDS;
+            while (clock.nowMilliseconds() < end) {
+                runOnce();
             }
-            if (now >= nextTickMilliseconds) {
-                work.tick(now);
-                nextTickMilliseconds = now + tickMilliseconds;
-            }
-            long batchTime = now;
-            input.drain(value -> work.receive(batchTime, value), LARGEST_BATCH);
-            work.flush(now);
             return true;
         } catch (RuntimeException | Error thrown) {
             failure.accept(thrown);
             return false;
         }
     }
+
+    /** Waits for input or the next tick, then ticks when due and takes a batch. */
+    private void runOnce() {
+        long now = clock.nowMilliseconds();
+        if (now < nextTickMilliseconds) {
+            input.await(nextTickMilliseconds - now);
+            now = clock.nowMilliseconds();
+        }
+        if (now >= nextTickMilliseconds) {
+            work.tick(now);
+            nextTickMilliseconds = now + tickMilliseconds;
+        }
+        long batchTime = now;
+        input.drain(value -> work.receive(batchTime, value), LARGEST_BATCH);
+        work.flush(now);
+    }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClientDuty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClientDuty.java
@@ -25,7 +25,7 @@
 
 /** Finds the leader and keeps each request going until a reply or its deadline. */
 final class CellClientDuty implements DutyWork<ClientInput> {
-    static final long TICK_MILLISECONDS = 50;
+    static final long TICK_MILLISECONDS = 100;
     private static final long RETRY_PAUSE_MILLISECONDS = 50;
     private static final long REPLY_TIMEOUT_MILLISECONDS = 2_000;
 
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/duty/DutyInputTest.java
@@ -0,0 +1,24 @@
+package org.marjoramnotch.daemon.duty;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class DutyInputTest {
+    @Test
+    void fullRingRefusesAndKeepsItsOrder() {
+        DutyInput<Integer> input = new DutyInput<>(4);
+        int taken = 0;
+        while (input.offer(taken)) {
+            taken++;
+        }
+        List<Integer> drained = new ArrayList<>();
+
+        assertThat(taken).isEqualTo(4);
+        assertThat(input.drain(drained::add, 3)).isEqualTo(3);
+        assertThat(input.drain(drained::add, 3)).isEqualTo(1);
+        assertThat(drained).containsExactly(0, 1, 2, 3);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/log/LogEventTest.java
@@ -0,0 +1,41 @@
+package org.marjoramnotch.daemon.log;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.FieldSource;
+
+class LogEventTest {
+    static final List<Arguments> VALUES =
+            List.of(
+                    Arguments.of("plain-1.2", "plain-1.2"),
+                    Arguments.of("", "\"\""),
+                    Arguments.of("two words", "\"two words\""),
+                    Arguments.of("a=b", "\"a=b\""),
+                    Arguments.of("say \"x\" \\", "\"say \\\"x\\\" \\\\\""),
+                    Arguments.of("line\nevent=forged\r", "\"line\\nevent=forged\\r\""),
+                    Arguments.of("\u0007", "\"\\u0007\""));
+
+    @ParameterizedTest
+    @FieldSource("VALUES")
+    void valueIsQuotedWhereNeeded(String value, String written) {
+        assertThat(LogEvent.of("e").with("key", value)).hasToString("event=e key=" + written);
+    }
+
+    @Test
+    void repeatingFaultPassesOnceInEachInterval() {
+        long[] now = {Long.MIN_VALUE / 2};
+        RateLimit limit = new RateLimit(() -> now[0], 1_000);
+
+        assertThat(limit.tryPass()).isEqualTo(OptionalLong.of(0));
+        assertThat(limit.tryPass()).isEmpty();
+        now[0] += 999;
+        assertThat(limit.tryPass()).isEmpty();
+        now[0] += 1;
+        assertThat(limit.tryPass()).isEqualTo(OptionalLong.of(2));
+    }
+}
--- a/daemon/src/test/java/org/marjoramnotch/daemon/standin/StandInAnswer.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/standin/StandInAnswer.java
@@ -82,7 +82,7 @@
         text("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n");
         for (int number = 0; number < count; number++) {
             byte[] chunk =
-                    count == 1
+                    count == 1 && request.body().length > 0
                             ? request.body()
                             : ("line " + number + "\n").getBytes(StandardCharsets.UTF_8);
             text(Integer.toHexString(chunk.length) + "\r\n");
--- a/daemon/src/test/java/org/marjoramnotch/daemon/standin/StandInWorker.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/standin/StandInWorker.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * Worker for tests. A task's payload is how many milliseconds it runs, or "fail" to fail at once.
@@ -35,7 +36,7 @@
     }
 
     /** Works for daemons until it is killed: NAME PROCESSOR_MILLIS MEMORY_MEGABYTES ADDRESS... */
-    public static void main(String[] arguments) throws InterruptedException {
+    public static void main(String[] arguments) {
         String capacity =
                 "{\"processorMillis\":%s,\"memoryMegabytes\":%s,\"accelerators\":0,"
                                 .formatted(arguments[1], arguments[2])
@@ -47,7 +48,7 @@
         }
     }
 
-    private void turn() throws InterruptedException {
+    private void turn() {
         if (now() >= leaseEndsMilliseconds) {
             stopAll();
         }
@@ -58,17 +59,17 @@
         }
     }
 
-    private void announce() throws InterruptedException {
+    private void announce() {
         long sent = now();
         StandInCalls.Answer answer = calls.put("/v1/workers/" + name, capacity);
         if (answer.status() != 200) {
-            Thread.sleep(RETRY_MILLISECONDS);
+            LockSupport.parkNanos(RETRY_MILLISECONDS * 1_000_000);
             return;
         }
         accept(sent, answer);
     }
 
-    private void renew() throws InterruptedException {
+    private void renew() {
         collectEnded();
         int reported = ended.size();
         long sent = now();
@@ -83,7 +84,7 @@
         } else if (answer.status() == 409 || answer.status() == 404) {
             stopAll();
         } else {
-            Thread.sleep(RETRY_MILLISECONDS);
+            LockSupport.parkNanos(RETRY_MILLISECONDS * 1_000_000);
         }
     }
 
