--- a/library/src/main/java/org/marjoramnotch/logic/placement/RequestPlacer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/RequestPlacer.java
@@ -81,6 +81,7 @@
                         admitted.work(),
                         admitted.pool(),
                         nowMilliseconds,
+                        admitted.patienceMilliseconds(),
                         nextSequence++));
         drain(nowMilliseconds, admitted.pool(), output);
     }
@@ -142,7 +143,7 @@
         context.pools().pool(request.pool()).team(request.team()).removeHead();
         request.reserve(endpoint);
         endpoint.health().onPlaced(request.attempt());
-        context.pools().reserving(request, endpoint, 1);
+        context.pools().changing(request.pool(), request.team(), endpoint, 1);
         context.pools().refreshEndpoint(endpoint, nowMilliseconds);
         context.pools().refreshTeam(request.pool(), request.team());
         output.propose(request.command(endpoint));
@@ -155,7 +156,7 @@
             return;
         }
         EndpointLoad endpoint = request.reserved().orElseThrow();
-        context.pools().reserving(request, endpoint, -1);
+        context.pools().changing(request.pool(), request.team(), endpoint, -1);
         if (result instanceof CommandResult.Accepted) {
             onReserved(nowMilliseconds, request, output);
         } else {
@@ -175,7 +176,7 @@
         OpenAttempt open = context.state().attempt(request.attempt()).orElseThrow();
         if (request.deadlineMilliseconds() <= nowMilliseconds) {
             request.free();
-            context.releases().releaseUnused(request.attempt(), output);
+            context.releases().releaseUnused(nowMilliseconds, request.attempt(), output);
             return;
         }
         forget(request);
--- a/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEntry.java
+++ b/library/src/test/java/org/marjoramnotch/logic/placement/SimulatedEntry.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.marjoramnotch.logic.entry.AttemptState;
 import org.marjoramnotch.logic.entry.EndpointAnswer;
 import org.marjoramnotch.logic.entry.EntryRequest;
 import org.marjoramnotch.logic.entry.EntryStep;
@@ -26,6 +28,8 @@
 
 /** An entry process that carries out the steps of {@link RequestAttempts}. */
 final class SimulatedEntry {
+    private static final List<QueueName> QUEUES =
+            List.of(TestConfiguration.ONCE, TestConfiguration.IDEMPOTENT, TestConfiguration.FEED);
     private static final long RESEND_MILLISECONDS = 200;
 
     private final VmId vm;
@@ -34,6 +38,7 @@
     private int incarnation;
     private long sequence;
     private int open;
+    private long pausedUntil;
 
     SimulatedEntry(String name, PlacementSimulation simulation) {
         this.vm = new VmId(name);
@@ -42,7 +47,9 @@
     }
 
     private void renewAlways() {
-        simulation.send(new RenewEntry(vm, "i" + incarnation), reply -> {});
+        if (simulation.cell().now >= pausedUntil) {
+            simulation.send(new RenewEntry(vm, "i" + incarnation), reply -> {});
+        }
         simulation.after(1_000, this::renewAlways);
     }
 
@@ -54,8 +61,7 @@
     }
 
     void onCaller() {
-        boolean idempotent = simulation.random.nextBoolean();
-        QueueName queue = idempotent ? TestConfiguration.IDEMPOTENT : TestConfiguration.ONCE;
+        QueueName queue = QUEUES.get(simulation.random.nextInt(QUEUES.size()));
         String team = simulation.random.nextInt(3) == 0 ? "small" : "big";
         simulation.onCaller();
         open++;
@@ -66,6 +72,7 @@
     private final class Call {
         private final int process = incarnation;
         private final QueueName queue;
+        private final SlotKind kind;
         private final RequestAttempts attempts;
         private final Optional<IdempotencyClaim> claim;
         private final Set<AttemptId> waitingReports = new HashSet<>();
@@ -74,6 +81,8 @@
 
         Call(QueueName queue, String team) {
             this.queue = queue;
+            boolean feed = queue.equals(TestConfiguration.FEED);
+            this.kind = feed ? SlotKind.FEED : SlotKind.REQUEST;
             boolean claims =
                     queue.equals(TestConfiguration.ONCE) && simulation.random.nextBoolean();
             String key = team + simulation.random.nextInt(100);
@@ -82,7 +91,7 @@
                     new EntryRequest(
                             Optional.of(TestConfiguration.credential(team)),
                             queue,
-                            SlotKind.REQUEST,
+                            kind,
                             simulation.random.nextInt(4) == 0,
                             TestCell.ZONE,
                             claim,
@@ -145,18 +154,26 @@
             }
         }
 
-        private void place(PlaceRequest request) {
-            boolean waits =
-                    process == incarnation
-                            && request.attempt().equals(attempts.attempt())
-                            && !waitingReports.contains(request.attempt())
-                            && told.isEmpty();
-            if (waits) {
-                simulation.send(request, reply -> onEvent(() -> onPlaced(request, reply)));
-                simulation.after(RESEND_MILLISECONDS, () -> place(request));
+        private void resend(PlaceRequest request) {
+            if (isWaiting(request)) {
+                attempts.onPlaceResent();
+                place(request);
             }
         }
 
+        private boolean isWaiting(PlaceRequest request) {
+            return process == incarnation
+                    && request.attempt().equals(attempts.attempt())
+                    && !waitingReports.contains(request.attempt())
+                    && attempts.state() == AttemptState.NOT_SENT
+                    && told.isEmpty();
+        }
+
+        private void place(PlaceRequest request) {
+            simulation.send(request, reply -> onEvent(() -> onPlaced(request, reply)));
+            simulation.after(RESEND_MILLISECONDS, () -> resend(request));
+        }
+
         private void onPlaced(PlaceRequest request, CellReply reply) {
             if (reply instanceof Granted granted) {
                 carryOut(attempts.onGranted(now(), granted));
@@ -178,13 +195,37 @@
                 carryOut(attempts.onConnectFailed(now()));
             } else if (!attempts.beginSending(now())) {
                 carryOut(attempts.onGrantTooLate(now()));
-            } else if (endpoint.state == EndpointState.LEAVING || !endpoint.start(granted)) {
-                carryOut(attempts.onEndpointRefused(now()));
+            } else {
+                simulation.after(pause(), () -> arrive(granted, endpoint));
+            }
+        }
+
+        /** Returns how long the first byte is on its way; now and then the entry is frozen. */
+        private long pause() {
+            if (!simulation.faults() || simulation.random.nextInt(100) > 0) {
+                return 1;
+            }
+            pausedUntil = now() + 9_000;
+            return simulation.random.nextInt(9_000);
+        }
+
+        /** The endpoint gets the request, whether or not the entry still lives. */
+        private void arrive(Granted granted, SimulatedEndpoint endpoint) {
+            if (!endpoint.alive) {
+                onEvent(() -> onEnded(granted.attempt(), false));
+            } else if (endpoint.state == EndpointState.LEAVING || !endpoint.start(granted, kind)) {
+                onEvent(() -> onRefusedByEndpoint(granted.attempt()));
             } else {
                 onStarted(endpoint, granted.attempt());
             }
         }
 
+        private void onRefusedByEndpoint(AttemptId attempt) {
+            if (attempts.attempt().equals(attempt)) {
+                carryOut(attempts.onEndpointRefused(now()));
+            }
+        }
+
         private void onStarted(SimulatedEndpoint endpoint, AttemptId attempt) {
             runs++;
             claim.ifPresent(key -> simulation.onClaimRun(key.keyDigest()));
