Bound the bytes of request bodies and open endpoint connections off the duty

Cause: under a trial load the entry's duty spent its time on building connection graphs (9.8 s of 65 s in a thread dump's counters); bodies of many callers could fill the heap. Change: connections start on the default dispatcher from a kept blueprint; BodyBudget of a quarter of the heap. The load figures were taken at a machine load above 30 and are trials.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/endpoint/EndpointConnector.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/endpoint/EndpointConnector.java
@@ -1,7 +1,11 @@
 package org.marjoramnotch.daemon.endpoint;
 
 import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.OutgoingConnection;
@@ -12,6 +16,7 @@
 import org.apache.pekko.stream.BoundedSourceQueue;
 import org.apache.pekko.stream.javadsl.Flow;
 import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.RunnableGraph;
 import org.apache.pekko.stream.javadsl.Sink;
 import org.apache.pekko.stream.javadsl.SinkQueueWithCancel;
 import org.apache.pekko.stream.javadsl.Source;
@@ -20,8 +25,19 @@
 public final class EndpointConnector {
     private static final Duration CONNECTING_TIMEOUT = Duration.ofMillis(1_000);
 
+    private static final int LARGEST_BLUEPRINT_COUNT = 1024;
+
     private final ActorSystem system;
     private final ClientConnectionSettings settings;
+    private final Map<
+                    EndpointAddress,
+                    RunnableGraph<
+                            Pair<
+                                    Pair<
+                                            BoundedSourceQueue<HttpRequest>,
+                                            CompletionStage<OutgoingConnection>>,
+                                    SinkQueueWithCancel<HttpResponse>>>>
+            blueprints = new ConcurrentHashMap<>();
 
     /** Creates a connector on the actor system. */
     public EndpointConnector(ActorSystem system) {
@@ -35,22 +51,45 @@
 
     /** Opens a new connection; the result fails if the endpoint is not reached. */
     public CompletionStage<EndpointConnection> open(EndpointAddress address) {
-        Flow<HttpRequest, HttpResponse, CompletionStage<OutgoingConnection>> flow =
-                Http.get(system)
-                        .connectionTo(address.host())
-                        .toPort(address.port())
-                        .withClientConnectionSettings(settings)
-                        .http();
+        return CompletableFuture.supplyAsync(() -> start(address), system.dispatcher())
+                .thenCompose(Function.identity());
+    }
+
+    /** Starts the stages of a connection, which takes long enough to keep it off the duties. */
+    private CompletionStage<EndpointConnection> start(EndpointAddress address) {
         Pair<
                         Pair<BoundedSourceQueue<HttpRequest>, CompletionStage<OutgoingConnection>>,
                         SinkQueueWithCancel<HttpResponse>>
-                parts =
-                        Source.<HttpRequest>queue(1)
-                                .viaMat(flow, Keep.both())
-                                .toMat(Sink.<HttpResponse>queue(1), Keep.both())
-                                .run(system);
+                parts = blueprint(address).run(system);
         EndpointConnection connection =
                 new EndpointConnection(parts.first().first(), parts.second());
         return parts.first().second().thenApply(connected -> connection);
     }
+
+    private RunnableGraph<
+                    Pair<
+                            Pair<
+                                    BoundedSourceQueue<HttpRequest>,
+                                    CompletionStage<OutgoingConnection>>,
+                            SinkQueueWithCancel<HttpResponse>>>
+            blueprint(EndpointAddress address) {
+        if (blueprints.size() >= LARGEST_BLUEPRINT_COUNT) {
+            blueprints.clear();
+        }
+        return blueprints.computeIfAbsent(
+                address,
+                missing ->
+                        Source.<HttpRequest>queue(1)
+                                .viaMat(flow(address), Keep.both())
+                                .toMat(Sink.<HttpResponse>queue(1), Keep.both()));
+    }
+
+    private Flow<HttpRequest, HttpResponse, CompletionStage<OutgoingConnection>> flow(
+            EndpointAddress address) {
+        return Http.get(system)
+                .connectionTo(address.host())
+                .toPort(address.port())
+                .withClientConnectionSettings(settings)
+                .http();
+    }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpInterfaceBuilder.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpInterfaceBuilder.java
@@ -14,6 +14,9 @@
 
 /** Puts the HTTP interfaces of a process together. */
 public final class HttpInterfaceBuilder {
+    /** Request bodies may fill one of so many parts of the heap. */
+    private static final int HEAP_PARTS = 4;
+
     private final ActorSystem system;
     private final DaemonSettings settings;
     private final Clock clock;
@@ -47,13 +50,15 @@
         JsonBodies json = new JsonBodies();
         Refusals refusals = new Refusals(json, metrics);
         BodyReader bodies = new BodyReader(system, settings.limits().maximumBodyBytes());
+        BodyBudget budget = new BodyBudget(Runtime.getRuntime().maxMemory() / HEAP_PARTS);
         CellCalls cell = new CellCalls(client, clock, refusals);
         return new HttpInterface(
                 system,
                 clock,
                 new HealthRoutes(ready, metrics),
                 List.of(
-                        new QuickRoutes(settings.availabilityZone(), entry, bodies, refusals),
+                        new QuickRoutes(
+                                settings.availabilityZone(), entry, bodies, budget, refusals),
                         new EndpointRoutes(cell, bodies, json),
                         new WorkerRoutes(cell, bodies, json),
                         new JobRoutes(cell, bodies, json),
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/QuickRoutes.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/QuickRoutes.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicLong;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.apache.pekko.http.javadsl.model.ContentType;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
@@ -30,8 +31,15 @@
     private final Entry entry;
     private final BodyReader bodies;
     private final Refusals refusals;
+    private final BodyBudget budget;
 
-    QuickRoutes(AvailabilityZone zone, Entry entry, BodyReader bodies, Refusals refusals) {
+    QuickRoutes(
+            AvailabilityZone zone,
+            Entry entry,
+            BodyReader bodies,
+            BodyBudget budget,
+            Refusals refusals) {
+        this.budget = budget;
         this.zone = zone;
         this.entry = entry;
         this.bodies = bodies;
@@ -53,12 +61,20 @@
         CallerHeaders headers = CallerHeaders.of(call);
         String path = call.rest(REST_SEGMENT);
         EntryRequest unclaimed = entryRequest(call, headers, SlotKind.REQUEST);
+        long declared = call.request().entity().getContentLengthOption().orElse(0);
+        budget.take(declared);
+        AtomicLong held = new AtomicLong(declared);
         return bodies.read(call, headers.deadlineMilliseconds())
                 .thenCompose(
-                        body ->
-                                carry(
-                                        withClaim(unclaimed, headers, path, body),
-                                        HttpRequest.POST(path).withEntity(body)));
+                        body -> {
+                            long undeclared = body.getData().size() - declared;
+                            budget.take(undeclared);
+                            held.addAndGet(undeclared);
+                            return carry(
+                                    withClaim(unclaimed, headers, path, body),
+                                    HttpRequest.POST(path).withEntity(body));
+                        })
+                .whenComplete((answer, failure) -> budget.give(held.get()));
     }
 
     private CompletionStage<HttpResponse> feed(HttpCall call) {
