--- a/daemon/src/main/java/org/marjoramnotch/daemon/entry/EndReports.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/entry/EndReports.java
@@ -14,7 +14,6 @@
 /** Reports the ends of attempts to the leader until each one is answered. Used by one thread. */
 final class EndReports {
     private static final long REPORT_TIMEOUT_MILLISECONDS = 5_000;
-    private static final int LARGEST_WAITING = 100_000;
 
     private final CellClient client;
     private final Consumer<EntryEvent> events;
@@ -30,7 +29,7 @@
 
     /** Reports an end. */
     void report(long nowMilliseconds, EndAttempt end) {
-        if (open.get() >= LARGEST_WAITING) {
+        if (open.get() >= EntryLimits.OPEN_REPORTS) {
             metrics.count(CountedEvent.END_REPORT_DROPPED);
             return;
         }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/BodyReader.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/BodyReader.java
@@ -20,6 +20,11 @@
         return system;
     }
 
+    /** Returns the length above which a body is refused. */
+    long longestBodyBytes() {
+        return longestBodyBytes;
+    }
+
     /** Reads the body; fails with {@code INVALID_REQUEST} if it is too long, cut or late. */
     CompletionStage<HttpEntity.Strict> read(HttpCall call, long timeoutMilliseconds) {
         return call.request()
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/QuickRoutes.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/QuickRoutes.java
@@ -61,7 +61,8 @@
         CallerHeaders headers = CallerHeaders.of(call);
         String path = call.rest(REST_SEGMENT);
         EntryRequest unclaimed = entryRequest(call, headers, SlotKind.REQUEST);
-        long declared = call.request().entity().getContentLengthOption().orElse(0);
+        long length = call.request().entity().getContentLengthOption().orElse(0);
+        long declared = Math.min(length, bodies.longestBodyBytes());
         budget.take(declared);
         AtomicLong held = new AtomicLong(declared);
         return bodies.read(call, headers.deadlineMilliseconds())
