Start deciding again only after the proposals of the same term have been applied

Cause: a leader that lost and regained its lease within one term made new duties while start commands of the old ones were still on their way.

--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -49,6 +49,8 @@
     private long now;
     private long appliedIndex;
     private long compactedIndex;
+    private long lastProposedIndex;
+    private long lastProposedTerm;
 
     /** Creates the core over a log whose recovered effects have not been taken yet. */
     public CellCore(CellSettings settings, ReplicatedLog log, PayloadCodec codec, CellParts parts) {
@@ -206,9 +208,13 @@
         awaited.takeAll().forEach(handle -> replies.add(new CellReplyTo(handle, reply)));
     }
 
-    /** Starts the decisions anew once the ledger has all entries of earlier terms. */
+    /**
+     * Starts the decisions anew once the ledger has all entries of earlier terms, and of this term
+     * what duties proposed before the lease was lost and regained: new duties would otherwise count
+     * as waiting what an entry on its way is about to start.
+     */
     private void startDecidingIfReady() {
-        if (duties == null && log.ready(now)) {
+        if (duties == null && log.ready(now) && !isProposalUnderWay()) {
             duties =
                     new LeaderDuties(
                             parts.configuration(ledger, now),
@@ -217,6 +223,10 @@
         }
     }
 
+    private boolean isProposalUnderWay() {
+        return lastProposedTerm == log.status(now).term() && appliedIndex < lastProposedIndex;
+    }
+
     private Optional<VmId> otherLeader() {
         ReplicationStatus status = log.status(now);
         return status.leader().filter(leader -> !leader.equals(status.self())).map(ReplicaId::vm);
@@ -238,8 +248,9 @@
                 proposalRefused = true;
                 return;
             }
-            long term = log.status(now).term();
-            proposed.put(index.getAsLong(), new ProposedCommand(term, command));
+            lastProposedIndex = index.getAsLong();
+            lastProposedTerm = log.status(now).term();
+            proposed.put(lastProposedIndex, new ProposedCommand(lastProposedTerm, command));
         }
 
         @Override
--- a/library/src/test/java/org/marjoramnotch/logic/cell/CellRandomisedTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/CellRandomisedTest.java
@@ -15,7 +15,14 @@
         Map<String, Integer> met = new CellRun(seed, replicas).run(MILLISECONDS);
         System.out.println("event=cell_run seed=" + seed + " met=\"" + met + "\"");
         assertThat(met)
-                .containsKeys("death", "pause", "cut", "worker restart")
+                .containsKeys(
+                        "death",
+                        "pause",
+                        "cut",
+                        "disk lost",
+                        "leader elected",
+                        "membership change",
+                        "worker restart")
                 .allSatisfy((what, times) -> assertThat(times).as(what).isPositive());
     }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/cell/CellRun.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/CellRun.java
@@ -11,7 +11,10 @@
 import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.marjoramnotch.logic.replication.ReplicationStatus;
+import org.marjoramnotch.model.identifier.KeyId;
 import org.marjoramnotch.model.identifier.QueueName;
+import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.RequestId;
 import org.marjoramnotch.model.identifier.TaskId;
 import org.marjoramnotch.model.identifier.TeamName;
@@ -34,6 +37,8 @@
     private final AtomicInteger jobs = new AtomicInteger();
     private long nextFaultAt = 10_000;
     private long diskLostAt;
+    private long highestTerm;
+    private List<ReplicaId> lastVoters = List.of();
 
     CellRun(long seed, int replicas) {
         simulation = new CellSimulation(seed, replicas);
@@ -68,9 +73,15 @@
         faults.put("rule changes", (int) operators.accepted);
         faults.put("rule conflicts", (int) operators.conflicts);
         faults.put("jobs", jobs.get());
+        faults.put(
+                "snapshots", (int) simulation.hosts.stream().mapToLong(h -> h.snapshots()).sum());
         return faults;
     }
 
+    long time() {
+        return simulation.time;
+    }
+
     private void work() {
         if (simulation.time % 40 == 0) {
             entries.get(random.nextInt(entries.size())).request();
@@ -91,8 +102,7 @@
                 new SubmitJobRequest(
                         Optional.of(
                                 new Credential(
-                                        new org.marjoramnotch.model.identifier.KeyId(
-                                                SimulatedOperators.KEY),
+                                        new KeyId(SimulatedOperators.KEY),
                                         SimulatedOperators.DIGEST)),
                         Optional.of(request),
                         new QueueName("bundles"),
@@ -181,6 +191,7 @@
     }
 
     private void check() {
+        observe();
         List<TaskId> tasks = new ArrayList<>();
         for (SimulatedWorker worker : workers) {
             List<TaskId> live = worker.liveTasks();
@@ -196,6 +207,27 @@
                 .isLessThanOrEqualTo(SimulatedOperators.LIMIT);
     }
 
+    /** Counts what the group went through, as its ready leader sees it. */
+    private void observe() {
+        if (simulation.time % 50 != 0) {
+            return;
+        }
+        for (SimulatedHost host : simulation.hosts) {
+            if (!host.isRunning() || host.isPaused(simulation.time)) {
+                continue;
+            }
+            ReplicationStatus status = host.core().status(host.local(simulation.time));
+            if (status.ready() && status.term() > highestTerm) {
+                highestTerm = status.term();
+                count("leader elected");
+            }
+            if (status.ready() && !status.voters().equals(lastVoters)) {
+                lastVoters = status.voters();
+                count("membership change");
+            }
+        }
+    }
+
     private void settle() {
         simulation.network.heal();
         simulation.network.faultRate(0);
--- a/library/src/test/java/org/marjoramnotch/logic/cell/SimulatedHost.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/SimulatedHost.java
@@ -12,6 +12,7 @@
 import org.marjoramnotch.logic.replication.ReplicaSettings;
 import org.marjoramnotch.logic.replication.SimulatedNetwork;
 import org.marjoramnotch.logic.replication.SimulatedStorage;
+import org.marjoramnotch.logic.replication.StorageWrite;
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.replication.ReplicationEnvelope;
@@ -29,6 +30,7 @@
     private int identity;
     private long pausedUntil;
     private long highestConfiguration;
+    private long snapshots;
     private SimulatedStorage storage = new SimulatedStorage();
     private Optional<CellCore> core = Optional.empty();
 
@@ -52,6 +54,11 @@
         return time < pausedUntil;
     }
 
+    /** Returns how many snapshots were stored, made or received. */
+    long snapshots() {
+        return snapshots;
+    }
+
     VmId vm() {
         return vm;
     }
@@ -100,6 +107,10 @@
     void carryOut(long time, SimulatedNetwork network, Consumer<CellReplyTo> replies) {
         CellEffects effects = core().takeEffects();
         storage.persist(effects.writes());
+        snapshots +=
+                effects.writes().stream()
+                        .filter(StorageWrite.SaveSnapshot.class::isInstance)
+                        .count();
         effects.messages()
                 .forEach(
                         message ->
--- a/library/src/test/java/org/marjoramnotch/logic/cell/SimulatedWorker.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/SimulatedWorker.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -72,7 +73,7 @@
         endRuns();
         long number = ++request;
         long sent = local();
-        Map<TaskAttemptId, TaskEnd> reported = Map.copyOf(ended);
+        Map<TaskAttemptId, TaskEnd> reported = new LinkedHashMap<>(ended);
         simulation.ask(
                 message(reported),
                 () -> number == request,
