Prove fencing of late ends and of renewals after a proposed expiry

Cause: trials that dropped the run number from ends, or answered renewals after an expiry was proposed, passed all tests. Change: lateEndOfAnEarlierRunIsIgnored and renewalIsRefusedFromTheProposalOfAnExpiryOn.

--- a/library/src/test/java/org/marjoramnotch/logic/job/JobDutyTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/job/JobDutyTest.java
@@ -117,6 +117,15 @@
         assertThat(cell.ledger.workerCount()).isZero();
     }
 
+    @Test
+    void renewalIsRefusedFromTheProposalOfAnExpiryOn() {
+        long epoch = announce("w1");
+        cell.tick(EXPIRY_MILLISECONDS);
+        assertThat(cell.ledger.workerCount()).isEqualTo(1);
+        assertThat(refusal(cell.reply(renew("w1", epoch, 0, List.of()))))
+                .isEqualTo(ErrorCode.STALE_EPOCH);
+    }
+
     @Test
     void delayedAnnouncementDoesNotEndRuns() {
         long epoch = announce("w1");
--- a/library/src/test/java/org/marjoramnotch/logic/job/JobLedgerTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/job/JobLedgerTest.java
@@ -166,6 +166,17 @@
         assertThat(ledger.apply(register())).isEqualTo(new CommandResult.WorkerAccepted(3));
     }
 
+    @Test
+    void lateEndOfAnEarlierRunIsIgnored() {
+        submit(JOB, QueuePolicy.BATCH, Repetition.IDEMPOTENT, 1);
+        ledger.apply(start(0, 1, 1));
+        ledger.apply(end(0, 1, TaskEnd.FAILED));
+        ledger.apply(start(0, 2, 1));
+        JobSnapshot before = ledger.snapshot();
+        ledger.apply(end(0, 1, TaskEnd.SUCCEEDED));
+        assertThat(ledger.snapshot()).isEqualTo(before);
+    }
+
     @Test
     void resentSubmissionReturnsFirstJobAndOtherContentIsRefused() {
         CommandResult first = ledger.apply(submission("first", 1));
