Make seeded runs the same in every process

Cause: copies of sets and maps iterate in an order that differs from process to process, so that a seed did not name one run. Change: insertion-ordered collections where the order shows. Measured: JobRandomisedTest seeds 1 to 4 twice, in two processes: same output.

--- a/library/src/main/java/org/marjoramnotch/logic/job/JobReaders.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobReaders.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -18,7 +18,7 @@
 
     private final DutyContext context;
     private final Map<JobEntry, List<HeldRead>> held = new HashMap<>();
-    private final Set<JobEntry> changed = new HashSet<>();
+    private final Set<JobEntry> changed = new LinkedHashSet<>();
 
     JobReaders(DutyContext context) {
         this.context = context;
--- a/library/src/main/java/org/marjoramnotch/logic/job/WorkerRequests.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/WorkerRequests.java
@@ -86,7 +86,7 @@
         }
         refuseAnnouncements(session);
         session.confirmed = true;
-        session.reported = Set.copyOf(request.running());
+        session.reported = new LinkedHashSet<>(request.running());
         noteSeen(session);
         pool.changed(session);
         UsageGuard.check(session, ledger, request.usage());
--- a/library/src/test/java/org/marjoramnotch/logic/job/FakeNetwork.java
+++ b/library/src/test/java/org/marjoramnotch/logic/job/FakeNetwork.java
@@ -1,6 +1,7 @@
 package org.marjoramnotch.logic.job;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -50,7 +51,8 @@
 
     void tick(long trueNow) {
         now = trueNow;
-        for (Map.Entry<RequestHandle, CellReply> reply : Map.copyOf(cell.replies).entrySet()) {
+        for (Map.Entry<RequestHandle, CellReply> reply :
+                new LinkedHashMap<>(cell.replies).entrySet()) {
             Consumer<CellReply> answered = awaited.remove(reply.getKey());
             if (answered != null && !isFault()) {
                 travelling.at(now + delay(), () -> answered.accept(reply.getValue()));
--- a/library/src/test/java/org/marjoramnotch/logic/job/FakeWorker.java
+++ b/library/src/test/java/org/marjoramnotch/logic/job/FakeWorker.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -99,7 +100,7 @@
         awaiting = true;
         long number = requestNumber;
         long sentLocal = local();
-        Map<TaskAttemptId, TaskEnd> reported = Map.copyOf(ended);
+        Map<TaskAttemptId, TaskEnd> reported = new LinkedHashMap<>(ended);
         CellRequest request =
                 epoch == 0
                         ? new AnnounceWorker(description)
--- a/library/src/test/java/org/marjoramnotch/logic/job/TestCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/job/TestCell.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -37,7 +37,7 @@
     final TestConfiguration configuration;
     final JobSettings settings;
     final Deque<Command> log = new ArrayDeque<>();
-    final Map<RequestHandle, CellReply> replies = new HashMap<>();
+    final Map<RequestHandle, CellReply> replies = new LinkedHashMap<>();
     final Map<String, Integer> coverage = new TreeMap<>();
     final UniformRandomProvider random;
     TeamUsage usage;
