Prove planned stops of each role under load

Cause: only the death of a leader was tested with real processes; a planned stop was not. Change: PlannedStopTest stops the leader, a follower and an entry with SIGTERM under load, with slow requests in flight.

--- /dev/null
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/AnswerCheck.java
@@ -0,0 +1,35 @@
+package org.marjoramnotch.endtoend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+
+/** Compares what callers were told with what the endpoints ran. */
+final class AnswerCheck {
+    private final Announcer endpoints;
+    private final String queue;
+
+    AnswerCheck(Announcer endpoints, String queue) {
+        this.endpoints = endpoints;
+        this.queue = queue;
+    }
+
+    /** Fails on a doubled run, an untrue "not run" and an answer that is not the whole own one. */
+    void check(List<CallerAnswer> answers) {
+        assertThat(answers).isNotEmpty().allSatisfy(this::check);
+    }
+
+    private void check(CallerAnswer answer) {
+        int executions = endpoints.executions(answer.body());
+        if (queue.equals(TestRules.ONCE_QUEUE)) {
+            assertThat(executions).as("executions of a non-idempotent request").isLessThan(2);
+        }
+        if (answer.answered()) {
+            assertThat(answer.answer()).isEqualTo(answer.body());
+            assertThat(executions).as("executions of an answered request").isPositive();
+        }
+        if (answer.saysNotRun()) {
+            assertThat(executions).as("executions of a request refused as not run").isZero();
+        }
+    }
+}
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/Cell.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/Cell.java
@@ -82,7 +82,7 @@
     /** Returns the state of the cell as any live daemon tells it. */
     java.util.Optional<JsonNode> status() {
         for (DaemonProcess daemon : daemons) {
-            if (daemon.isAlive()) {
+            if (daemon.isServing()) {
                 try {
                     HttpResponse<String> answer =
                             caller.operator(
@@ -106,7 +106,8 @@
                 () -> {
                     leader[0] = status().map(status -> status.path("leader").asText()).orElse("");
                     return daemons.stream()
-                            .anyMatch(daemon -> daemon.vm().equals(leader[0]) && daemon.isAlive());
+                            .anyMatch(
+                                    daemon -> daemon.vm().equals(leader[0]) && daemon.isServing());
                 });
         return daemons.stream()
                 .filter(daemon -> daemon.vm().equals(leader[0]))
@@ -114,6 +115,40 @@
                 .orElseThrow();
     }
 
+    /** Returns the process that has a role now. */
+    DaemonProcess find(CellRole role) {
+        DaemonProcess leader = leader();
+        return switch (role) {
+            case LEADER -> leader;
+            case FOLLOWER -> daemons.get(leader == daemons.get(0) ? 1 : 0);
+            case ENTRY -> daemons.get(daemons.size() - 1);
+        };
+    }
+
+    /** Waits until every daemon is ready to serve. */
+    void awaitReady() {
+        for (DaemonProcess daemon : daemons) {
+            String uri = daemon.httpAddress() + "/health/ready";
+            Poll.until(
+                    "daemon " + daemon.vm() + " is ready",
+                    () -> caller.get(uri).statusCode() == 200);
+        }
+        leader();
+    }
+
+    /** Waits until a request through a daemon that serves is answered. */
+    void awaitService(CallerLoad load) {
+        String live =
+                daemons.stream()
+                        .filter(DaemonProcess::isServing)
+                        .findFirst()
+                        .orElseThrow()
+                        .httpAddress();
+        int[] number = {0};
+        Poll.until(
+                "a request is answered", () -> load.call(live, "probe-" + number[0]++).answered());
+    }
+
     @Override
     public void close() {
         daemons.forEach(DaemonProcess::close);
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/DaemonProcess.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/DaemonProcess.java
@@ -16,6 +16,7 @@
     private final Path settings;
     private final Path log;
     private Process process;
+    private boolean paused;
 
     DaemonProcess(String vm, String httpAddress, Path settings, Path log) {
         this.vm = vm;
@@ -38,6 +39,11 @@
         return process.isAlive();
     }
 
+    /** Tells whether it runs and is not paused. */
+    boolean isServing() {
+        return process.isAlive() && !paused;
+    }
+
     /** Ends it at once, as SIGKILL does. */
     void kill() {
         process.destroyForcibly();
@@ -55,8 +61,19 @@
         process = launch();
     }
 
-    /** Sends a signal such as STOP or CONT. */
-    void signal(String name) {
+    /** Freezes all its threads, as a long pause does. */
+    void pause() {
+        paused = true;
+        signal("STOP");
+    }
+
+    /** Ends a {@link #pause}. */
+    void resume() {
+        signal("CONT");
+        paused = false;
+    }
+
+    private void signal(String name) {
         try {
             new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
         } catch (IOException exception) {
--- /dev/null
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/PlannedStopTest.java
@@ -0,0 +1,78 @@
+package org.marjoramnotch.endtoend;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class PlannedStopTest {
+    private static final int CALLERS = 8;
+    private static final int SLOW_REQUESTS = 4;
+
+    /** The documented exit status of a process that was ended by SIGTERM. */
+    private static final int EXIT_STATUS = 143;
+
+    @TempDir static Path folder;
+    private static Cell cell;
+    private static Announcer endpoints;
+
+    @BeforeAll
+    static void start() throws Exception {
+        cell = new Cell(folder, 3, 2);
+        endpoints = new Announcer(cell.addresses(), TestRules.SERVICE, 2);
+        cell.form(TestRules.TEXT);
+    }
+
+    @AfterAll
+    static void stop() {
+        endpoints.close();
+        cell.close();
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void stopUnderLoadCutsNoRequest(CellRole role) {
+        cell.awaitReady();
+        CallerLoad load =
+                new CallerLoad(
+                        cell.caller(), cell.addresses(), TestRules.ONCE_QUEUE, TestRules.KEY);
+        cell.awaitService(load);
+        DaemonProcess stopping = cell.find(role);
+        List<CallerAnswer> slow = new ArrayList<>();
+        List<CallerAnswer> answers =
+                load.runDuring(
+                        CALLERS,
+                        () -> {
+                            List<CompletableFuture<CallerAnswer>> inFlight =
+                                    load.startSlow(
+                                            endpoints, stopping.httpAddress(), SLOW_REQUESTS);
+                            assertThat(stopping.stop()).isEqualTo(EXIT_STATUS);
+                            inFlight.forEach(answer -> slow.add(answer.join()));
+                        });
+        assertThat(slow).hasSize(SLOW_REQUESTS).allMatch(CallerAnswer::answered);
+        new AnswerCheck(endpoints, TestRules.ONCE_QUEUE).check(slow);
+        new AnswerCheck(endpoints, TestRules.ONCE_QUEUE).check(answers);
+        assertThat(answers).allSatisfy(answer -> checkUncut(answer, stopping));
+        stopping.restart();
+        cell.awaitReady();
+        assertThat(load.call(stopping.httpAddress(), role + " restarted").answered()).isTrue();
+    }
+
+    /** A request that the stopping daemon did not take may be refused or find no listener. */
+    private static void checkUncut(CallerAnswer answer, DaemonProcess stopping) {
+        boolean through = answer.address().equals(stopping.httpAddress());
+        if (!through) {
+            assertThat(answer.status()).as(answer.toString()).isEqualTo(200);
+        } else if (!answer.answered()) {
+            assertThat(answer.outcome()).as(answer.toString()).isIn("not_run", null);
+            assertThat(endpoints.executions(answer.body())).isZero();
+        }
+    }
+}
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/Poll.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/Poll.java
@@ -15,7 +15,7 @@
             if (holds(reached)) {
                 return;
             }
-            pause();
+            pause(PAUSE_MILLISECONDS);
         }
         throw new AssertionError("Not reached: " + what);
     }
@@ -28,9 +28,10 @@
         }
     }
 
-    private static void pause() {
+    /** Pauses the calling thread. */
+    static void pause(long milliseconds) {
         try {
-            Thread.sleep(PAUSE_MILLISECONDS);
+            Thread.sleep(milliseconds);
         } catch (InterruptedException exception) {
             throw new IllegalStateException(exception);
         }
