--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/Announcer.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/Announcer.java
@@ -4,7 +4,9 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import org.marjoramnotch.daemon.standin.StandInCalls;
 import org.marjoramnotch.daemon.standin.StandInEndpoint;
 
@@ -13,14 +15,17 @@
     private static final long RENEWAL_MILLISECONDS = 500;
 
     private final Map<String, StandInEndpoint> endpoints = new TreeMap<>();
+    private final Set<StandInEndpoint> leaving = ConcurrentHashMap.newKeySet();
+    private final List<String> addresses;
     private volatile boolean open = true;
 
     Announcer(List<String> addresses, String service, int count) {
+        this.addresses = addresses;
         for (int number = 1; number <= count; number++) {
             String name = "endpoint-" + number;
             StandInEndpoint endpoint = new StandInEndpoint(name, service);
             endpoints.put(name, endpoint);
-            Thread thread = new Thread(() -> announce(endpoint, addresses), name);
+            Thread thread = new Thread(() -> announceAll(endpoint), name);
             thread.setDaemon(true);
             thread.start();
         }
@@ -31,6 +36,19 @@
         return endpoints.values().stream().mapToInt(endpoint -> endpoint.executions(body)).sum();
     }
 
+    /** Returns how often one endpoint ran a body. */
+    int executions(String endpoint, String body) {
+        return endpoints.get(endpoint).executions(body);
+    }
+
+    /** Announces that an endpoint leaves and returns once the cell has taken it. */
+    void leave(String name) {
+        StandInEndpoint endpoint = endpoints.get(name);
+        leaving.add(endpoint);
+        StandInCalls calls = calls();
+        Poll.until("the leaving is announced", () -> announce(endpoint, calls));
+    }
+
     @Override
     public void close() {
         open = false;
@@ -45,19 +63,27 @@
         }
     }
 
-    private void announce(StandInEndpoint endpoint, List<String> addresses) {
+    private void announceAll(StandInEndpoint endpoint) {
+        StandInCalls calls = calls();
+        while (open) {
+            announce(endpoint, calls);
+            Poll.pause(RENEWAL_MILLISECONDS);
+        }
+    }
+
+    /** Sends one announcement at a time, so that a late one cannot recall a leaving. */
+    private boolean announce(StandInEndpoint endpoint, StandInCalls calls) {
+        synchronized (endpoint) {
+            String state = leaving.contains(endpoint) ? "leaving" : "active";
+            return endpoint.announce(calls, state) == 200;
+        }
+    }
+
+    private StandInCalls calls() {
         String[] targets =
                 addresses.stream()
                         .map(address -> address.substring("http://".length()))
                         .toArray(String[]::new);
-        StandInCalls calls = new StandInCalls(targets, 0);
-        try {
-            while (open) {
-                endpoint.announce(calls, "active");
-                Thread.sleep(RENEWAL_MILLISECONDS);
-            }
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-        }
+        return new StandInCalls(targets, 0);
     }
 }
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/Cell.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/Cell.java
@@ -14,6 +14,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.apache.commons.codec.digest.DigestUtils;
 
 /** Replicas and entries as separate processes, each on a loopback address of its own. */
@@ -23,10 +24,12 @@
 
     private final List<DaemonProcess> daemons = new ArrayList<>();
     private final HttpCaller caller = new HttpCaller();
+    private final Path folder;
     private final int replicaCount;
 
     /** Starts the processes; the first ones are replicas. */
     Cell(Path folder, int replicaCount, int entryCount) throws IOException {
+        this.folder = folder;
         this.replicaCount = replicaCount;
         Path operatorKeyFile = folder.resolve("operator.sha256");
         Files.writeString(operatorKeyFile, DigestUtils.sha256Hex(OPERATOR_KEY));
@@ -79,23 +82,30 @@
         return daemons.stream().map(DaemonProcess::httpAddress).toList();
     }
 
-    /** Returns the state of the cell as any live daemon tells it. */
-    java.util.Optional<JsonNode> status() {
-        for (DaemonProcess daemon : daemons) {
-            if (daemon.isServing()) {
-                try {
-                    HttpResponse<String> answer =
-                            caller.operator(
-                                    "GET", daemon.httpAddress() + "/v1/operator/status", "");
-                    if (answer.statusCode() == 200) {
-                        return java.util.Optional.of(JSON.readTree(answer.body()));
-                    }
-                } catch (UncheckedIOException | IOException exception) {
-                    continue;
-                }
-            }
+    /** Returns the state of the cell as any serving daemon tells it. */
+    Optional<JsonNode> status() {
+        return daemons.stream()
+                .filter(DaemonProcess::isServing)
+                .flatMap(daemon -> statusOf(daemon).stream())
+                .findFirst();
+    }
+
+    /** Returns the state of the cell as one daemon tells it. */
+    Optional<JsonNode> statusOf(DaemonProcess daemon) {
+        try {
+            String uri = daemon.httpAddress() + "/v1/operator/status";
+            HttpResponse<String> answer = caller.operator("GET", uri, "");
+            return Optional.of(answer)
+                    .filter(given -> given.statusCode() == 200)
+                    .map(given -> Json.read(given.body()));
+        } catch (UncheckedIOException exception) {
+            return Optional.empty();
         }
-        return java.util.Optional.empty();
+    }
+
+    /** Returns how many attempts the cell counts as running; -1 while that cannot be told. */
+    int running() {
+        return status().map(status -> status.path("running").asInt()).orElse(-1);
     }
 
     /** Returns the process of the leader, once there is one. */
@@ -125,6 +135,22 @@
         };
     }
 
+    /** Starts the daemons that have ended. */
+    void restartEnded() {
+        daemons.stream().filter(daemon -> !daemon.isAlive()).forEach(DaemonProcess::restart);
+    }
+
+    /** Takes away what an ended replica stored, as the loss of a disk does. */
+    void emptyDataFolder(DaemonProcess daemon) {
+        Path data = dataFolder(folder, daemon.vm());
+        try {
+            Files.move(data, folder.resolve("lost-" + daemon.vm()));
+            Files.createDirectory(data);
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
     /** Waits until every daemon is ready to serve. */
     void awaitReady() {
         for (DaemonProcess daemon : daemons) {
@@ -167,7 +193,7 @@
         settings.put("operatorKeySha256File", operatorKeyFile.toString());
         if (replica) {
             roles.add("replica");
-            settings.put("dataFolder", folder.resolve("data-" + number).toString());
+            settings.put("dataFolder", dataFolder(folder, "vm-" + number).toString());
         }
         Path file = folder.resolve("settings-" + number + ".json");
         Files.writeString(file, settings.toPrettyString());
@@ -184,6 +210,10 @@
                 () -> caller.get(daemon.httpAddress() + "/health/live").statusCode() == 200);
     }
 
+    private static Path dataFolder(Path folder, String vm) {
+        return folder.resolve("data-" + vm);
+    }
+
     private static String host(int number) {
         return "127.0.0." + (10 + number);
     }
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/Jobs.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/Jobs.java
@@ -1,6 +1,5 @@
 package org.marjoramnotch.endtoend;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -30,7 +29,12 @@
         if (answer.statusCode() != 202) {
             throw new AssertionError(answer.statusCode() + " " + answer.body());
         }
-        return read(answer.body()).path("job").asText();
+        return Json.read(answer.body()).path("job").asText();
+    }
+
+    /** Returns the status of the job now. */
+    JsonNode status(String address, String job) {
+        return Json.read(caller.send("GET", address + "/v1/jobs/" + job, key, "").body());
     }
 
     /** Returns the status of the job once it has ended. */
@@ -41,7 +45,7 @@
                 () -> {
                     String uri = address + "/v1/jobs/" + job + "?waitMilliseconds=1000";
                     HttpResponse<String> answer = caller.send("GET", uri, key, "");
-                    status[0] = read(answer.body());
+                    status[0] = Json.read(answer.body());
                     String state = status[0].path("state").asText();
                     return answer.statusCode() == 200
                             && !state.equals("queued")
@@ -49,12 +53,4 @@
                 });
         return status[0];
     }
-
-    private static JsonNode read(String text) {
-        try {
-            return JSON.readTree(text);
-        } catch (JsonProcessingException exception) {
-            throw new IllegalStateException(text, exception);
-        }
-    }
 }
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/TestRules.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/TestRules.java
@@ -9,8 +9,10 @@
     static final String ONCE_QUEUE = "checks";
     static final String IDEMPOTENT_QUEUE = "permits";
     static final String BATCH_QUEUE = "bundles";
+    static final String ONCE_BATCH_QUEUE = "orders";
     static final String GANG_QUEUE = "takeoffs";
     static final String FEED_QUEUE = "notices";
+    static final String PRIVATE_FEED_QUEUE = "leaks";
 
     static final String TEXT =
             """
@@ -19,10 +21,17 @@
             queue checks private wards policy quick service gas-check once # inspectors
             queue permits keyed policy quick service gas-check idempotent # owners
             queue notices open wards policy feed service gas-check idempotent # owners
+            queue leaks private wards policy feed service gas-check idempotent # fire office
             queue bundles private wards policy batch idempotent # fire office
+            queue orders private wards policy batch once # builders
             queue takeoffs private wards policy gang idempotent # fire office
             """
                     .formatted(DigestUtils.sha256Hex("secret-of-the-wards"));
 
     private TestRules() {}
+
+    /** Returns rules in which only the team's upper limit differs. */
+    static String withLimit(String text, int limit) {
+        return text.replaceFirst("limit [0-9]+", "limit " + limit);
+    }
 }
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/WorkerProcess.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/WorkerProcess.java
@@ -2,16 +2,20 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import org.marjoramnotch.daemon.standin.StandInWorker;
 
 /** A stand-in worker as a process of its own. */
 final class WorkerProcess implements AutoCloseable {
     private final Process process;
+    private final Path log;
 
     WorkerProcess(String name, List<String> addresses, Path folder) {
+        log = folder.resolve(name + ".log");
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(List.of("-Xmx48m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1"));
@@ -19,7 +23,7 @@
         command.addAll(List.of(StandInWorker.class.getName(), name, "4000", "8000"));
         addresses.forEach(address -> command.add(address.substring("http://".length())));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-        builder.redirectOutput(folder.resolve(name + ".log").toFile());
+        builder.redirectOutput(log.toFile());
         try {
             process = builder.start();
         } catch (IOException exception) {
@@ -27,6 +31,18 @@
         }
     }
 
+    /** Returns how many tasks of a job it has started. */
+    long starts(String job) {
+        try (Stream<String> lines = Files.lines(log)) {
+            return lines.filter(line -> line.startsWith("event=task_started"))
+                    .filter(line -> line.contains('"' + job + '"'))
+                    .count();
+        } catch (IOException exception) {
+            throw new UncheckedIOException(exception);
+        }
+    }
+
+    /** Ends it at once, as SIGKILL does. */
     @Override
     public void close() {
         process.destroyForcibly();
