--- a/library/src/main/java/org/marjoramnotch/logic/job/WorkerHealth.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/WorkerHealth.java
@@ -22,7 +22,6 @@
     private boolean probing;
     private boolean probeOpen;
     private long probeMilliseconds;
-    private boolean succeededOnce;
 
     /** Counts a run that ended; returns whether the worker's quarantine changed. */
     boolean ended(JobId job, TaskEnd end, long nowMilliseconds, long delayMilliseconds) {
@@ -54,11 +53,6 @@
         return quarantined;
     }
 
-    /** Tells whether the worker runs others well, so that a failure on it tells of the job. */
-    boolean isProven() {
-        return succeededOnce && failures < FEWEST_FAILURES;
-    }
-
     /** Tells whether the worker may take a run; one as a probe when it is quarantined. */
     boolean takesWork() {
         return !quarantined || probeOpen;
@@ -96,7 +90,6 @@
         failedProbes = 0;
         quarantined = false;
         probing = false;
-        succeededOnce = true;
         return changed;
     }
 
