--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -33,6 +33,7 @@
 import org.marjoramnotch.logic.cell.CellParts;
 import org.marjoramnotch.logic.cell.StandardCellParts;
 import org.marjoramnotch.logic.job.JobSettings;
+import org.marjoramnotch.logic.job.QueueOrder;
 import org.marjoramnotch.logic.placement.PlacementSettings;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
@@ -99,7 +100,7 @@
     /** Runs a process until it is told to stop by a signal. */
     public static void run(DaemonSettings settings) {
         LogSetup.configure(settings.logLevel());
-        Daemon daemon = start(settings, standardParts());
+        Daemon daemon = start(settings, standardParts(settings.jobOrder()));
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
         System.out.println(
                 "event=daemon_started vm="
@@ -113,9 +114,13 @@
 
     /** Returns the leader's decisions as the product ships them. */
     public static CellParts standardParts() {
+        return standardParts(JobSettings.defaults().order());
+    }
+
+    private static CellParts standardParts(QueueOrder jobOrder) {
         return new StandardCellParts(
                 PlacementSettings.defaults(),
-                JobSettings.defaults(),
+                JobSettings.builder().order(jobOrder).build(),
                 RandomSource.XO_RO_SHI_RO_128_PP.create());
     }
 
--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/DaemonSettings.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.job.QueueOrder;
 import org.marjoramnotch.model.identifier.AvailabilityZone;
 import org.marjoramnotch.model.identifier.VmId;
 
@@ -29,6 +30,7 @@
  * @param operatorKeySha256File the file with the SHA-256 of the operator key, see {@link
  *     OperatorKeyHash}
  * @param logLevel the least severe log level that is written
+ * @param jobOrder the order in which a leader looks at waiting jobs
  * @param limits bounds and intervals
  */
 @JsonDeserialize(builder = DaemonSettings.Builder.class)
@@ -44,6 +46,7 @@
         Optional<Path> dataFolder,
         Path operatorKeySha256File,
         Logger.Level logLevel,
+        QueueOrder jobOrder,
         DaemonLimits limits) {
 
     /** Copies the collections, so that the settings stay as they are. */
@@ -77,6 +80,7 @@
         private @Nullable Path dataFolder;
         private @Nullable Path operatorKeySha256File;
         private Logger.Level logLevel = Logger.Level.INFO;
+        private QueueOrder jobOrder = QueueOrder.FAIR_SHARE;
         private DaemonLimits limits = DaemonLimits.defaults();
 
         private Builder() {}
@@ -147,6 +151,12 @@
             return this;
         }
 
+        /** Sets the order of waiting jobs. */
+        public Builder jobOrder(QueueOrder value) {
+            jobOrder = value;
+            return this;
+        }
+
         /** Sets bounds and intervals. */
         public Builder limits(DaemonLimits value) {
             limits = value;
@@ -167,6 +177,7 @@
                     Optional.ofNullable(dataFolder),
                     Objects.requireNonNull(operatorKeySha256File, "operatorKeySha256File"),
                     logLevel,
+                    jobOrder,
                     limits);
         }
     }
--- a/daemon/src/test/java/org/marjoramnotch/daemon/settings/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/settings/SettingsReaderTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.marjoramnotch.logic.job.QueueOrder;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
 import org.marjoramnotch.model.identifier.AvailabilityZone;
@@ -28,7 +29,7 @@
              "httpHost": "10.0.0.1", "httpPort": 0, "linkHost": "10.0.0.1", "linkPort": 7400,
              "replicas": [{"vm": "vm-1", "host": "10.0.0.1", "port": 7400}],
              "dataFolder": "data", "operatorKeySha256File": "operator.sha256",
-             "limits": {"queueCapacity": 500}}
+             "jobOrder": "urgent-first", "limits": {"queueCapacity": 500}}
             """;
 
     @TempDir Path folder;
@@ -52,6 +53,7 @@
                                 .dataFolder(folder.resolve("data"))
                                 .operatorKeySha256File(folder.resolve("operator.sha256"))
                                 .logLevel(Logger.Level.INFO)
+                                .jobOrder(QueueOrder.URGENT_FIRST)
                                 .limits(DaemonLimits.builder().queueCapacity(500).build())
                                 .build());
     }
