Hold a job watch through planned stops; make the repair test exact

Cause: the repair test could take the lost identity, which stays a voter until the new one asks to join, for the promoted one. Concurrent test calls shared the common pool, which is too small on a VM of few cores. Change: the repair test waits for the three membership changes in the commit index; PlannedStopTest also holds a job watch through the stopping daemon and starts what an earlier case left ended; each concurrent call has a thread of its own.

--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/CallerLoad.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/CallerLoad.java
@@ -70,7 +70,9 @@
         List<CompletableFuture<CallerAnswer>> answers = new ArrayList<>();
         for (int number = 0; number < requests; number++) {
             String body = run + "-slow-" + number;
-            answers.add(CompletableFuture.supplyAsync(() -> call(address, "slow", body)));
+            answers.add(
+                    CompletableFuture.supplyAsync(
+                            () -> call(address, "slow", body), HttpCaller.THREADS));
             Poll.until("a slow request runs", () -> endpoints.executions(body) > 0);
         }
         return answers;
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/ConfigurationInForceTest.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/ConfigurationInForceTest.java
@@ -80,7 +80,8 @@
             String text = TestRules.withLimit(text(), 100 + role.ordinal());
             sent.add(
                     CompletableFuture.supplyAsync(
-                            () -> rules.send(daemon, "race-" + role, version(), text)));
+                            () -> rules.send(daemon, "race-" + role, version(), text),
+                            HttpCaller.THREADS));
         }
         List<HttpResponse<String>> answers = sent.stream().map(CompletableFuture::join).toList();
         assertThat(answers)
@@ -98,7 +99,8 @@
         String first = TestRules.withLimit(text(), 101);
         String later = TestRules.withLimit(text(), 102);
         CompletableFuture<HttpResponse<String>> lost =
-                CompletableFuture.supplyAsync(() -> rules.send(leader, "resent", version(), first));
+                CompletableFuture.supplyAsync(
+                        () -> rules.send(leader, "resent", version(), first), HttpCaller.THREADS);
         leader.kill();
         DaemonProcess entry = cell.find(CellRole.ENTRY);
         long accepted = rules.change(entry, "resent", version(), first);
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/HttpCaller.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/HttpCaller.java
@@ -7,9 +7,13 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.concurrent.Executor;
 
 /** Sends HTTP requests as callers and operators do. */
 final class HttpCaller {
+    /** A thread for each call, so that calls that wait for each other cannot starve. */
+    static final Executor THREADS = call -> new Thread(call, "caller").start();
+
     private static final Duration TIMEOUT = Duration.ofSeconds(40);
 
     private final HttpClient client =
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/Jobs.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/Jobs.java
@@ -9,6 +9,8 @@
 final class Jobs {
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    private static final long WATCH_MILLISECONDS = 2_500;
+
     private final HttpCaller caller;
     private final String key;
 
@@ -34,7 +36,17 @@
 
     /** Returns the status of the job now. */
     JsonNode status(String address, String job) {
-        return Json.read(caller.send("GET", address + "/v1/jobs/" + job, key, "").body());
+        return get(address, job, "");
+    }
+
+    /** Returns the status of a queued job after it was held for a while. */
+    JsonNode watch(String address, String job) {
+        return get(address, job, "?known=queued&waitMilliseconds=" + WATCH_MILLISECONDS);
+    }
+
+    private JsonNode get(String address, String job, String query) {
+        String uri = address + "/v1/jobs/" + job + query;
+        return Json.read(caller.send("GET", uri, key, "").body());
     }
 
     /** Returns the status of the job once it has ended. */
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/PlannedStopTest.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/PlannedStopTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -39,12 +40,15 @@
     @ParameterizedTest
     @EnumSource
     void stopUnderLoadCutsNoRequest(CellRole role) {
+        cell.restartEnded();
         cell.awaitReady();
         CallerLoad load =
                 new CallerLoad(
                         cell.caller(), cell.addresses(), TestRules.ONCE_QUEUE, TestRules.KEY);
         cell.awaitService(load);
         DaemonProcess stopping = cell.find(role);
+        Jobs jobs = new Jobs(cell.caller(), TestRules.KEY);
+        String job = jobs.submit(stopping.httpAddress(), TestRules.BATCH_QUEUE, 1, "100");
         List<CallerAnswer> slow = new ArrayList<>();
         List<CallerAnswer> answers =
                 load.runDuring(
@@ -53,8 +57,13 @@
                             List<CompletableFuture<CallerAnswer>> inFlight =
                                     load.startSlow(
                                             endpoints, stopping.httpAddress(), SLOW_REQUESTS);
+                            CompletableFuture<JsonNode> watch =
+                                    CompletableFuture.supplyAsync(
+                                            () -> jobs.watch(stopping.httpAddress(), job),
+                                            HttpCaller.THREADS);
                             assertThat(stopping.stop()).isEqualTo(EXIT_STATUS);
                             inFlight.forEach(answer -> slow.add(answer.join()));
+                            assertThat(watch.join().path("state").asText()).isEqualTo("queued");
                         });
         assertThat(slow).hasSize(SLOW_REQUESTS).allMatch(CallerAnswer::answered);
         new AnswerCheck(endpoints, TestRules.ONCE_QUEUE).check(slow);
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/ReplicaRepairTest.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/ReplicaRepairTest.java
@@ -14,6 +14,9 @@
 class ReplicaRepairTest {
     private static final int RULE_CHANGES = 200;
 
+    /** The lost identity is removed, the new one added as a learner and then promoted. */
+    private static final int MEMBERSHIP_CHANGES = 3;
+
     @TempDir static Path folder;
     private static Cell cell;
     private static Announcer endpoints;
@@ -49,6 +52,7 @@
         Jobs jobs = new Jobs(cell.caller(), TestRules.KEY);
         String job = jobs.submit(entry.httpAddress(), TestRules.BATCH_QUEUE, 2, "100");
         JsonNode before = rules.read(entry);
+        Poll.until("all ends are committed", () -> cell.running() == 0);
         long appended = cell.statusOf(entry).orElseThrow().path("commitIndex").asLong();
         lost.kill();
         cell.emptyDataFolder(lost);
@@ -86,10 +90,15 @@
         cell.awaitService(load);
     }
 
-    /** The membership changes add entries to the log, so that an old status is not mistaken. */
+    /**
+     * Nothing else is committed meanwhile, so that the lost identity is not mistaken for a voter.
+     */
     private boolean isRepaired(DaemonProcess daemon, long appended) {
         return cell.statusOf(daemon)
-                .filter(status -> status.path("commitIndex").asLong() > appended)
+                .filter(
+                        status ->
+                                status.path("commitIndex").asLong()
+                                        >= appended + MEMBERSHIP_CHANGES)
                 .filter(status -> status.path("learners").isEmpty())
                 .filter(status -> status.path("voters").size() == 3)
                 .isPresent();
