--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -1,9 +1,7 @@
 package org.marjoramnotch.logic.cell;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
@@ -40,17 +38,14 @@
     private final List<ReplicationEffects.Outgoing> messages = new ArrayList<>();
     private final List<CellReplyTo> replies = new ArrayList<>();
     private final AwaitedRequests awaited = new AwaitedRequests();
-    private final Map<Long, ProposedCommand> proposed = new HashMap<>();
+    private final ProposedCommands proposed = new ProposedCommands();
 
     private Ledger ledger = new Ledger();
     private @Nullable LeaderDuties duties;
-    private boolean proposalRefused;
     private boolean stopping;
     private long now;
     private long appliedIndex;
     private long compactedIndex;
-    private long lastProposedIndex;
-    private long lastProposedTerm;
 
     /** Creates the core over a log whose recovered effects have not been taken yet. */
     public CellCore(CellSettings settings, ReplicatedLog log, PayloadCodec codec, CellParts parts) {
@@ -176,7 +171,7 @@
     }
 
     private void apply(ReplicationEffects.CommittedEntry entry) {
-        Command command = commandOf(entry);
+        Command command = proposed.take(entry).orElseGet(() -> codec.decode(entry.payload()));
         CommandResult result = ledger.apply(command);
         appliedIndex = entry.index();
         if (duties != null) {
@@ -184,26 +179,17 @@
         }
     }
 
-    /** Spares the leader the decoding of its own proposals. */
-    private Command commandOf(ReplicationEffects.CommittedEntry entry) {
-        ProposedCommand own = proposed.remove(entry.index());
-        return own != null && own.term() == entry.term()
-                ? own.command()
-                : codec.decode(entry.payload());
-    }
-
     /**
      * Ends the decisions as soon as the lease may have run out or a proposal was refused, before
      * entries of a later leader are applied: what the duties would answer then rests on the lease.
      */
     private void stopDecidingUnlessReady() {
-        boolean ready = log.ready(now) && !proposalRefused;
+        boolean ready = log.ready(now) && !proposed.wasRefused();
         if (ready || duties == null) {
             return;
         }
         duties.onTermEnd();
         duties = null;
-        proposalRefused = false;
         proposed.clear();
         CellReply reply = new NotLeader(otherLeader());
         awaited.takeAll().forEach(handle -> replies.add(new CellReplyTo(handle, reply)));
@@ -225,7 +211,7 @@
     }
 
     private boolean isProposalUnderWay() {
-        return lastProposedTerm == log.status(now).term() && appliedIndex < lastProposedIndex;
+        return proposed.isUnderWay(log.status(now).term(), appliedIndex);
     }
 
     private Optional<VmId> otherLeader() {
@@ -245,13 +231,7 @@
         @Override
         public void propose(Command command) {
             OptionalLong index = log.propose(now, codec.encode(command));
-            if (index.isEmpty()) {
-                proposalRefused = true;
-                return;
-            }
-            lastProposedIndex = index.getAsLong();
-            lastProposedTerm = log.status(now).term();
-            proposed.put(lastProposedIndex, new ProposedCommand(lastProposedTerm, command));
+            proposed.add(index, log.status(now).term(), command);
         }
 
         @Override
@@ -261,7 +241,4 @@
             }
         }
     }
-
-    /** A command that this replica appended in a term. */
-    private record ProposedCommand(long term, Command command) {}
 }
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/ProposedCommands.java
@@ -0,0 +1,57 @@
+package org.marjoramnotch.logic.cell;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.marjoramnotch.logic.replication.ReplicationEffects.CommittedEntry;
+import org.marjoramnotch.model.command.Command;
+
+/** The commands that this replica proposed while it led and that are not applied yet. */
+final class ProposedCommands {
+    private final Map<Long, ProposedCommand> byIndex = new HashMap<>();
+    private long lastIndex;
+    private long lastTerm;
+    private boolean refused;
+
+    /** A command that was appended in a term. */
+    private record ProposedCommand(long term, Command command) {}
+
+    /**
+     * Remembers a proposal.
+     *
+     * @param index where the log appended it; empty if the log refused it
+     */
+    void add(OptionalLong index, long term, Command command) {
+        if (index.isEmpty()) {
+            refused = true;
+            return;
+        }
+        lastIndex = index.getAsLong();
+        lastTerm = term;
+        byIndex.put(lastIndex, new ProposedCommand(term, command));
+    }
+
+    /** Returns the command of an entry if it is one of these, which spares its decoding. */
+    Optional<Command> take(CommittedEntry entry) {
+        return Optional.ofNullable(byIndex.remove(entry.index()))
+                .filter(own -> own.term() == entry.term())
+                .map(ProposedCommand::command);
+    }
+
+    /** Tells whether the log refused a proposal, whose sender awaits it in vain. */
+    boolean wasRefused() {
+        return refused;
+    }
+
+    /** Tells whether a proposal of the term may still be applied. */
+    boolean isUnderWay(long term, long appliedIndex) {
+        return lastTerm == term && appliedIndex < lastIndex;
+    }
+
+    /** Forgets the commands; those under way are still told by their position. */
+    void clear() {
+        byIndex.clear();
+        refused = false;
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/CellLeadershipTest.java
@@ -0,0 +1,81 @@
+package org.marjoramnotch.logic.cell;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramnotch.logic.job.JobSettings;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.logic.placement.PlacementSettings;
+import org.marjoramnotch.model.identifier.RequestId;
+import org.marjoramnotch.model.message.ApplyRules;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.NotLeader;
+import org.marjoramnotch.model.message.ReadRules;
+import org.marjoramnotch.model.message.RulesAnswer;
+
+class CellLeadershipTest {
+    private static final ApplyRules CHANGE =
+            new ApplyRules(new RequestId("r"), 0, "team wards share 1 limit 1 # ward office\n");
+    private static final RequestHandle FIRST = new RequestHandle("link", 1);
+    private static final RequestHandle SECOND = new RequestHandle("link", 2);
+    private static final CellReply NO_LEADER = new NotLeader(Optional.empty());
+
+    private final ScriptedLog log = new ScriptedLog();
+    private final CellCore core =
+            new CellCore(
+                    new CellSettings(100),
+                    log,
+                    new ReferenceCodec(),
+                    new StandardCellParts(
+                            PlacementSettings.defaults(),
+                            JobSettings.defaults(),
+                            RandomSource.XO_RO_SHI_RO_128_PP.create(1)));
+
+    @BeforeEach
+    void lead() {
+        core.tick(0);
+    }
+
+    @Test
+    void entryAppliedAfterTheLeaseIsNotAnsweredByDuties() {
+        core.request(1, FIRST, CHANGE);
+        log.ready = false;
+        log.commitAll();
+        core.tick(2);
+        assertThat(replies()).containsExactly(new CellReplyTo(FIRST, NO_LEADER));
+        assertThat(core.ledger().configurationVersion()).isEqualTo(1);
+    }
+
+    @Test
+    void refusedProposalEndsTheDutiesAndAnswersWhatWaits() {
+        log.refusing = true;
+        core.request(1, FIRST, CHANGE);
+        assertThat(replies()).containsExactly(new CellReplyTo(FIRST, NO_LEADER));
+    }
+
+    @Test
+    void regainedLeaseDecidesOnlyOnceEarlierProposalsAreApplied() {
+        core.request(1, FIRST, CHANGE);
+        log.ready = false;
+        core.tick(2);
+        log.ready = true;
+        core.request(3, SECOND, new ReadRules());
+        assertThat(replies())
+                .containsExactly(
+                        new CellReplyTo(FIRST, NO_LEADER), new CellReplyTo(SECOND, NO_LEADER));
+        log.commitAll();
+        core.tick(4);
+        core.request(5, SECOND, new ReadRules());
+        assertThat(replies())
+                .extracting(CellReplyTo::reply)
+                .containsExactly(new RulesAnswer(1, "team wards share 1 limit 1 # ward office\n"));
+    }
+
+    private List<CellReplyTo> replies() {
+        return core.takeEffects().replies();
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/ScriptedLog.java
@@ -0,0 +1,70 @@
+package org.marjoramnotch.logic.cell;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.marjoramnotch.logic.replication.ReplicatedLog;
+import org.marjoramnotch.logic.replication.ReplicationEffects;
+import org.marjoramnotch.logic.replication.ReplicationEffects.CommittedEntry;
+import org.marjoramnotch.logic.replication.ReplicationStatus;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.replication.ReplicationMessage;
+
+/** A log that leads, refuses and commits when the test says so. */
+final class ScriptedLog implements ReplicatedLog {
+    private static final ReplicaId SELF = new ReplicaId(new VmId("vm-1"), "disk");
+
+    final List<CommittedEntry> proposals = new ArrayList<>();
+    private final List<CommittedEntry> committed = new ArrayList<>();
+    boolean ready = true;
+    boolean refusing;
+
+    /** Hands out all proposals as committed with the next effects. */
+    void commitAll() {
+        committed.addAll(proposals);
+        proposals.clear();
+    }
+
+    @Override
+    public OptionalLong propose(long nowMilliseconds, byte[] payload) {
+        if (refusing) {
+            return OptionalLong.empty();
+        }
+        long index = proposals.size() + 1L;
+        proposals.add(new CommittedEntry(index, 1, payload));
+        return OptionalLong.of(index);
+    }
+
+    @Override
+    public ReplicationEffects takeEffects() {
+        List<CommittedEntry> taken = List.copyOf(committed);
+        committed.clear();
+        return new ReplicationEffects(List.of(), List.of(), Optional.empty(), taken);
+    }
+
+    @Override
+    public ReplicationStatus status(long nowMilliseconds) {
+        return new ReplicationStatus(
+                SELF, ready, ready, Optional.of(SELF), 1, 0, 1, List.of(SELF), List.of());
+    }
+
+    @Override
+    public void tick(long nowMilliseconds) {}
+
+    @Override
+    public void receive(long nowMilliseconds, ReplicaId from, ReplicationMessage message) {}
+
+    @Override
+    public void form(long nowMilliseconds) {}
+
+    @Override
+    public void remove(long nowMilliseconds, VmId vm) {}
+
+    @Override
+    public void transferLeadership(long nowMilliseconds) {}
+
+    @Override
+    public void compact(long index, byte[] state) {}
+}
