Let operators forget an endpoint that is gone for good and show voters' identities

Cause: An endpoint that died for good kept its open attempts, and with them a part of its teams' upper limits, until its name was announced with a new incarnation. A time-out was ruled out: an endpoint that is cut off may still run what it holds. `status` named VMs only, so that a replica with a lost disk looked like the new one. Change: `endpoints forget NAME` and DELETE /v1/operator/endpoints/{endpoint}, refused with ENDPOINT_ALIVE (409) while the lease runs at the leader or an announcement is being committed. While the command is committed the incarnation gets STALE_EPOCH. `status` has voterIdentities.

--- /dev/null
+++ b/command-line/src/main/java/org/marjoramnotch/commandline/EndpointsForgetCommand.java
@@ -0,0 +1,27 @@
+package org.marjoramnotch.commandline;
+
+import java.util.List;
+import org.marjoramnotch.commandline.client.OperatorRequest;
+import org.marjoramnotch.model.identifier.EndpointId;
+
+/** Removes an endpoint whose VM is gone for good, so that its teams get their slots back. */
+final class EndpointsForgetCommand implements Subcommand {
+    @Override
+    public SubcommandDescription description() {
+        return new SubcommandDescription(
+                "endpoints forget",
+                List.of("NAME"),
+                "Ends the attempts of an endpoint; only when the platform says that its VM is gone"
+                        + " for good.",
+                CommonOptions.withCell());
+    }
+
+    @Override
+    public Report run(Arguments arguments) {
+        EndpointId endpoint = arguments.name(0, EndpointId::new);
+        arguments.cell().call(new OperatorRequest("DELETE", "/v1/operator/endpoints/" + endpoint));
+        return new Report(
+                "Endpoint " + endpoint + " is forgotten.",
+                Json.object().put("forgotten", endpoint.value()));
+    }
+}
--- a/command-line/src/main/java/org/marjoramnotch/commandline/Subcommands.java
+++ b/command-line/src/main/java/org/marjoramnotch/commandline/Subcommands.java
@@ -17,6 +17,7 @@
                         new FormCommand(),
                         new StatusCommand(),
                         new ReplicasRemoveCommand(),
+                        new EndpointsForgetCommand(),
                         new RulesCheckCommand(),
                         new RulesShowCommand(),
                         new RulesApplyCommand(),
--- a/command-line/src/test/java/org/marjoramnotch/commandline/CommandLineProgramTest.java
+++ b/command-line/src/test/java/org/marjoramnotch/commandline/CommandLineProgramTest.java
@@ -87,10 +87,15 @@
                     keys grant -k --team t --requested-by x CELL_OPTIONS | 2 | keys grant KEY
                     keys withdraw k CELL_OPTIONS           | 1 | check the name with 'rules show'
                     status CELL_OPTIONS                    | 0 | voters: vm-1, vm-2
+                    status CELL_OPTIONS                    | 0 | voterIdentities: vm-1#a, vm-2#b
                     status CELL_OPTIONS --output json      | 0 | "voters":["vm-1","vm-2"]
                     form CELL_OPTIONS                      | 0 | The group is formed
                     form CELL_OPTIONS --address NOBODY     | 2 | give its --address and no other
                     replicas remove vm-3 CELL_OPTIONS      | 0 | vm-3 is being removed
+                    endpoints forget gas-1 CELL_OPTIONS    | 0 | gas-1 is forgotten
+                    endpoints forget alive CELL_OPTIONS    | 1 | ENDPOINT_ALIVE
+                    endpoints forget CELL_OPTIONS          | 2 | Wrong number of arguments
+                    endpoints forget -x CELL_OPTIONS       | 2 | endpoints forget NAME
                     daemon --settings @settings --check    | 0 | The settings are valid
                     daemon --settings @rules --check       | 1 | is not JSON
                     daemon                                 | 2 | settings
--- a/command-line/src/test/java/org/marjoramnotch/commandline/FakeCell.java
+++ b/command-line/src/test/java/org/marjoramnotch/commandline/FakeCell.java
@@ -86,8 +86,11 @@
         } else if (request.equals("GET /v1/operator/status")) {
             ObjectNode status = Json.object().put("leader", "vm-1").put("term", 3);
             status.putArray("voters").add("vm-1").add("vm-2");
+            status.putArray("voterIdentities").add("vm-1#a").add("vm-2#b");
             status.putArray("learners");
             answer(exchange, 200, status);
+        } else if (request.equals("DELETE /v1/operator/endpoints/alive")) {
+            answer(exchange, 409, refusal("ENDPOINT_ALIVE", "Stop its VM."));
         } else {
             answer(exchange, 200, Json.object());
         }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/OperatorRoutes.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/OperatorRoutes.java
@@ -14,10 +14,13 @@
 import org.marjoramnotch.daemon.duty.DutyInput;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.EndpointId;
+import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.RequestId;
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.message.ApplyRules;
 import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.message.ForgetEndpointRequest;
 import org.marjoramnotch.model.message.ReadRules;
 import org.marjoramnotch.model.message.ReadStatus;
 import org.marjoramnotch.model.message.RulesAnswer;
@@ -25,7 +28,7 @@
 
 /** Operators' calls. */
 final class OperatorRoutes implements Routes {
-    private static final int REPLICA_SEGMENT = 3;
+    private static final int NAME_SEGMENT = 3;
     private static final int OK = 200;
     private static final long TIMEOUT_MILLISECONDS = 10_000;
 
@@ -78,9 +81,18 @@
             return Optional.of(command(CellInput.Form::new));
         }
         if (call.is("DELETE", "v1", "operator", "replicas", "*")) {
-            VmId vm = new VmId(call.segment(REPLICA_SEGMENT));
+            VmId vm = new VmId(call.segment(NAME_SEGMENT));
             return Optional.of(command(result -> new CellInput.RemoveReplica(vm, result)));
         }
+        if (call.is("DELETE", "v1", "operator", "endpoints", "*")) {
+            EndpointId endpoint = new EndpointId(call.segment(NAME_SEGMENT));
+            return Optional.of(
+                    cell.call(
+                            new ForgetEndpointRequest(endpoint),
+                            TIMEOUT_MILLISECONDS,
+                            Done.class,
+                            done -> json.answer(OK, Map.of())));
+        }
         return Optional.empty();
     }
 
@@ -139,6 +151,7 @@
             long commitIndex,
             long configurationVersion,
             List<String> voters,
+            List<String> voterIdentities,
             List<String> learners,
             int endpoints,
             int workers,
@@ -150,6 +163,7 @@
                     status.commitIndex(),
                     status.configurationVersion(),
                     status.voters().stream().map(VmId::value).toList(),
+                    status.voterIdentities().stream().map(ReplicaId::toString).toList(),
                     status.learners().stream().map(VmId::value).toList(),
                     status.endpoints(),
                     status.workers(),
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/Refusals.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/Refusals.java
@@ -41,6 +41,7 @@
                     REQUEST_ID_REUSED,
                     IDEMPOTENT_REQUEST_RUNNING,
                     ANSWER_NOT_KEPT,
+                    ENDPOINT_ALIVE,
                     STALE_EPOCH,
                     GROUP_STATE ->
                     409;
--- a/library/src/main/java/org/marjoramnotch/logic/cell/LeaderDuties.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/LeaderDuties.java
@@ -12,6 +12,7 @@
 import org.marjoramnotch.model.message.CancelJobRequest;
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.EndAttempt;
+import org.marjoramnotch.model.message.ForgetEndpointRequest;
 import org.marjoramnotch.model.message.PlaceRequest;
 import org.marjoramnotch.model.message.ReadJob;
 import org.marjoramnotch.model.message.ReadRules;
@@ -61,7 +62,8 @@
         if (request instanceof PlaceRequest
                 || request instanceof EndAttempt
                 || request instanceof RenewEntry
-                || request instanceof AnnounceEndpoint) {
+                || request instanceof AnnounceEndpoint
+                || request instanceof ForgetEndpointRequest) {
             return placement;
         }
         if (request instanceof AnnounceWorker
--- a/library/src/main/java/org/marjoramnotch/logic/cell/StatusReport.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/StatusReport.java
@@ -18,6 +18,7 @@
                 status.commitIndex(),
                 ledger.configurationVersion(),
                 vms(status.voters()),
+                status.voters(),
                 vms(status.learners()),
                 ledger.endpointCount(),
                 ledger.workerCount(),
--- a/library/src/main/java/org/marjoramnotch/logic/ledger/Ledger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/ledger/Ledger.java
@@ -11,6 +11,7 @@
 import org.marjoramnotch.model.command.EndTask;
 import org.marjoramnotch.model.command.ExpireWorker;
 import org.marjoramnotch.model.command.ForgetClaims;
+import org.marjoramnotch.model.command.ForgetEndpoint;
 import org.marjoramnotch.model.command.RegisterEndpoint;
 import org.marjoramnotch.model.command.RegisterWorker;
 import org.marjoramnotch.model.command.ReleaseSlot;
@@ -115,6 +116,7 @@
         return command instanceof RegisterEndpoint
                         || command instanceof ChangeEndpointState
                         || command instanceof RemoveEndpoint
+                        || command instanceof ForgetEndpoint
                         || command instanceof ForgetClaims
                 ? dispatchEndpoint(command)
                 : dispatchJob(command);
@@ -130,6 +132,9 @@
         if (command instanceof RemoveEndpoint remove) {
             return placement.apply(remove);
         }
+        if (command instanceof ForgetEndpoint forget) {
+            return placement.apply(forget);
+        }
         return placement.apply((ForgetClaims) command);
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/placement/EndpointAnnouncements.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/EndpointAnnouncements.java
@@ -48,6 +48,11 @@
         this.context = context;
     }
 
+    /** Tells whether an announcement of the endpoint is being committed. */
+    boolean isAnnouncing(EndpointId endpoint) {
+        return pending.containsKey(endpoint);
+    }
+
     void onAnnounced(
             long nowMilliseconds,
             RequestHandle handle,
@@ -210,11 +215,11 @@
         }
     }
 
-    private static Refusal replaced(EndpointId id) {
+    static Refusal replaced(EndpointId id) {
         return Refusal.notRun(
                 ErrorCode.STALE_EPOCH,
-                "Another incarnation of endpoint "
+                "This incarnation of endpoint "
                         + id
-                        + " has replaced this one; draw a new incarnation and announce again.");
+                        + " was replaced or forgotten; draw a new incarnation and announce again.");
     }
 }
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/EndpointForgetting.java
@@ -0,0 +1,99 @@
+package org.marjoramnotch.logic.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.command.ForgetEndpoint;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.Refusal;
+import org.marjoramnotch.model.identifier.EndpointId;
+import org.marjoramnotch.model.message.AnnounceEndpoint;
+import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.message.ForgetEndpointRequest;
+import org.marjoramnotch.model.message.Refused;
+
+/**
+ * Removes endpoints that operators know to be gone for good. The leader cannot know it by itself:
+ * an endpoint that only lost its connection may still run what it holds.
+ */
+final class EndpointForgetting {
+    private final PlacementContext context;
+    private final Predicate<EndpointId> isAnnouncing;
+    private final Map<EndpointId, Pending> pending = new HashMap<>();
+
+    /** A removal that waits for its commit. */
+    private record Pending(String incarnation, List<RequestHandle> handles) {}
+
+    /**
+     * Creates the part of one term.
+     *
+     * @param isAnnouncing tells whether an announcement of the endpoint is being committed
+     */
+    EndpointForgetting(PlacementContext context, Predicate<EndpointId> isAnnouncing) {
+        this.context = context;
+        this.isAnnouncing = isAnnouncing;
+    }
+
+    void onRequest(
+            long nowMilliseconds,
+            RequestHandle handle,
+            ForgetEndpointRequest request,
+            LeaderOutput output) {
+        EndpointId id = request.endpoint();
+        @Nullable Pending waiting = pending.get(id);
+        if (waiting != null) {
+            waiting.handles().add(handle);
+            return;
+        }
+        Optional<EndpointLoad> load = context.endpoints().find(id);
+        if (isAnnouncing.test(id) || load.filter(one -> one.isLive(nowMilliseconds)).isPresent()) {
+            output.reply(handle, new Refused(alive(id)));
+            return;
+        }
+        if (load.isEmpty()) {
+            output.reply(handle, new Done());
+            return;
+        }
+        String incarnation = load.get().incarnation();
+        pending.put(id, new Pending(incarnation, new ArrayList<>(List.of(handle))));
+        output.propose(new ForgetEndpoint(id, incarnation));
+    }
+
+    /** Tells whether the announcing incarnation is being forgotten, so that it may not renew. */
+    boolean isForgetting(AnnounceEndpoint announcement) {
+        @Nullable Pending waiting = pending.get(announcement.description().endpoint());
+        return waiting != null
+                && waiting.incarnation().equals(announcement.description().incarnation());
+    }
+
+    void onApplied(long nowMilliseconds, ForgetEndpoint command, LeaderOutput output) {
+        EndpointId id = command.endpoint();
+        Optional<EndpointLoad> load = context.endpoints().find(id);
+        context.endpoints().onRemoved(id);
+        context.releases().onEndpointRestarted(output);
+        load.ifPresent(
+                removed -> {
+                    context.pools().refreshTeams(removed.service());
+                    context.endpoints().drain(removed, nowMilliseconds, output);
+                });
+        @Nullable Pending done = pending.remove(id);
+        if (done != null) {
+            done.handles().forEach(handle -> output.reply(handle, new Done()));
+        }
+    }
+
+    private static Refusal alive(EndpointId id) {
+        return Refusal.notRun(
+                ErrorCode.ENDPOINT_ALIVE,
+                "Endpoint "
+                        + id
+                        + " has renewed its lease or a leader has just begun; stop its VM for good,"
+                        + " wait for the lease to run out and send the command again.");
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/placement/EndpointRegistry.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/EndpointRegistry.java
@@ -1,5 +1,6 @@
 package org.marjoramnotch.logic.placement;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.LinkedHashMap;
@@ -9,11 +10,13 @@
 import java.util.function.Consumer;
 import org.marjoramnotch.model.command.ChangeEndpointState;
 import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.command.ForgetEndpoint;
 import org.marjoramnotch.model.command.RemoveEndpoint;
 import org.marjoramnotch.model.endpoint.EndpointDescription;
 import org.marjoramnotch.model.endpoint.EndpointState;
 import org.marjoramnotch.model.endpoint.OpenAttempt;
 import org.marjoramnotch.model.endpoint.RegisteredEndpoint;
+import org.marjoramnotch.model.endpoint.RetiredIncarnations;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.Invariant;
 import org.marjoramnotch.model.error.Refusal;
@@ -23,7 +26,11 @@
 final class EndpointRegistry {
     private static final CommandResult ACCEPTED = new CommandResult.Accepted();
 
+    /** Endpoints without registration whose retired incarnations are kept, the latest ones. */
+    private static final int RETIRED_ENDPOINTS_KEPT = 1024;
+
     private final Map<EndpointId, EndpointSlots> endpoints = new LinkedHashMap<>();
+    private final Map<EndpointId, List<String>> retired = new LinkedHashMap<>();
 
     Optional<EndpointSlots> find(EndpointId endpoint) {
         return Optional.ofNullable(endpoints.get(endpoint));
@@ -52,15 +59,10 @@
     CommandResult register(EndpointDescription description, Consumer<OpenAttempt> endAttempt) {
         EndpointSlots known = endpoints.get(description.endpoint());
         if (known == null) {
-            add(new RegisteredEndpoint(description, EndpointState.ACTIVE, List.of()));
-            return ACCEPTED;
+            return registerAnew(description);
         }
         if (known.isRetired(description.incarnation())) {
-            return rejected(
-                    ErrorCode.STALE_EPOCH,
-                    "Another incarnation of endpoint "
-                            + description.endpoint()
-                            + " has replaced this one; draw a new incarnation and announce again.");
+            return replaced(description);
         }
         if (!known.description().incarnation().equals(description.incarnation())) {
             List.copyOf(known.attempts()).forEach(endAttempt);
@@ -76,7 +78,25 @@
         return ACCEPTED;
     }
 
-    void add(RegisteredEndpoint registered) {
+    private CommandResult registerAnew(EndpointDescription description) {
+        List<String> incarnations = retired.getOrDefault(description.endpoint(), List.of());
+        if (incarnations.contains(description.incarnation())) {
+            return replaced(description);
+        }
+        retired.remove(description.endpoint());
+        add(new RegisteredEndpoint(description, EndpointState.ACTIVE, incarnations));
+        return ACCEPTED;
+    }
+
+    private static CommandResult replaced(EndpointDescription description) {
+        return rejected(
+                ErrorCode.STALE_EPOCH,
+                "This incarnation of endpoint "
+                        + description.endpoint()
+                        + " was replaced or forgotten; draw a new incarnation and announce again.");
+    }
+
+    private void add(RegisteredEndpoint registered) {
         endpoints.put(registered.description().endpoint(), new EndpointSlots(registered));
     }
 
@@ -93,16 +113,55 @@
                     ErrorCode.INVALID_REQUEST,
                     "Endpoint " + command.endpoint() + " has open attempts; end them first.");
         }
-        known.ifPresent(slots -> endpoints.remove(command.endpoint()));
+        known.ifPresent(this::remove);
+        return ACCEPTED;
+    }
+
+    /**
+     * Removes an endpoint and retires its incarnation.
+     *
+     * @param endAttempt ends an attempt of the endpoint
+     */
+    CommandResult forget(ForgetEndpoint command, Consumer<OpenAttempt> endAttempt) {
+        find(command.endpoint(), command.incarnation())
+                .ifPresent(
+                        slots -> {
+                            List.copyOf(slots.attempts()).forEach(endAttempt);
+                            slots.retire();
+                            remove(slots);
+                        });
         return ACCEPTED;
     }
 
+    private void remove(EndpointSlots slots) {
+        RegisteredEndpoint removed = slots.snapshot();
+        EndpointId endpoint = removed.description().endpoint();
+        endpoints.remove(endpoint);
+        if (removed.retiredIncarnations().isEmpty()) {
+            return;
+        }
+        retired.put(endpoint, removed.retiredIncarnations());
+        if (retired.size() > RETIRED_ENDPOINTS_KEPT) {
+            retired.remove(retired.keySet().iterator().next());
+        }
+    }
+
     List<RegisteredEndpoint> snapshot() {
         return endpoints.values().stream().map(EndpointSlots::snapshot).toList();
     }
 
-    void restore(List<RegisteredEndpoint> all) {
+    List<RetiredIncarnations> retired() {
+        List<RetiredIncarnations> all = new ArrayList<>();
+        retired.forEach(
+                (endpoint, incarnations) ->
+                        all.add(new RetiredIncarnations(endpoint, incarnations)));
+        return all;
+    }
+
+    void restore(List<RegisteredEndpoint> all, List<RetiredIncarnations> unregistered) {
         endpoints.clear();
+        retired.clear();
+        unregistered.forEach(one -> retired.put(one.endpoint(), one.incarnations()));
         all.forEach(this::add);
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/placement/EndpointSlots.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/EndpointSlots.java
@@ -106,13 +106,18 @@
 
     /** Replaces the incarnation; all attempts of the one before must have been released. */
     void restart(EndpointDescription newDescription) {
+        retire();
+        description = newDescription;
+        state = EndpointState.ACTIVE;
+    }
+
+    /** Lets its incarnation not return; all attempts of it must have been released. */
+    void retire() {
         Invariant.check(attempts.isEmpty(), "An endpoint restarts with attempts of its past");
         retiredIncarnations.add(description.incarnation());
         if (retiredIncarnations.size() > RETIRED_INCARNATIONS_KEPT) {
             retiredIncarnations.remove(0);
         }
-        description = newDescription;
-        state = EndpointState.ACTIVE;
     }
 
     RegisteredEndpoint snapshot() {
--- a/library/src/main/java/org/marjoramnotch/logic/placement/PlacementDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/PlacementDuty.java
@@ -9,14 +9,18 @@
 import org.marjoramnotch.model.command.Command;
 import org.marjoramnotch.model.command.CommandResult;
 import org.marjoramnotch.model.command.ForgetClaims;
+import org.marjoramnotch.model.command.ForgetEndpoint;
 import org.marjoramnotch.model.command.RegisterEndpoint;
 import org.marjoramnotch.model.command.ReleaseSlot;
 import org.marjoramnotch.model.command.RemoveEndpoint;
 import org.marjoramnotch.model.command.ReserveSlot;
+import org.marjoramnotch.model.identifier.EndpointId;
 import org.marjoramnotch.model.message.AnnounceEndpoint;
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.EndAttempt;
+import org.marjoramnotch.model.message.ForgetEndpointRequest;
 import org.marjoramnotch.model.message.PlaceRequest;
+import org.marjoramnotch.model.message.Refused;
 import org.marjoramnotch.model.message.RenewEntry;
 
 /**
@@ -29,6 +33,7 @@
 public final class PlacementDuty implements LeaderDuty {
     private final PlacementContext context;
     private final EndpointAnnouncements announcements;
+    private final EndpointForgetting forgetting;
     private boolean forgettingClaims;
 
     /** Creates a duty of the fair policy, unmeasured; its term starts at the given time. */
@@ -67,6 +72,7 @@
                         measures,
                         termStartMilliseconds);
         this.announcements = new EndpointAnnouncements(context);
+        this.forgetting = new EndpointForgetting(context, announcements::isAnnouncing);
     }
 
     @Override
@@ -79,6 +85,21 @@
         } else if (request instanceof RenewEntry renewal) {
             output.reply(handle, context.entries().renew(nowMilliseconds, renewal));
         } else if (request instanceof AnnounceEndpoint announcement) {
+            onAnnounced(nowMilliseconds, handle, announcement, output);
+        } else if (request instanceof ForgetEndpointRequest forget) {
+            forgetting.onRequest(nowMilliseconds, handle, forget, output);
+        }
+    }
+
+    private void onAnnounced(
+            long nowMilliseconds,
+            RequestHandle handle,
+            AnnounceEndpoint announcement,
+            LeaderOutput output) {
+        if (forgetting.isForgetting(announcement)) {
+            EndpointId endpoint = announcement.description().endpoint();
+            output.reply(handle, new Refused(EndpointAnnouncements.replaced(endpoint)));
+        } else {
             announcements.onAnnounced(nowMilliseconds, handle, announcement, output);
         }
     }
@@ -96,6 +117,8 @@
             announcements.onApplied(nowMilliseconds, change, output);
         } else if (command instanceof RemoveEndpoint remove) {
             context.endpoints().onRemoved(remove.endpoint());
+        } else if (command instanceof ForgetEndpoint forget) {
+            forgetting.onApplied(nowMilliseconds, forget, output);
         } else if (command instanceof ForgetClaims) {
             forgettingClaims = false;
         }
--- a/library/src/main/java/org/marjoramnotch/logic/placement/PlacementState.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/PlacementState.java
@@ -10,6 +10,7 @@
 import org.marjoramnotch.model.command.ChangeEndpointState;
 import org.marjoramnotch.model.command.CommandResult;
 import org.marjoramnotch.model.command.ForgetClaims;
+import org.marjoramnotch.model.command.ForgetEndpoint;
 import org.marjoramnotch.model.command.RegisterEndpoint;
 import org.marjoramnotch.model.command.ReleaseSlot;
 import org.marjoramnotch.model.command.RemoveEndpoint;
@@ -66,6 +67,12 @@
         return endpoints.remove(command);
     }
 
+    /** Removes an endpoint for good; what its attempts did is unknown. */
+    public CommandResult apply(ForgetEndpoint command) {
+        return endpoints.forget(
+                command, open -> end(open, ExecutionOutcome.UNKNOWN, Optional.empty()));
+    }
+
     /** Reserves a slot or feed connection, after checking all that it rests on again. */
     public CommandResult apply(ReserveSlot command) {
         if (attempts.find(command.attempt()).isPresent()) {
@@ -208,14 +215,18 @@
     /** Returns the whole state. */
     public PlacementSnapshot snapshot() {
         return new PlacementSnapshot(
-                endpoints.snapshot(), attempts.all(), claims.snapshot(), ended.snapshot());
+                endpoints.snapshot(),
+                endpoints.retired(),
+                attempts.all(),
+                claims.snapshot(),
+                ended.snapshot());
     }
 
     /** Replaces the whole state, and its part of the team usage. */
     public void restore(PlacementSnapshot snapshot) {
         attempts.all().forEach(open -> usage.remove(open.team(), 1));
         attempts.clear();
-        endpoints.restore(snapshot.endpoints());
+        endpoints.restore(snapshot.endpoints(), snapshot.retired());
         for (OpenAttempt open : snapshot.attempts()) {
             EndpointSlots slots = endpoints.require(open);
             slots.hold(open);
--- a/library/src/main/java/org/marjoramnotch/model/error/ErrorCode.java
+++ b/library/src/main/java/org/marjoramnotch/model/error/ErrorCode.java
@@ -32,6 +32,8 @@
     OVERLOADED,
     /** No endpoint of the service is announced. */
     NO_ENDPOINT,
+    /** The endpoint renews its lease, so that it cannot be forgotten. */
+    ENDPOINT_ALIVE,
     /** The endpoint refused or could not be reached before the request was sent. */
     ENDPOINT_UNREACHABLE,
     /** The endpoint did not return a whole answer after the request was sent. */
--- a/library/src/test/java/org/marjoramnotch/logic/placement/PlacementStateTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/placement/PlacementStateTest.java
@@ -11,6 +11,7 @@
 import org.marjoramnotch.model.command.ChangeEndpointState;
 import org.marjoramnotch.model.command.CommandResult;
 import org.marjoramnotch.model.command.ForgetClaims;
+import org.marjoramnotch.model.command.ForgetEndpoint;
 import org.marjoramnotch.model.command.RegisterEndpoint;
 import org.marjoramnotch.model.command.ReleaseSlot;
 import org.marjoramnotch.model.command.RemoveEndpoint;
@@ -46,6 +47,7 @@
                 "checks  | k:r | 1 1xUNKNOWN  | k:r | ENDPOINT_ANSWER_LOST:UNKNOWN",
                 "permits | k:r | 1 1xUNKNOWN  | k:r | Accepted",
                 "checks  | k:r | 1 restart    | k:r | ENDPOINT_ANSWER_LOST:UNKNOWN",
+                "checks  | k:r | 1 forget-i1 register-i2 | k:r | ENDPOINT_ANSWER_LOST:UNKNOWN",
                 "checks  | k:r | 1 1xNOT_RUN  | k:r | Accepted",
                 "checks  | k:r | 1            | k:s | IDEMPOTENCY_KEY_REUSED:NOT_RUN",
                 "checks  | k:r | 1 1xRAN      | k:s | IDEMPOTENCY_KEY_REUSED:NOT_RUN",
@@ -70,7 +72,11 @@
     private void play(String word, String queue, String claim) {
         switch (word) {
             case "forget" -> state.apply(new ForgetClaims(1));
-            case "restart" -> register("i2", 8);
+            case "restart", "register-i2" -> register("i2", 8);
+            case "forget-i0" -> state.apply(new ForgetEndpoint(ENDPOINT, "i0"));
+            case "forget-i1" -> state.apply(new ForgetEndpoint(ENDPOINT, "i1"));
+            case "remove-i1" -> state.apply(new RemoveEndpoint(ENDPOINT, "i1"));
+            case "remove-i2" -> state.apply(new RemoveEndpoint(ENDPOINT, "i2"));
             case "snapshot" -> state.restore(state.snapshot());
             default -> {
                 String[] parts = word.split("x");
@@ -96,6 +102,30 @@
         state.apply(new ReleaseSlot(TestCell.attempt(sequence), outcome, answer));
     }
 
+    /** Plays the same words; the registration of the first incarnation is tried again. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "1 forget-i1                       | 0 | STALE_EPOCH:NOT_RUN",
+                "1 forget-i1 forget-i1             | 0 | STALE_EPOCH:NOT_RUN",
+                "1 forget-i1 snapshot              | 0 | STALE_EPOCH:NOT_RUN",
+                "1 forget-i1 register-i2           | 0 | STALE_EPOCH:NOT_RUN",
+                "1 forget-i1 register-i2 remove-i2 | 0 | STALE_EPOCH:NOT_RUN",
+                "1 forget-i0                       | 1 | Accepted",
+                "1 remove-i1                       | 1 | Accepted",
+                "1 1xRAN remove-i1                 | 0 | Accepted",
+            })
+    void forgottenIncarnationFreesItsAttemptsAndCannotReturn(
+            String script, int running, String expected) {
+        register("i1", 8);
+        Arrays.stream(script.split(" ")).forEach(word -> play(word, "checks", "k:r"));
+
+        assertThat(usage.total()).isEqualTo(running);
+        assertThat(name(state.apply(new RegisterEndpoint(TestCell.endpoint("e1", "i1", 8)))))
+                .isEqualTo(expected);
+    }
+
     @Test
     void slotsAndLimitsAreNeverExceeded() {
         register("i1", 2);
--- a/library/src/test/java/org/marjoramnotch/logic/placement/TestCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/placement/TestCell.java
@@ -16,6 +16,7 @@
 import org.marjoramnotch.model.command.Command;
 import org.marjoramnotch.model.command.CommandResult;
 import org.marjoramnotch.model.command.ForgetClaims;
+import org.marjoramnotch.model.command.ForgetEndpoint;
 import org.marjoramnotch.model.command.RegisterEndpoint;
 import org.marjoramnotch.model.command.ReleaseSlot;
 import org.marjoramnotch.model.command.RemoveEndpoint;
@@ -129,6 +130,8 @@
             return state.apply(change);
         } else if (command instanceof RemoveEndpoint remove) {
             return state.apply(remove);
+        } else if (command instanceof ForgetEndpoint forget) {
+            return state.apply(forget);
         }
         return state.apply((ForgetClaims) command);
     }
--- a/wire/src/test/java/org/marjoramnotch/wire/MessageExamples.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/MessageExamples.java
@@ -9,6 +9,7 @@
 import org.marjoramnotch.model.command.EndTask;
 import org.marjoramnotch.model.command.ExpireWorker;
 import org.marjoramnotch.model.command.ForgetClaims;
+import org.marjoramnotch.model.command.ForgetEndpoint;
 import org.marjoramnotch.model.command.RegisterEndpoint;
 import org.marjoramnotch.model.command.RegisterWorker;
 import org.marjoramnotch.model.command.ReleaseSlot;
@@ -32,6 +33,7 @@
 import org.marjoramnotch.model.identifier.KeyId;
 import org.marjoramnotch.model.identifier.QueueName;
 import org.marjoramnotch.model.identifier.RackName;
+import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.RequestId;
 import org.marjoramnotch.model.identifier.ServiceName;
 import org.marjoramnotch.model.identifier.TaskAttemptId;
@@ -58,6 +60,7 @@
 import org.marjoramnotch.model.message.EndAttempt;
 import org.marjoramnotch.model.message.EndpointRenewed;
 import org.marjoramnotch.model.message.EntryRenewed;
+import org.marjoramnotch.model.message.ForgetEndpointRequest;
 import org.marjoramnotch.model.message.Granted;
 import org.marjoramnotch.model.message.JobAnswer;
 import org.marjoramnotch.model.message.NotLeader;
@@ -151,6 +154,7 @@
                     new RenewEntry(VM, "a1"),
                     new AnnounceEndpoint(
                             GAS, EndpointState.LEAVING, List.of(ATTEMPT), List.of(ATTEMPT)),
+                    new ForgetEndpointRequest(ENDPOINT),
                     new AnnounceWorker(WORKER_DESCRIPTION),
                     new RenewWorker(
                             WORKER,
@@ -194,7 +198,17 @@
                                     new WorkerOrder.Throttle(RUN, 500))),
                     new JobAnswer(STATUS),
                     new RulesAnswer(4, "text"),
-                    new StatusAnswer(VM, 3, 9, 4, List.of(VM), List.of(), 1, 2, 3));
+                    new StatusAnswer(
+                            VM,
+                            3,
+                            9,
+                            4,
+                            List.of(VM),
+                            List.of(new ReplicaId(VM, "d1")),
+                            List.of(),
+                            1,
+                            2,
+                            3));
 
     static final List<Command> COMMANDS =
             List.of(
@@ -217,6 +231,7 @@
                     new RegisterEndpoint(GAS),
                     new ChangeEndpointState(ENDPOINT, "i1", EndpointState.LEAVING),
                     new RemoveEndpoint(ENDPOINT, "i1"),
+                    new ForgetEndpoint(ENDPOINT, "i1"),
                     new ReserveSlot(
                             ATTEMPT,
                             QUEUE,
