Show waiting, running, packing and distance from share at the leader

Cause: PlacementHistograms and JobHistograms were fed by nobody in a daemon, so that /metrics showed what entries see and nothing of the leader's decisions. Change: CellParts.measured hands a LeaderMeasures to the shipped decisions. LeaderMetrics feeds the Prometheus client's own thread-safe histograms from the cell duty; a CellFiguresDuty publishes an immutable state of teams and workers once a second, the only time that it walks them. /metrics asks the replica for its status, within 1 s and off the duty's thread, and shows the figures only while the replica leads. At most 1024 teams have a label. Feeds are no longer counted among quick requests in PlacementMeasures. OPERATIONS.md lists every metric, which LeaderMetricsTest compares with the registry. The processor time and memory of 540 teams were not measured.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -64,7 +64,13 @@
         replica =
                 settings.dataFolder()
                         .filter(path -> settings.has(DaemonRole.REPLICA))
-                        .map(path -> new ReplicaHost(settings, path, parts, clock));
+                        .map(
+                                path ->
+                                        new ReplicaHost(
+                                                settings,
+                                                path,
+                                                parts.measured(metrics.leader()),
+                                                clock));
         system =
                 ActorSystem.create(
                         Behaviors.empty(),
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpInterfaceBuilder.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpInterfaceBuilder.java
@@ -55,8 +55,9 @@
         return new HttpInterface(
                 system,
                 clock,
-                new HealthRoutes(ready, metrics),
+                new HealthRoutes(ready),
                 List.of(
+                        new MetricsRoutes(replica, metrics, system.dispatcher()),
                         new QuickRoutes(
                                 settings.availabilityZone(), entry, bodies, budget, refusals),
                         new EndpointRoutes(cell, bodies, json),
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/MetricsRoutes.java
@@ -0,0 +1,62 @@
+package org.marjoramnotch.daemon.http;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.marjoramnotch.daemon.duty.CellInput;
+import org.marjoramnotch.daemon.duty.DutyInput;
+import org.marjoramnotch.daemon.metrics.DaemonMetrics;
+import org.marjoramnotch.logic.replication.ReplicationStatus;
+
+/** What the metrics collector asks. */
+final class MetricsRoutes implements Routes {
+    private static final long STATUS_TIMEOUT_MILLISECONDS = 1_000;
+
+    private final Optional<DutyInput<CellInput>> replica;
+    private final DaemonMetrics metrics;
+    private final Executor executor;
+
+    /**
+     * Creates the routes.
+     *
+     * @param executor writes the text, so that the replica's duty does not
+     */
+    MetricsRoutes(
+            Optional<DutyInput<CellInput>> replica, DaemonMetrics metrics, Executor executor) {
+        this.replica = replica;
+        this.metrics = metrics;
+        this.executor = executor;
+    }
+
+    @Override
+    public Optional<CompletionStage<HttpResponse>> handle(HttpCall call) {
+        if (!call.is("GET", "metrics")) {
+            return Optional.empty();
+        }
+        return Optional.of(replica.map(this::withStatus).orElseGet(this::withoutStatus));
+    }
+
+    private CompletionStage<HttpResponse> withStatus(DutyInput<CellInput> input) {
+        CompletableFuture<ReplicationStatus> status = new CompletableFuture<>();
+        if (!input.offer(new CellInput.ReadReplication(status))) {
+            return withoutStatus();
+        }
+        return status.orTimeout(STATUS_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)
+                .handleAsync((latest, timeout) -> text(Optional.ofNullable(latest)), executor);
+    }
+
+    private CompletionStage<HttpResponse> withoutStatus() {
+        return CompletableFuture.completedFuture(text(Optional.empty()));
+    }
+
+    private HttpResponse text(Optional<ReplicationStatus> status) {
+        metrics.leader().gauges().onStatus(status);
+        return HttpResponse.create()
+                .withEntity(HttpEntities.create(ContentTypes.TEXT_PLAIN_UTF8, metrics.text()));
+    }
+}
--- a/daemon/src/main/java/org/marjoramnotch/daemon/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/metrics/DaemonMetrics.java
@@ -47,6 +47,13 @@
                     .labelNames("event")
                     .register(registry);
 
+    private final LeaderMetrics leader = new LeaderMetrics(registry);
+
+    /** Returns what is measured while this process leads. */
+    public LeaderMetrics leader() {
+        return leader;
+    }
+
     /** Records how long a request waited for its endpoint. */
     public void waited(TeamName team, String workClass, long milliseconds) {
         waiting.labelValues(team.value(), workClass)
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/metrics/LeaderMetrics.java
@@ -0,0 +1,131 @@
+package org.marjoramnotch.daemon.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.marjoramnotch.logic.cell.CellFigures;
+import org.marjoramnotch.logic.cell.LeaderMeasures;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.rule.QueuePolicy;
+
+/**
+ * What the process measures while it leads. Fed by the thread of the replica's duty and read by
+ * those that are asked for metrics.
+ */
+public final class LeaderMetrics implements LeaderMeasures {
+    /** Teams with a label of their own; further ones share {@link #OTHER_TEAMS}. */
+    static final int TEAM_LABELS = 1024;
+
+    static final String OTHER_TEAMS = "other-teams";
+
+    private static final double MILLISECONDS_PER_SECOND = 1000.0;
+    private static final double[] SECONDS = {0.005, 0.025, 0.1, 0.5, 2.5, 10, 60, 600};
+    private static final String FEED = "feed";
+
+    private final Set<TeamName> labelled = ConcurrentHashMap.newKeySet();
+    private final Histogram waiting;
+    private final Histogram running;
+    private final Counter refusals;
+    private final ReplicaGauges gauges;
+
+    LeaderMetrics(PrometheusRegistry registry) {
+        waiting =
+                histogram(
+                        "marjoramnotch_leader_waiting_seconds",
+                        "Time from the arrival at the leader, or the queueing of a task, to the"
+                                + " grant or start.",
+                        registry);
+        running =
+                histogram(
+                        "marjoramnotch_leader_running_seconds",
+                        "Time from the sending of a request or the start of a task to its end.",
+                        registry);
+        refusals =
+                Counter.builder()
+                        .name("marjoramnotch_leader_refusals")
+                        .help("Requests of known teams that the leader refused.")
+                        .labelNames("team", "code")
+                        .register(registry);
+        gauges = new ReplicaGauges(registry);
+    }
+
+    private static Histogram histogram(String name, String help, PrometheusRegistry registry) {
+        return Histogram.builder()
+                .name(name)
+                .help(help)
+                .labelNames("team", "class")
+                .classicOnly()
+                .classicUpperBounds(SECONDS)
+                .register(registry);
+    }
+
+    /** Returns the gauges of the replica. */
+    public ReplicaGauges gauges() {
+        return gauges;
+    }
+
+    @Override
+    public void onGranted(TeamName team, boolean urgent, long waitedMilliseconds) {
+        observe(waiting, team, urgent ? "urgent" : "quick", waitedMilliseconds);
+    }
+
+    @Override
+    public void onEnded(TeamName team, long ranMilliseconds) {
+        observe(running, team, "quick", ranMilliseconds);
+    }
+
+    @Override
+    public void onFeedGranted(TeamName team, long waitedMilliseconds) {
+        observe(waiting, team, FEED, waitedMilliseconds);
+    }
+
+    @Override
+    public void onFeedEnded(TeamName team, long ranMilliseconds) {
+        observe(running, team, FEED, ranMilliseconds);
+    }
+
+    @Override
+    public void onRefused(TeamName team, ErrorCode code) {
+        refusals.labelValues(label(team), code.name()).inc();
+    }
+
+    @Override
+    public void onRunStarted(TeamName team, QueuePolicy policy, long waitedMilliseconds) {
+        observe(waiting, team, label(policy), waitedMilliseconds);
+    }
+
+    @Override
+    public void onRunEnded(TeamName team, QueuePolicy policy, long ranMilliseconds) {
+        observe(running, team, label(policy), ranMilliseconds);
+    }
+
+    @Override
+    public void onFigures(CellFigures figures) {
+        gauges.onFigures(figures);
+    }
+
+    private void observe(Histogram histogram, TeamName team, String workClass, long milliseconds) {
+        histogram
+                .labelValues(label(team), workClass)
+                .observe(milliseconds / MILLISECONDS_PER_SECOND);
+    }
+
+    private String label(TeamName team) {
+        if (labelled.contains(team)) {
+            return team.value();
+        }
+        if (labelled.size() >= TEAM_LABELS) {
+            return OTHER_TEAMS;
+        }
+        labelled.add(team);
+        return team.value();
+    }
+
+    private static String label(QueuePolicy policy) {
+        return policy.name().toLowerCase(Locale.ROOT);
+    }
+}
--- a/daemon/src/test/java/org/marjoramnotch/daemon/OperatorContractTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/OperatorContractTest.java
@@ -48,6 +48,42 @@
                 .containsPattern("\"voters\":\\[\"vm-1\"],\"voterIdentities\":\\[\"vm-1#[^\"]+\"]");
     }
 
+    @Test
+    void metricsOfTheLeaderShowWhatTeamsWaitAndRun() throws Exception {
+        String rules =
+                "team team-a share 1 limit 8 # test\\n"
+                        + "queue checks open team-a policy quick service gas-check once # test\\n";
+        daemon.operator(
+                "PUT",
+                "/v1/operator/rules",
+                "{\"requestId\":\"r-1\",\"expectedVersion\":0,\"text\":\"" + rules + "\"}");
+        try (StandInEndpoint endpoint = new StandInEndpoint("gas-1", "gas-check")) {
+            daemon.announce(endpoint);
+            assertThat(daemon.post("/v1/queues/checks/requests/echo", "body").body())
+                    .isEqualTo("body");
+        }
+        DaemonFixture.await(
+                () -> metrics().contains(ofLeader("running_seconds_count{class=\"quick\"")));
+
+        assertThat(metrics())
+                .contains(
+                        ofLeader("waiting_seconds_count{class=\"quick\",team=\"team-a\"} 1"),
+                        ofLeader("running_seconds_count{class=\"quick\",team=\"team-a\"} 1"),
+                        "marjoramnotch_leading 1.0",
+                        "marjoramnotch_term ",
+                        "marjoramnotch_commit_index ");
+        DaemonFixture.await(
+                () -> metrics().contains("marjoramnotch_team_upper_limit{team=\"team-a\"} 8.0"));
+    }
+
+    private static String ofLeader(String rest) {
+        return "marjoramnotch_leader_" + rest;
+    }
+
+    private String metrics() {
+        return daemon.get("/metrics").body();
+    }
+
     private String status() {
         return daemon.operator("GET", "/v1/operator/status", "").body();
     }
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
@@ -0,0 +1,142 @@
+package org.marjoramnotch.daemon.metrics;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.marjoramnotch.logic.cell.CellFigures;
+import org.marjoramnotch.logic.cell.TeamFigures;
+import org.marjoramnotch.logic.job.Packing;
+import org.marjoramnotch.logic.replication.ReplicationStatus;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.resource.Resources;
+import org.marjoramnotch.model.rule.QueuePolicy;
+
+class LeaderMetricsTest {
+    private static final TeamName TEAM = new TeamName("wards");
+    private static final CellFigures FIGURES =
+            new CellFigures(
+                    List.of(new TeamFigures(TEAM, 3, 64, 0.25)),
+                    new Packing(new Resources(1500, 2000, 1), new Resources(4000, 8000, 2)));
+
+    private final DaemonMetrics metrics = new DaemonMetrics();
+    private final LeaderMetrics leader = metrics.leader();
+
+    @Test
+    void timesAreCountedForEachTeamAndClass() {
+        leader.onGranted(TEAM, true, 20);
+        leader.onGranted(TEAM, false, 30);
+        leader.onFeedGranted(TEAM, 40);
+        leader.onRunStarted(TEAM, QueuePolicy.GANG, 2_000);
+        leader.onEnded(TEAM, 100);
+        leader.onFeedEnded(TEAM, 100);
+        leader.onRunEnded(TEAM, QueuePolicy.GANG, 61_000);
+        leader.onRefused(TEAM, ErrorCode.TEAM_AT_LIMIT);
+
+        assertThat(text())
+                .contains(
+                        waiting("bucket{class=\"urgent\",team=\"wards\",le=\"0.005\"} 0"),
+                        waiting("bucket{class=\"urgent\",team=\"wards\",le=\"0.025\"} 1"),
+                        waiting("count{class=\"quick\",team=\"wards\"} 1"),
+                        waiting("count{class=\"feed\",team=\"wards\"} 1"),
+                        waiting("sum{class=\"gang\",team=\"wards\"} 2.0"),
+                        running("count{class=\"quick\",team=\"wards\"} 1"),
+                        running("count{class=\"feed\",team=\"wards\"} 1"),
+                        running("sum{class=\"gang\",team=\"wards\"} 61.0"),
+                        "refusals_total{code=\"TEAM_AT_LIMIT\",team=\"wards\"} 1.0");
+    }
+
+    @Test
+    void histogramHasElevenLines() {
+        leader.onEnded(TEAM, 100);
+
+        assertThat(text().lines().filter(line -> line.startsWith(running("")))).hasSize(11);
+    }
+
+    @Test
+    void teamsBeyondTheBoundShareOneLabel() {
+        for (int team = 0; team < LeaderMetrics.TEAM_LABELS + 2; team++) {
+            leader.onEnded(new TeamName("t" + team), 1);
+            leader.onEnded(new TeamName("t" + team), 1);
+        }
+
+        List<String> counts =
+                text().lines().filter(line -> line.startsWith(running("count{"))).toList();
+        assertThat(counts)
+                .hasSize(LeaderMetrics.TEAM_LABELS + 1)
+                .contains(running("count{class=\"quick\",team=\"other-teams\"} 4"));
+    }
+
+    @Test
+    void stateIsShownByTheLeaderOnly() {
+        leader.onFigures(FIGURES);
+        assertThat(text()).doesNotContain("_term ", "team_running{");
+
+        leader.gauges().onStatus(Optional.of(status(false)));
+        assertThat(text())
+                .contains("marjoramnotch_leading 0.0", "_term 4.0", "_commit_index 70.0")
+                .doesNotContain("team_running{");
+
+        leader.gauges().onStatus(Optional.of(status(true)));
+        assertThat(text())
+                .contains(
+                        "marjoramnotch_leading 1.0",
+                        "marjoramnotch_team_running{team=\"wards\"} 3.0",
+                        "marjoramnotch_team_upper_limit{team=\"wards\"} 64.0",
+                        "marjoramnotch_team_share_distance_ratio{team=\"wards\"} 0.25",
+                        "marjoramnotch_workers_used{resource=\"processor_millis\"} 1500.0",
+                        "marjoramnotch_workers_capacity{resource=\"memory_megabytes\"} 8000.0",
+                        "marjoramnotch_workers_capacity{resource=\"accelerators\"} 2.0");
+    }
+
+    @Test
+    void pageNamesEveryMetricAndNoOther() throws IOException {
+        timesAreCountedForEachTeamAndClass();
+        metrics.waited(TEAM, "quick", 1);
+        metrics.answered(TEAM, "quick", 1);
+        metrics.refused(ErrorCode.OVERLOADED);
+        metrics.count(CountedEvent.LINK_REPLACED);
+        leader.onFigures(FIGURES);
+        leader.gauges().onStatus(Optional.of(status(true)));
+
+        List<String> rows =
+                Files.readAllLines(Path.of("..", "docs", "OPERATIONS.md")).stream()
+                        .filter(line -> line.startsWith("| marjoramnotch_"))
+                        .map(line -> line.split(" ")[1])
+                        .toList();
+
+        assertThat(rows)
+                .containsExactlyInAnyOrderElementsOf(
+                        text().lines()
+                                .filter(line -> line.startsWith("# HELP "))
+                                .map(line -> line.split(" ")[2])
+                                .collect(Collectors.toSet()));
+    }
+
+    private static ReplicationStatus status(boolean leading) {
+        ReplicaId self = new ReplicaId(new VmId("vm-1"), "d1");
+        return new ReplicationStatus(
+                self, leading, leading, Optional.empty(), 4, 70, 1, List.of(self), List.of());
+    }
+
+    private static String waiting(String rest) {
+        return "marjoramnotch_leader_waiting_seconds_" + rest;
+    }
+
+    private static String running(String rest) {
+        return "marjoramnotch_leader_running_seconds_" + rest;
+    }
+
+    private String text() {
+        return new String(metrics.text(), StandardCharsets.UTF_8);
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.logic.ledger.Ledger;
@@ -43,7 +44,7 @@
     private final Map<Long, ProposedCommand> proposed = new HashMap<>();
 
     private Ledger ledger = new Ledger();
-    private @Nullable LeaderDuties duties;
+    private @Nullable LeaderDuty duties;
     private boolean proposalRefused;
     private boolean stopping;
     private long now;
@@ -209,11 +210,7 @@
     /** Starts the decisions anew once the ledger has all entries of earlier terms. */
     private void startDecidingIfReady() {
         if (duties == null && log.ready(now)) {
-            duties =
-                    new LeaderDuties(
-                            parts.configuration(ledger, now),
-                            parts.placement(ledger, now),
-                            parts.job(ledger, now));
+            duties = parts.all(ledger, now);
         }
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellParts.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellParts.java
@@ -1,5 +1,6 @@
 package org.marjoramnotch.logic.cell;
 
+import java.util.Optional;
 import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.ledger.Ledger;
 
@@ -13,4 +14,18 @@
 
     /** Returns the part that places jobs on workers. */
     LeaderDuty job(Ledger ledger, long termStartMilliseconds);
+
+    /** Returns all parts as one. */
+    default LeaderDuty all(Ledger ledger, long termStartMilliseconds) {
+        return new LeaderDuties(
+                configuration(ledger, termStartMilliseconds),
+                placement(ledger, termStartMilliseconds),
+                job(ledger, termStartMilliseconds),
+                Optional.empty());
+    }
+
+    /** Returns parts that report to the measures, if these can be measured. */
+    default CellParts measured(LeaderMeasures measures) {
+        return this;
+    }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/cell/LeaderDuties.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/LeaderDuties.java
@@ -1,6 +1,8 @@
 package org.marjoramnotch.logic.cell;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
 import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
@@ -27,11 +29,17 @@
     private final LeaderDuty job;
     private final List<LeaderDuty> all;
 
-    LeaderDuties(LeaderDuty configuration, LeaderDuty placement, LeaderDuty job) {
+    /** Creates the parts; the observer takes no request. */
+    LeaderDuties(
+            LeaderDuty configuration,
+            LeaderDuty placement,
+            LeaderDuty job,
+            Optional<LeaderDuty> observer) {
         this.configuration = configuration;
         this.placement = placement;
         this.job = job;
-        this.all = List.of(configuration, placement, job);
+        this.all =
+                Stream.concat(Stream.of(configuration, placement, job), observer.stream()).toList();
     }
 
     @Override
--- a/library/src/main/java/org/marjoramnotch/logic/job/JobDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobDuty.java
@@ -1,5 +1,7 @@
 package org.marjoramnotch.logic.job;
 
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.marjoramnotch.logic.configuration.ConfigurationView;
 import org.marjoramnotch.logic.leader.LeaderDuty;
@@ -15,6 +17,7 @@
 import org.marjoramnotch.model.command.SubmitJob;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.message.AnnounceWorker;
 import org.marjoramnotch.model.message.CancelJobRequest;
@@ -53,10 +56,35 @@
             TeamUsage usage,
             UniformRandomProvider random,
             long termStartMilliseconds) {
+        this(
+                settings,
+                configuration,
+                ledger,
+                usage,
+                random,
+                termStartMilliseconds,
+                JobRunMeasures.NONE);
+    }
+
+    /** Takes over the ledger as a term begins, and reports runs to the measures. */
+    public JobDuty(
+            JobSettings settings,
+            ConfigurationView configuration,
+            JobLedger ledger,
+            TeamUsage usage,
+            UniformRandomProvider random,
+            long termStartMilliseconds,
+            JobRunMeasures measures) {
         this.configuration = configuration;
         this.parts =
                 new JobDutyParts(
-                        settings, configuration, ledger, usage, random, termStartMilliseconds);
+                        settings,
+                        configuration,
+                        ledger,
+                        usage,
+                        random,
+                        termStartMilliseconds,
+                        measures);
         parts.load();
         cancelJobsOfRemovedTeams();
         ledger.listen(new LedgerEvents(parts));
@@ -116,6 +144,19 @@
         return parts.histograms;
     }
 
+    /** Returns what runs hold of all workers; walks the workers, so not to be asked each tick. */
+    public Packing packing() {
+        return parts.pool.packing();
+    }
+
+    /** Returns the teams with queued tasks; walks the teams, so not to be asked each tick. */
+    public Set<TeamName> waitingTeams() {
+        return parts.waiting.teams().stream()
+                .filter(team -> !team.isEmpty())
+                .map(team -> team.name)
+                .collect(Collectors.toSet());
+    }
+
     /** Returns what is known of a registered worker. */
     WorkerSession session(WorkerId worker) {
         return parts.pool.find(worker).orElseThrow();
--- a/library/src/main/java/org/marjoramnotch/logic/job/JobDutyParts.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobDutyParts.java
@@ -12,7 +12,7 @@
     final DutyContext context;
     final WorkerPool pool = new WorkerPool();
     final RunTimes runTimes = new RunTimes();
-    final JobHistograms histograms = new JobHistograms();
+    final JobHistograms histograms;
     final WaitingJobs waiting;
     final TaskPlacer placer;
     final WorkerRequests workers;
@@ -27,9 +27,11 @@
             JobLedger ledger,
             TeamUsage usage,
             UniformRandomProvider random,
-            long termStartMilliseconds) {
+            long termStartMilliseconds,
+            JobRunMeasures measures) {
         this.settings = settings;
         this.ledger = ledger;
+        histograms = new JobHistograms(measures);
         context = new DutyContext(termStartMilliseconds);
         waiting = new WaitingJobs(configuration, settings.order());
         workers = new WorkerRequests(settings, ledger, pool, context);
--- a/library/src/main/java/org/marjoramnotch/logic/job/JobHistograms.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobHistograms.java
@@ -12,24 +12,33 @@
 final class JobHistograms implements JobMeasures {
     private static final int SIGNIFICANT_DIGITS = 1;
 
-    private final Map<MeasureKey, JobMeasure> measures = new HashMap<>();
+    private final Map<MeasureKey, JobMeasure> histograms = new HashMap<>();
     private final Histogram urgent = new Histogram(SIGNIFICANT_DIGITS);
 
+    private final JobRunMeasures measures;
+
+    JobHistograms(JobRunMeasures measures) {
+        this.measures = measures;
+    }
+
     void waited(JobEntry job, long milliseconds) {
         long value = Math.max(0, milliseconds);
         measure(job).waitingMilliseconds().recordValue(value);
+        measures.onRunStarted(job.team, job.policy, value);
         if (job.specification.urgent()) {
             urgent.recordValue(value);
         }
     }
 
     void ran(JobEntry job, long milliseconds) {
-        measure(job).runningMilliseconds().recordValue(Math.max(0, milliseconds));
+        long value = Math.max(0, milliseconds);
+        measure(job).runningMilliseconds().recordValue(value);
+        measures.onRunEnded(job.team, job.policy, value);
     }
 
     @Override
     public Collection<JobMeasure> measures() {
-        return Collections.unmodifiableCollection(measures.values());
+        return Collections.unmodifiableCollection(histograms.values());
     }
 
     @Override
@@ -38,7 +47,7 @@
     }
 
     private JobMeasure measure(JobEntry job) {
-        return measures.computeIfAbsent(
+        return histograms.computeIfAbsent(
                 new MeasureKey(job.team, job.policy),
                 key ->
                         new JobMeasure(
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/job/Packing.java
@@ -0,0 +1,11 @@
+package org.marjoramnotch.logic.job;
+
+import org.marjoramnotch.model.resource.Resources;
+
+/**
+ * How full the workers are.
+ *
+ * @param used what runs hold
+ * @param total what all registered workers have
+ */
+public record Packing(Resources used, Resources total) {}
--- a/library/src/main/java/org/marjoramnotch/logic/job/WorkerPool.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/WorkerPool.java
@@ -49,6 +49,15 @@
         return total;
     }
 
+    /** Returns what runs hold of all workers. */
+    Packing packing() {
+        Resources unused =
+                sessions.values().stream()
+                        .map(session -> session.entry.free())
+                        .reduce(Resources.NONE, Resources::plus);
+        return new Packing(total.minus(unused), total);
+    }
+
     /** Returns the different sizes of workers with how many there are of each. */
     Map<Resources, Integer> capacities() {
         return capacities;
--- a/library/src/main/java/org/marjoramnotch/logic/placement/AttemptReleases.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/AttemptReleases.java
@@ -10,6 +10,7 @@
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.model.command.ReleaseSlot;
 import org.marjoramnotch.model.endpoint.OpenAttempt;
+import org.marjoramnotch.model.endpoint.SlotKind;
 import org.marjoramnotch.model.endpoint.StoredAnswer;
 import org.marjoramnotch.model.error.ExecutionOutcome;
 import org.marjoramnotch.model.identifier.AttemptId;
@@ -97,7 +98,9 @@
     private void recordResult(
             long nowMilliseconds, OpenAttempt open, EndAttempt end, LeaderOutput output) {
         boolean ran = end.outcome() == ExecutionOutcome.RAN;
-        if (ran) {
+        if (ran && open.kind() == SlotKind.FEED) {
+            context.measures().onFeedEnded(open.team(), end.runMilliseconds());
+        } else if (ran) {
             context.measures().onEnded(open.team(), end.runMilliseconds());
         }
         if (ran || end.endpointFailed()) {
--- a/library/src/main/java/org/marjoramnotch/logic/placement/PlacementDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/PlacementDuty.java
@@ -1,5 +1,6 @@
 package org.marjoramnotch.logic.placement;
 
+import java.util.Set;
 import org.marjoramnotch.logic.configuration.ConfigurationView;
 import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
@@ -15,6 +16,7 @@
 import org.marjoramnotch.model.command.RemoveEndpoint;
 import org.marjoramnotch.model.command.ReserveSlot;
 import org.marjoramnotch.model.identifier.EndpointId;
+import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.message.AnnounceEndpoint;
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.EndAttempt;
@@ -134,6 +136,11 @@
         forgetClaims(output);
     }
 
+    /** Returns the teams with waiting requests; walks the teams, so not to be asked each tick. */
+    public Set<TeamName> waitingTeams() {
+        return context.pools().waitingTeams();
+    }
+
     private void forgetClaims(LeaderOutput output) {
         int excess = context.state().endedClaims() - context.settings().endedClaimsKept();
         if (excess > 0 && !forgettingClaims) {
--- a/library/src/main/java/org/marjoramnotch/logic/placement/PlacementMeasures.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/PlacementMeasures.java
@@ -24,6 +24,12 @@
     /** An attempt that was sent ended after this time. */
     void onEnded(TeamName team, long ranMilliseconds);
 
+    /** A feed was granted after this wait at the leader. */
+    default void onFeedGranted(TeamName team, long waitedMilliseconds) {}
+
+    /** A feed ended after this time. */
+    default void onFeedEnded(TeamName team, long ranMilliseconds) {}
+
     /** A request of a known team was refused. */
     void onRefused(TeamName team, ErrorCode code);
 }
--- a/library/src/main/java/org/marjoramnotch/logic/placement/RequestPlacer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/RequestPlacer.java
@@ -12,6 +12,7 @@
 import org.marjoramnotch.model.command.ReserveSlot;
 import org.marjoramnotch.model.endpoint.EndpointDescription;
 import org.marjoramnotch.model.endpoint.OpenAttempt;
+import org.marjoramnotch.model.endpoint.SlotKind;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.Refusal;
 import org.marjoramnotch.model.identifier.AttemptId;
@@ -180,16 +181,21 @@
             return;
         }
         forget(request);
-        context.measures()
-                .onGranted(
-                        request.team(),
-                        request.request().urgent(),
-                        nowMilliseconds - request.arrivedMilliseconds());
+        measure(request, nowMilliseconds - request.arrivedMilliseconds());
         output.reply(
                 request.handle(),
                 granted(request.attempt(), request.team(), request.repetition(), slots(open)));
     }
 
+    private void measure(WaitingRequest request, long waitedMilliseconds) {
+        if (request.pool().kind() == SlotKind.FEED) {
+            context.measures().onFeedGranted(request.team(), waitedMilliseconds);
+        } else {
+            boolean urgent = request.request().urgent();
+            context.measures().onGranted(request.team(), urgent, waitedMilliseconds);
+        }
+    }
+
     private void onNotReserved(
             long nowMilliseconds,
             WaitingRequest request,
--- a/library/src/main/java/org/marjoramnotch/logic/placement/SlotPools.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/SlotPools.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -99,6 +100,17 @@
         changing.merge(team, change, (before, more) -> before + more == 0 ? null : before + more);
     }
 
+    /** Returns the teams with waiting requests. */
+    Set<TeamName> waitingTeams() {
+        Set<TeamName> waiting = new HashSet<>();
+        for (SlotPool pool : pools.values()) {
+            pool.activeTeams().stream()
+                    .filter(team -> pool.team(team).waiting() > 0)
+                    .forEach(waiting::add);
+        }
+        return waiting;
+    }
+
     /** Looks again at teams that were at their upper limit, and at shares that were changed. */
     List<SlotPool> refreshLimits() {
         Set<SlotPool> changed = new LinkedHashSet<>();
--- a/wire/src/test/java/org/marjoramnotch/wire/CborMapperTest.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/CborMapperTest.java
@@ -11,9 +11,12 @@
 import org.junit.jupiter.params.provider.FieldSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.marjoramnotch.model.command.Command;
+import org.marjoramnotch.model.endpoint.PlacementSnapshot;
 import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.message.CellReply;
 import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.StatusAnswer;
 
 class CborMapperTest {
     static final List<CellRequest> REQUESTS = MessageExamples.REQUESTS;
@@ -60,6 +63,23 @@
         assertThat(mapper.read(CellReply.class, newer)).isEqualTo(MessageExamples.DONE);
     }
 
+    @Test
+    void listsThatAnOlderReleaseDoesNotWriteAreEmpty() {
+        List<Object> none = List.of();
+        byte[] snapshot =
+                mapper.write(OlderSnapshot.class, new OlderSnapshot(none, none, none, none));
+        byte[] status =
+                mapper.write(
+                        OlderStatus.class,
+                        new OlderStatus("status-answer", new VmId("vm-1"), none, none));
+
+        assertThat(mapper.read(PlacementSnapshot.class, snapshot).retired()).isEmpty();
+        assertThat(mapper.read(CellReply.class, status))
+                .isInstanceOfSatisfying(
+                        StatusAnswer.class,
+                        answer -> assertThat(answer.voterIdentities()).isEmpty());
+    }
+
     @Test
     void damagedBytesAreRefused() {
         assertThatThrownBy(() -> mapper.read(CellReply.class, new byte[] {1, 2, 3}))
@@ -73,5 +93,14 @@
         assertThat(read).isInstanceOf(value.getClass());
     }
 
+    private record OlderSnapshot(
+            List<Object> endpoints,
+            List<Object> attempts,
+            List<Object> claims,
+            List<Object> ended) {}
+
+    private record OlderStatus(
+            String type, VmId leader, List<Object> voters, List<Object> learners) {}
+
     private record NewerDone(String type, int number, Optional<String> text) {}
 }
