--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.logic.ledger.Ledger;
@@ -41,7 +42,7 @@
     private final ProposedCommands proposed = new ProposedCommands();
 
     private Ledger ledger = new Ledger();
-    private @Nullable LeaderDuties duties;
+    private @Nullable LeaderDuty duties;
     private boolean stopping;
     private long now;
     private long appliedIndex;
@@ -202,11 +203,7 @@
      */
     private void startDecidingIfReady() {
         if (duties == null && log.ready(now) && !isProposalUnderWay()) {
-            duties =
-                    new LeaderDuties(
-                            parts.configuration(ledger, now),
-                            parts.placement(ledger, now),
-                            parts.job(ledger, now));
+            duties = parts.all(ledger, now);
         }
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/cell/LeaderDuties.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/LeaderDuties.java
@@ -1,6 +1,8 @@
 package org.marjoramnotch.logic.cell;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
 import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
@@ -12,6 +14,7 @@
 import org.marjoramnotch.model.message.CancelJobRequest;
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.EndAttempt;
+import org.marjoramnotch.model.message.ForgetEndpointRequest;
 import org.marjoramnotch.model.message.PlaceRequest;
 import org.marjoramnotch.model.message.ReadJob;
 import org.marjoramnotch.model.message.ReadRules;
@@ -26,11 +29,17 @@
     private final LeaderDuty job;
     private final List<LeaderDuty> all;
 
-    LeaderDuties(LeaderDuty configuration, LeaderDuty placement, LeaderDuty job) {
+    /** Creates the parts; the observer takes no request. */
+    LeaderDuties(
+            LeaderDuty configuration,
+            LeaderDuty placement,
+            LeaderDuty job,
+            Optional<LeaderDuty> observer) {
         this.configuration = configuration;
         this.placement = placement;
         this.job = job;
-        this.all = List.of(configuration, placement, job);
+        this.all =
+                Stream.concat(Stream.of(configuration, placement, job), observer.stream()).toList();
     }
 
     @Override
@@ -66,7 +75,8 @@
         if (request instanceof PlaceRequest
                 || request instanceof EndAttempt
                 || request instanceof RenewEntry
-                || request instanceof AnnounceEndpoint) {
+                || request instanceof AnnounceEndpoint
+                || request instanceof ForgetEndpointRequest) {
             return placement;
         }
         if (request instanceof AnnounceWorker
--- a/library/src/main/java/org/marjoramnotch/logic/placement/PlacementDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/PlacementDuty.java
@@ -1,5 +1,6 @@
 package org.marjoramnotch.logic.placement;
 
+import java.util.Set;
 import org.marjoramnotch.logic.configuration.ConfigurationView;
 import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
@@ -9,14 +10,19 @@
 import org.marjoramnotch.model.command.Command;
 import org.marjoramnotch.model.command.CommandResult;
 import org.marjoramnotch.model.command.ForgetClaims;
+import org.marjoramnotch.model.command.ForgetEndpoint;
 import org.marjoramnotch.model.command.RegisterEndpoint;
 import org.marjoramnotch.model.command.ReleaseSlot;
 import org.marjoramnotch.model.command.RemoveEndpoint;
 import org.marjoramnotch.model.command.ReserveSlot;
+import org.marjoramnotch.model.identifier.EndpointId;
+import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.message.AnnounceEndpoint;
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.EndAttempt;
+import org.marjoramnotch.model.message.ForgetEndpointRequest;
 import org.marjoramnotch.model.message.PlaceRequest;
+import org.marjoramnotch.model.message.Refused;
 import org.marjoramnotch.model.message.RenewEntry;
 
 /**
@@ -29,6 +35,7 @@
 public final class PlacementDuty implements LeaderDuty {
     private final PlacementContext context;
     private final EndpointAnnouncements announcements;
+    private final EndpointForgetting forgetting;
     private boolean forgettingClaims;
 
     /** Creates a duty of the fair policy, unmeasured; its term starts at the given time. */
@@ -67,6 +74,7 @@
                         measures,
                         termStartMilliseconds);
         this.announcements = new EndpointAnnouncements(context);
+        this.forgetting = new EndpointForgetting(context, announcements::isAnnouncing);
     }
 
     @Override
@@ -79,6 +87,21 @@
         } else if (request instanceof RenewEntry renewal) {
             output.reply(handle, context.entries().renew(nowMilliseconds, renewal));
         } else if (request instanceof AnnounceEndpoint announcement) {
+            onAnnounced(nowMilliseconds, handle, announcement, output);
+        } else if (request instanceof ForgetEndpointRequest forget) {
+            forgetting.onRequest(nowMilliseconds, handle, forget, output);
+        }
+    }
+
+    private void onAnnounced(
+            long nowMilliseconds,
+            RequestHandle handle,
+            AnnounceEndpoint announcement,
+            LeaderOutput output) {
+        if (forgetting.isForgetting(announcement)) {
+            EndpointId endpoint = announcement.description().endpoint();
+            output.reply(handle, new Refused(EndpointAnnouncements.replaced(endpoint)));
+        } else {
             announcements.onAnnounced(nowMilliseconds, handle, announcement, output);
         }
     }
@@ -96,6 +119,8 @@
             announcements.onApplied(nowMilliseconds, change, output);
         } else if (command instanceof RemoveEndpoint remove) {
             context.endpoints().onRemoved(remove.endpoint());
+        } else if (command instanceof ForgetEndpoint forget) {
+            forgetting.onApplied(nowMilliseconds, forget, output);
         } else if (command instanceof ForgetClaims) {
             forgettingClaims = false;
         }
@@ -111,6 +136,11 @@
         forgetClaims(output);
     }
 
+    /** Returns the teams with waiting requests; walks the teams, so not to be asked each tick. */
+    public Set<TeamName> waitingTeams() {
+        return context.pools().waitingTeams();
+    }
+
     private void forgetClaims(LeaderOutput output) {
         int excess = context.state().endedClaims() - context.settings().endedClaimsKept();
         if (excess > 0 && !forgettingClaims) {
