--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/CellLinks.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellLinks.java
@@ -94,7 +94,7 @@
                                         linkInputs.get(vm),
                                         link,
                                         clock,
-                                        PeerLink.HEARTBEAT_INTERVAL_MILLISECONDS,
+                                        PeerLink.tickMilliseconds(settings.deadlineMilliseconds()),
                                         failure)));
         List<VmId> replicas = settings.replicas().stream().map(ReplicaAddress::vm).toList();
         CellClientDuty duty =
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/PeerLink.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/PeerLink.java
@@ -13,11 +13,14 @@
 import org.marjoramnotch.wire.generated.Frame;
 
 /**
- * Keeps a link to one replica: opens it, sends heartbeats, and replaces it by a new connection when
- * nothing was heard within the deadline.
+ * Keeps a link to one replica: opens it, sends heartbeats while it is idle, and replaces it by a
+ * new connection when nothing was heard within the deadline.
  */
 final class PeerLink implements DutyWork<Frame> {
-    static final long HEARTBEAT_INTERVAL_MILLISECONDS = 300;
+    /** Heartbeats of an idle link within its deadline; other frames take their place. */
+    private static final long HEARTBEATS_PER_DEADLINE = 3;
+
+    private static final long TICKS_PER_DEADLINE = 6;
     private static final int LARGEST_BACKLOG_FRAMES = 4096;
     private static final Logger LOGGER = Logger.getLogger(PeerLink.class);
 
@@ -31,6 +34,7 @@
     private final ArrayDeque<Frame> backlog = new ArrayDeque<>();
     private volatile @Nullable LinkConnection connection;
     private long openedMilliseconds;
+    private long lastSentMilliseconds;
     private long heartbeatSequence;
     private boolean loggedDown;
 
@@ -51,6 +55,11 @@
         this.deadlineMilliseconds = deadlineMilliseconds;
     }
 
+    /** Returns how often a link is to be ticked, in milliseconds. */
+    static long tickMilliseconds(long deadlineMilliseconds) {
+        return Math.max(1, deadlineMilliseconds / TICKS_PER_DEADLINE);
+    }
+
     /** Takes a frame for sending; false if the link is down or full. Any thread may call it. */
     boolean offer(Frame frame) {
         LinkConnection current = connection;
@@ -75,6 +84,7 @@
         }
         while (!backlog.isEmpty() && current.isReady()) {
             current.send(backlog.removeFirst());
+            lastSentMilliseconds = nowMilliseconds;
         }
     }
 
@@ -88,8 +98,10 @@
         if (current == null) {
             connection = connector.open(input::wake);
             openedMilliseconds = nowMilliseconds;
-        } else if (current.isReady()) {
+            lastSentMilliseconds = nowMilliseconds;
+        } else if (current.isReady() && isIdle(nowMilliseconds, current)) {
             current.send(frames.heartbeat(++heartbeatSequence));
+            lastSentMilliseconds = nowMilliseconds;
         }
         if (loggedDown && current != null && current.heardAnything()) {
             loggedDown = false;
@@ -111,6 +123,13 @@
         return current.isClosed() || nowMilliseconds - heard > deadlineMilliseconds;
     }
 
+    /** Tells whether either side has had nothing to hear for a part of the deadline. */
+    private boolean isIdle(long nowMilliseconds, LinkConnection current) {
+        long interval = deadlineMilliseconds / HEARTBEATS_PER_DEADLINE;
+        return nowMilliseconds - lastSentMilliseconds >= interval
+                || nowMilliseconds - current.lastHeardMilliseconds() >= interval;
+    }
+
     private void replace(LinkConnection broken) {
         connection = null;
         broken.close();
--- a/daemon/src/test/java/org/marjoramnotch/daemon/link/PeerLinkTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/link/PeerLinkTest.java
@@ -11,6 +11,7 @@
 import org.marjoramnotch.daemon.metrics.CountedEvent;
 import org.marjoramnotch.daemon.metrics.DaemonMetrics;
 import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.ReadRules;
 import org.marjoramnotch.wire.CborMapper;
 import org.marjoramnotch.wire.Frames;
 import org.marjoramnotch.wire.generated.Frame;
@@ -84,6 +85,38 @@
         assertThat(link.offer(frames.heartbeat(1))).isTrue();
     }
 
+    @ParameterizedTest
+    @CsvSource({"0, 60", "1000, 30", "200, 0"})
+    void heartbeatsAreOnlySentWhileOtherFramesAreAbsent(long frameInterval, int mostHeartbeats) {
+        link.tick(0);
+        long tickInterval = PeerLink.tickMilliseconds(DEADLINE);
+        Frame request = frames.request(1, new ReadRules());
+        for (long now = 1; now <= 30_000; now++) {
+            if (frameInterval > 0 && now % frameInterval == 0) {
+                link.receive(now, request);
+                link.flush(now);
+                first().heard = now;
+            }
+            if (now % tickInterval == 0) {
+                long sentBefore = first().heartbeats();
+                link.tick(now);
+                first().heard = first().heartbeats() > sentBefore ? now : first().heard;
+            }
+        }
+
+        assertThat(opened).hasSize(1);
+        assertThat(first().heartbeats()).isBetween(mostHeartbeats / 2L, (long) mostHeartbeats);
+    }
+
+    @Test
+    void heartbeatIsSentWhileFramesAreSentButNothingIsHeard() {
+        link.tick(0);
+        link.receive(500, frames.request(1, new ReadRules()));
+        link.flush(500);
+        link.tick(500);
+        assertThat(first().heartbeats()).isEqualTo(1);
+    }
+
     private FakeConnection first() {
         return opened.get(0);
     }
@@ -94,6 +127,10 @@
         boolean closed;
         long heard;
 
+        long heartbeats() {
+            return sent.stream().filter(Frame::hasHeartbeat).count();
+        }
+
         @Override
         public boolean isReady() {
             return ready;
