--- a/benchmark/src/main/java/org/marjoramnotch/benchmark/ExampleCommands.java
+++ b/benchmark/src/main/java/org/marjoramnotch/benchmark/ExampleCommands.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.marjoramnotch.model.command.ChangeConfiguration;
 import org.marjoramnotch.model.command.Command;
+import org.marjoramnotch.model.command.EndTask;
 import org.marjoramnotch.model.command.RegisterEndpoint;
 import org.marjoramnotch.model.command.RegisterWorker;
 import org.marjoramnotch.model.command.ReleaseSlot;
@@ -31,6 +32,7 @@
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.job.JobSpecification;
+import org.marjoramnotch.model.job.TaskEnd;
 import org.marjoramnotch.model.job.WorkerDescription;
 import org.marjoramnotch.model.resource.Resources;
 import org.marjoramnotch.model.rule.KeyRule;
@@ -141,6 +143,13 @@
         return List.of(job(number), new StartTasks(List.of(placement)));
     }
 
+    static List<Command> endedTask(int number) {
+        List<Command> commands = new ArrayList<>(runningTask(number));
+        TaskAttemptId attempt = new TaskAttemptId(new TaskId(jobId(number), 0), 1);
+        commands.add(new EndTask(attempt, TaskEnd.SUCCEEDED));
+        return commands;
+    }
+
     static Command attempt(int number, boolean claimed) {
         String key = DIGEST.substring(0, 56) + String.format("%08x", number);
         return new ReserveSlot(
