Prove jobs of every entry over the death of the leader

Change: LeaderDeathTest.jobsOfEveryEntryRunOnceThoughTheLeaderIsKilled: batch jobs that run once and gang jobs.

--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/LeaderDeathTest.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/LeaderDeathTest.java
@@ -2,8 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -11,6 +14,7 @@
 class LeaderDeathTest {
     private static final int CALLERS = 8;
     private static final int REQUESTS_EACH = 60;
+    private static final int TASKS = 2;
 
     @TempDir Path folder;
 
@@ -29,4 +33,26 @@
             cell.awaitService(load);
         }
     }
+
+    @Test
+    void jobsOfEveryEntryRunOnceThoughTheLeaderIsKilled() throws Exception {
+        try (Cell cell = new Cell(folder, 3, 2);
+                WorkerProcess worker = new WorkerProcess("worker-1", cell.addresses(), folder)) {
+            cell.form(TestRules.TEXT);
+            cell.awaitReady();
+            Jobs jobs = new Jobs(cell.caller(), TestRules.KEY);
+            List<String> names = new ArrayList<>();
+            for (String address : cell.addresses()) {
+                names.add(jobs.submit(address, TestRules.ONCE_BATCH_QUEUE, TASKS, "500"));
+                names.add(jobs.submit(address, TestRules.GANG_QUEUE, TASKS, "500"));
+            }
+            cell.leader().kill();
+            String entry = cell.addresses().get(cell.addresses().size() - 1);
+            for (String job : names) {
+                JsonNode status = jobs.awaitEnd(entry, job);
+                assertThat(status.path("state").asText()).as(job).isEqualTo("succeeded");
+                assertThat(worker.starts(job)).as("starts of %s", job).isEqualTo(TASKS);
+            }
+        }
+    }
 }
