Print the memory of daemons under load in the bench of a cell

Cause: the memory under load was seen by hand only. Change: CellBench sends its number of requests again by 64 callers and prints VmRSS and VmHWM of each daemon.

--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/CellBench.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/CellBench.java
@@ -3,17 +3,20 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.HdrHistogram.Histogram;
 
 /**
  * Prints the waiting time that a cell of three replicas adds to a quick request against calling the
- * endpoint directly, and the time without a leader after each kind of loss.
+ * endpoint directly, the memory of the daemons under load, and the time without a leader after each
+ * kind of loss.
  */
 public final class CellBench {
     private static final int DEFAULT_REQUESTS = 1_500;
     private static final int ROUNDS = 3;
+    private static final int LOAD_CALLERS = 64;
     private static final double NANOSECONDS_PER_MILLISECOND = 1e6;
 
     private final Cell cell;
@@ -38,6 +41,7 @@
             CellBench bench = new CellBench(cell, endpoints);
             Poll.until("a request is answered", () -> bench.answered("first"));
             bench.compareWithDirectCalls(requests);
+            bench.memoryUnderLoad(requests);
             bench.lossOfLeader("killed", DaemonProcess::kill, DaemonProcess::restart);
             bench.lossOfLeader(
                     "frozen", leader -> leader.signal("STOP"), leader -> leader.signal("CONT"));
@@ -73,6 +77,25 @@
         }
     }
 
+    /** Sends this many requests by many callers at once and prints what each daemon took. */
+    private void memoryUnderLoad(int requests) throws IOException {
+        long start = System.nanoTime();
+        List<CallerAnswer> answers =
+                load.run(LOAD_CALLERS, Math.max(1, requests / LOAD_CALLERS), () -> {});
+        double milliseconds = (System.nanoTime() - start) / NANOSECONDS_PER_MILLISECOND;
+        System.out.printf(
+                "load callers=%d requests=%d answered=%d milliseconds=%.0f%n",
+                LOAD_CALLERS,
+                answers.size(),
+                answers.stream().filter(CallerAnswer::answered).count(),
+                milliseconds);
+        for (DaemonProcess daemon : cell.daemons()) {
+            System.out.printf(
+                    "memory vm=%s resident_kb=%d largest_resident_kb=%d%n",
+                    daemon.vm(), daemon.memoryKilobytes("VmRSS"), daemon.memoryKilobytes("VmHWM"));
+        }
+    }
+
     private void lossOfLeader(
             String how, Consumer<DaemonProcess> lose, Consumer<DaemonProcess> bringBack) {
         for (int round = 0; round < ROUNDS; round++) {
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/DaemonProcess.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/DaemonProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -66,6 +67,15 @@
         }
     }
 
+    /** Returns a figure of the kernel's status page of the process, such as VmRSS. */
+    long memoryKilobytes(String name) throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
+                .filter(line -> line.startsWith(name + ":"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                .findFirst()
+                .orElseThrow();
+    }
+
     @Override
     public void close() {
         if (process.isAlive()) {
