--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/Cell.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/Cell.java
@@ -15,6 +15,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 import org.apache.commons.codec.digest.DigestUtils;
 
 /** Replicas and entries as separate processes, each on a loopback address of its own. */
@@ -29,6 +30,14 @@
 
     /** Starts the processes; the first ones are replicas. */
     Cell(Path folder, int replicaCount, int entryCount) throws IOException {
+        this(folder, replicaCount, entryCount, address -> address);
+    }
+
+    /**
+     * Starts the processes; plain entries reach replicas at what the route makes of the address.
+     */
+    Cell(Path folder, int replicaCount, int entryCount, UnaryOperator<InetSocketAddress> route)
+            throws IOException {
         this.folder = folder;
         this.replicaCount = replicaCount;
         Path operatorKeyFile = folder.resolve("operator.sha256");
@@ -44,7 +53,8 @@
             }
         }
         for (int number = 1; number <= replicaCount + entryCount; number++) {
-            daemons.add(start(folder, number, ports.get(number - 1), replicas, operatorKeyFile));
+            ArrayNode links = number <= replicaCount ? replicas : routed(replicas, route);
+            daemons.add(start(folder, number, ports.get(number - 1), links, operatorKeyFile));
         }
         daemons.forEach(this::awaitLive);
     }
@@ -180,6 +190,17 @@
         daemons.forEach(DaemonProcess::close);
     }
 
+    private static ArrayNode routed(ArrayNode replicas, UnaryOperator<InetSocketAddress> route) {
+        ArrayNode routed = replicas.deepCopy();
+        for (JsonNode replica : routed) {
+            String host = replica.path("host").asText();
+            InetSocketAddress link =
+                    route.apply(new InetSocketAddress(host, replica.path("port").asInt()));
+            ((ObjectNode) replica).put("host", link.getHostString()).put("port", link.getPort());
+        }
+        return routed;
+    }
+
     private static DaemonProcess start(
             Path folder, int number, int[] ports, ArrayNode replicas, Path operatorKeyFile)
             throws IOException {
