--- a/command-line/src/main/java/org/marjoramnotch/commandline/DaemonCommand.java
+++ b/command-line/src/main/java/org/marjoramnotch/commandline/DaemonCommand.java
@@ -37,7 +37,7 @@
     @Override
     public Report run(Arguments arguments) {
         DaemonSettings settings = SettingsReader.read(Path.of(arguments.required(SETTINGS)));
-        OperatorKeyHash.read(settings.operatorKeySha256File());
+        settings.operatorKeySha256File().ifPresent(OperatorKeyHash::read);
         if (arguments.has(CHECK)) {
             return new Report("The settings are valid.", Json.object().put("valid", true));
         }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -15,6 +15,7 @@
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.marjoramnotch.daemon.duty.Duty;
+import org.marjoramnotch.daemon.duty.OrderPort;
 import org.marjoramnotch.daemon.duty.ProcessFailure;
 import org.marjoramnotch.daemon.duty.SystemClock;
 import org.marjoramnotch.daemon.entry.Entry;
@@ -30,8 +31,10 @@
 import org.marjoramnotch.daemon.settings.DaemonRole;
 import org.marjoramnotch.daemon.settings.DaemonSettings;
 import org.marjoramnotch.daemon.settings.OperatorKeyHash;
+import org.marjoramnotch.daemon.settings.WorkflowDaemonSettings;
 import org.marjoramnotch.logic.cell.CellParts;
 import org.marjoramnotch.logic.cell.StandardCellParts;
+import org.marjoramnotch.logic.cell.WorkflowPart;
 import org.marjoramnotch.logic.job.JobSettings;
 import org.marjoramnotch.logic.job.QueueOrder;
 import org.marjoramnotch.logic.placement.PlacementSettings;
@@ -44,7 +47,11 @@
     private static final String CONFIGURATION = "marjoramnotch-daemon.conf";
     private static final String DUTY_DISPATCHER = "duty-dispatcher";
 
+    /** The hash that no key has. */
+    private static final String NO_KEY = "";
+
     private final DaemonSettings settings;
+    private final DaemonExtension extension;
     private final Clock clock = new SystemClock();
     private final DaemonMetrics metrics = new DaemonMetrics();
     private final String incarnation = UUID.randomUUID().toString();
@@ -59,9 +66,11 @@
     private final DaemonStop stop;
     private final CountDownLatch stopped = new CountDownLatch(1);
 
-    private Daemon(DaemonSettings settings, CellParts parts) {
+    private Daemon(DaemonSettings settings, CellParts parts, DaemonExtension extension) {
         this.settings = settings;
-        String operatorKey = OperatorKeyHash.read(settings.operatorKeySha256File());
+        this.extension = extension;
+        String operatorKey =
+                settings.operatorKeySha256File().map(OperatorKeyHash::read).orElse(NO_KEY);
         replica =
                 settings.dataFolder()
                         .filter(path -> settings.has(DaemonRole.REPLICA))
@@ -88,25 +97,42 @@
                         Adapter.toClassic(system),
                         clock,
                         metrics);
-        stop = new DaemonStop(clock);
+        stop = new DaemonStop(clock, settings.limits().stopMilliseconds());
         http =
                 new HttpInterfaceBuilder(Adapter.toClassic(system), settings, clock, metrics)
                         .replica(local().map(LocalReplica::input))
                         .ready(() -> !stop.hasBegun() && entry.holdsLease())
                         .build(entry, links.client(), operatorKey);
         Optional<Integer> linkPort = links.listen(settings.linkHost(), settings.linkPort());
-        startDuties();
+        startDuties(extension.orders(Adapter.toClassic(system), clock));
         binding = bindHttp();
         addresses =
                 new DaemonAddresses(
                         binding.localAddress(),
                         linkPort.map(port -> new InetSocketAddress(settings.linkHost(), port)));
+        extension.start(
+                new DaemonContext(
+                        Adapter.toClassic(system),
+                        settings,
+                        links.client(),
+                        clock,
+                        metrics,
+                        () -> !stop.hasBegun() && entry.holdsLease()));
     }
 
     /** Runs a process until it is told to stop by a signal. */
     public static void run(DaemonSettings settings) {
+        run(settings, DaemonExtension.NONE);
+    }
+
+    /** Runs a process with an extension until it is told to stop by a signal. */
+    public static void run(DaemonSettings settings, DaemonExtension extension) {
         LogSetup.configure(settings.logLevel());
-        Daemon daemon = start(settings, standardParts(settings.jobOrder()));
+        Daemon daemon =
+                new Daemon(
+                        settings,
+                        standardParts(settings.jobOrder(), settings.workflow()),
+                        extension);
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
         System.out.println(
                 "event=daemon_started vm="
@@ -118,16 +144,32 @@
         daemon.awaitStop();
     }
 
+    /** Runs a process with an extension for as long as some work takes. */
+    public static void runFor(DaemonSettings settings, DaemonExtension extension, Runnable work) {
+        LogSetup.configure(settings.logLevel());
+        Daemon daemon =
+                new Daemon(
+                        settings,
+                        standardParts(settings.jobOrder(), settings.workflow()),
+                        extension);
+        work.run();
+        daemon.stop();
+    }
+
     /** Returns the leader's decisions as the product ships them. */
     public static CellParts standardParts() {
-        return standardParts(JobSettings.defaults().order());
+        return standardParts(JobSettings.defaults().order(), Optional.empty());
     }
 
-    private static CellParts standardParts(QueueOrder jobOrder) {
+    private static CellParts standardParts(
+            QueueOrder jobOrder, Optional<WorkflowDaemonSettings> workflow) {
         return new StandardCellParts(
                 PlacementSettings.defaults(),
                 JobSettings.builder().order(jobOrder).build(),
-                RandomSource.XO_RO_SHI_RO_128_PP.create());
+                RandomSource.XO_RO_SHI_RO_128_PP.create(),
+                workflow.map(
+                        known -> new WorkflowPart(known.decisions(), System::currentTimeMillis)),
+                Optional.empty());
     }
 
     /**
@@ -136,7 +178,7 @@
      * @param parts makes the leader's decisions
      */
     public static Daemon start(DaemonSettings settings, CellParts parts) {
-        return new Daemon(settings, parts);
+        return new Daemon(settings, parts, DaemonExtension.NONE);
     }
 
     /** Returns where the process is reached. */
@@ -154,7 +196,9 @@
         if (stopped.getCount() == 0) {
             return;
         }
+        extension.beginStop();
         stop.drain(http, entry, replica);
+        extension.finishStop();
         stop.close(binding, system);
         links.close();
         replica.ifPresent(ReplicaHost::close);
@@ -170,8 +214,8 @@
         }
     }
 
-    private void startDuties() {
-        replica.ifPresent(host -> startDuty("cell", host.behavior(links, failure)));
+    private void startDuties(OrderPort orders) {
+        replica.ifPresent(host -> startDuty("cell", host.behavior(links, orders, failure)));
         links.startDuties(this::startDuty, failure);
         startDuty("entry", entry.behavior(failure));
     }
@@ -209,6 +253,7 @@
                 incarnation,
                 settings.replicas(),
                 limits.linkDeadlineMilliseconds(),
+                settings.formation().map(formation -> settings.linkPort()),
                 limits.queueCapacity(),
                 2 * limits.maximumOpenRequests());
     }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/DaemonStop.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/DaemonStop.java
@@ -24,16 +24,17 @@
     /** Time for the balancer to notice that the process is not ready any more. */
     private static final long READINESS_GRACE_MILLISECONDS = 1_000;
 
-    private static final long LONGEST_DRAIN_MILLISECONDS = 30_000;
     private static final long POLL_MILLISECONDS = 20;
     private static final long ANSWER_TIMEOUT_MILLISECONDS = 1_000;
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
 
     private final Clock clock;
+    private final long longestDrainMilliseconds;
     private volatile boolean begun;
 
-    DaemonStop(Clock clock) {
+    DaemonStop(Clock clock, long longestDrainMilliseconds) {
         this.clock = clock;
+        this.longestDrainMilliseconds = longestDrainMilliseconds;
     }
 
     /** Tells whether the stop has begun. */
@@ -48,7 +49,7 @@
         pause(READINESS_GRACE_MILLISECONDS);
         http.stopTaking();
         replica.filter(DaemonStop::hasOtherVoters).ifPresent(host -> await(host.prepareStop()));
-        long end = clock.nowMilliseconds() + LONGEST_DRAIN_MILLISECONDS;
+        long end = clock.nowMilliseconds() + longestDrainMilliseconds;
         while (http.openCalls() + entry.openWork() > 0 && clock.nowMilliseconds() < end) {
             if (http.openCalls() == 0) {
                 entry.abandonExpired();
--- a/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
@@ -8,31 +8,43 @@
 import java.util.stream.Collectors;
 import org.apache.commons.rng.simple.RandomSource;
 import org.apache.pekko.actor.typed.Behavior;
+import org.jboss.logging.Logger;
 import org.marjoramnotch.daemon.duty.CellDuty;
 import org.marjoramnotch.daemon.duty.CellInput;
 import org.marjoramnotch.daemon.duty.CellOutput;
 import org.marjoramnotch.daemon.duty.Duty;
 import org.marjoramnotch.daemon.duty.DutyInput;
+import org.marjoramnotch.daemon.duty.OrderPort;
 import org.marjoramnotch.daemon.link.LocalReplica;
+import org.marjoramnotch.daemon.log.DecisionLog;
+import org.marjoramnotch.daemon.log.LogEvent;
 import org.marjoramnotch.daemon.settings.DaemonLimits;
 import org.marjoramnotch.daemon.settings.DaemonSettings;
+import org.marjoramnotch.daemon.settings.FormationSettings;
 import org.marjoramnotch.daemon.settings.ReplicaAddress;
 import org.marjoramnotch.daemon.storage.FileReplicaStorage;
 import org.marjoramnotch.logic.cell.CellCore;
 import org.marjoramnotch.logic.cell.CellParts;
 import org.marjoramnotch.logic.cell.CellSettings;
+import org.marjoramnotch.logic.replication.MembershipRule;
 import org.marjoramnotch.logic.replication.Replica;
 import org.marjoramnotch.logic.replication.ReplicaSettings;
 import org.marjoramnotch.logic.replication.ReplicationStatus;
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.time.Clock;
 import org.marjoramnotch.wire.CborCodec;
 import org.marjoramnotch.wire.CborMapper;
 
 /** The replica of a process with its storage. */
 final class ReplicaHost {
+    /** The identity of the founders' data folders, which all of them must know beforehand. */
+    private static final String FOUNDER = "founder";
+
+    private static final Logger LOGGER = Logger.getLogger(ReplicaHost.class);
+
     private final DaemonSettings settings;
     private final CellParts parts;
     private final Clock clock;
@@ -45,7 +57,10 @@
         this.settings = settings;
         this.parts = parts;
         this.clock = clock;
-        this.storage = FileReplicaStorage.open(dataFolder);
+        this.storage =
+                founds(settings)
+                        ? FileReplicaStorage.open(dataFolder, FOUNDER)
+                        : FileReplicaStorage.open(dataFolder);
         this.self = new ReplicaId(settings.vm(), storage.identity());
         this.input = new DutyInput<>(settings.limits().queueCapacity());
     }
@@ -55,7 +70,7 @@
     }
 
     /** Returns the actor of the replica's duty, which starts from what is stored. */
-    Behavior<Duty.Turn> behavior(CellOutput output, Consumer<Throwable> failure) {
+    Behavior<Duty.Turn> behavior(CellOutput output, OrderPort orders, Consumer<Throwable> failure) {
         DaemonLimits limits = settings.limits();
         Replica replica =
                 new Replica(
@@ -63,6 +78,9 @@
                         storage.recover(),
                         RandomSource.XO_RO_SHI_RO_128_PP.create(),
                         clock.nowMilliseconds());
+        if (founds(settings) && self.identity().equals(FOUNDER)) {
+            replica.found(founders());
+        }
         CellCore core =
                 new CellCore(
                         new CellSettings(limits.snapshotEveryEntries()),
@@ -71,7 +89,13 @@
                         parts);
         return Duty.create(
                 input,
-                new CellDuty(self, core, storage::persist, output),
+                new CellDuty(
+                        self,
+                        core,
+                        storage::persist,
+                        output,
+                        call -> orders.send(call, this::takeOutcome),
+                        new DecisionLog(clock)::write),
                 clock,
                 CellDuty.TICK_MILLISECONDS,
                 failure);
@@ -95,6 +119,36 @@
         storage.close();
     }
 
+    /** Hands an outcome to the duty; one that is lost counts as no answer after a while. */
+    private void takeOutcome(CallOutcome outcome) {
+        if (!input.offer(new CellInput.Outcome(outcome))) {
+            LogEvent.of("call_outcome_dropped").with("call", outcome.id()).warn(LOGGER);
+        }
+    }
+
+    private MembershipRule membershipRule() {
+        return settings.formation()
+                .map(
+                        formation ->
+                                MembershipRule.open(
+                                        formation.tolerableLosses(),
+                                        settings.limits().electionTimeoutMaximumMilliseconds()))
+                .orElseGet(MembershipRule::fixed);
+    }
+
+    /** Tells whether the replica of a VM is one of those that found the group together. */
+    private static boolean founds(DaemonSettings settings) {
+        return settings.formation().map(FormationSettings::foundsGroup).orElse(false)
+                && settings.replicas().stream()
+                        .anyMatch(replica -> replica.vm().equals(settings.vm()));
+    }
+
+    private List<ReplicaId> founders() {
+        return settings.replicas().stream()
+                .map(replica -> new ReplicaId(replica.vm(), FOUNDER))
+                .toList();
+    }
+
     private ReplicaSettings replicaSettings(DaemonLimits limits) {
         List<ReplicaAddress> replicas = settings.replicas();
         Set<VmId> vms = replicas.stream().map(ReplicaAddress::vm).collect(Collectors.toSet());
@@ -103,6 +157,7 @@
                         limits.electionTimeoutMinimumMilliseconds(),
                         limits.electionTimeoutMaximumMilliseconds())
                 .heartbeatIntervalMilliseconds(limits.heartbeatIntervalMilliseconds())
+                .membershipRule(membershipRule())
                 .build();
     }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
@@ -5,10 +5,12 @@
 import java.util.function.Consumer;
 import org.marjoramnotch.logic.cell.CellCore;
 import org.marjoramnotch.logic.cell.CellEffects;
+import org.marjoramnotch.logic.leader.DecisionNote;
 import org.marjoramnotch.logic.replication.StorageWrite;
 import org.marjoramnotch.model.error.MarjoramnotchException;
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.order.WorkerCall;
 import org.marjoramnotch.model.replication.ReplicationEnvelope;
 
 /**
@@ -23,21 +25,29 @@
     private final CellCore core;
     private final Consumer<List<StorageWrite>> storage;
     private final CellOutput output;
+    private final Consumer<WorkerCall> orders;
+    private final Consumer<DecisionNote> notes;
 
     /**
      * Creates the duty.
      *
      * @param storage stores writes and returns once they are synced
+     * @param orders carries calls to workers
+     * @param notes takes decisions for the log
      */
     public CellDuty(
             ReplicaId self,
             CellCore core,
             Consumer<List<StorageWrite>> storage,
-            CellOutput output) {
+            CellOutput output,
+            Consumer<WorkerCall> orders,
+            Consumer<DecisionNote> notes) {
         this.self = self;
         this.core = core;
         this.storage = storage;
         this.output = output;
+        this.orders = orders;
+        this.notes = notes;
     }
 
     @Override
@@ -46,6 +56,8 @@
             receiveMessage(nowMilliseconds, message.envelope());
         } else if (input instanceof CellInput.Request request) {
             core.request(nowMilliseconds, request.handle(), request.request());
+        } else if (input instanceof CellInput.Outcome outcome) {
+            core.outcome(nowMilliseconds, outcome.outcome());
         } else if (input instanceof CellInput.Form form) {
             attempt(form.result(), () -> core.form(nowMilliseconds));
         } else if (input instanceof CellInput.RemoveReplica remove) {
@@ -65,6 +77,8 @@
         }
         effects.messages().forEach(output::send);
         effects.replies().forEach(output::reply);
+        effects.calls().forEach(orders);
+        effects.notes().forEach(notes);
     }
 
     @Override
--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellInput.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellInput.java
@@ -6,6 +6,7 @@
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.replication.ReplicationEnvelope;
 
 /** Input of the {@link CellDuty}. */
@@ -25,6 +26,13 @@
      */
     record Request(RequestHandle handle, CellRequest request) implements CellInput {}
 
+    /**
+     * What came of a call to a worker.
+     *
+     * @param outcome the outcome
+     */
+    record Outcome(CallOutcome outcome) implements CellInput {}
+
     /**
      * The operator's command to form a group.
      *
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClientDuty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClientDuty.java
@@ -18,10 +18,14 @@
 import org.marjoramnotch.model.message.EndAttempt;
 import org.marjoramnotch.model.message.NotLeader;
 import org.marjoramnotch.model.message.PlaceRequest;
+import org.marjoramnotch.model.message.ReadConfiguration;
 import org.marjoramnotch.model.message.ReadJob;
 import org.marjoramnotch.model.message.ReadRules;
 import org.marjoramnotch.model.message.ReadStatus;
+import org.marjoramnotch.model.message.ReadWorkflow;
 import org.marjoramnotch.model.message.Refused;
+import org.marjoramnotch.model.message.SubmitWorkflowRequest;
+import org.marjoramnotch.model.message.TakeAdviceQuestion;
 
 /** Finds the leader and keeps each request going until a reply or its deadline. */
 final class CellClientDuty implements DutyWork<ClientInput> {
@@ -43,7 +47,7 @@
             CellTransport transport,
             DaemonMetrics metrics,
             int largestPending) {
-        this.replicas = List.copyOf(replicas);
+        this.replicas = new ArrayList<>(replicas);
         this.transport = transport;
         this.metrics = metrics;
         this.largestPending = largestPending;
@@ -123,7 +127,18 @@
             request.nextTryMilliseconds = nowMilliseconds + RETRY_PAUSE_MILLISECONDS;
             return;
         }
-        finish(request, reply.reply());
+        finish(request, isUncertain(request, reply.reply()) ? unanswered(request) : reply.reply());
+    }
+
+    /**
+     * Tells whether a refusal leaves open what becomes of a workflow: an earlier try may be on its
+     * way to a leader that will take it.
+     */
+    private static boolean isUncertain(PendingRequest request, CellReply reply) {
+        return request.request instanceof SubmitWorkflowRequest
+                && request.correlations.size() > 1
+                && reply instanceof Refused refused
+                && refused.refusal().outcome() == ExecutionOutcome.NOT_RUN;
     }
 
     /** Tells whether a replica was too busy to look at the request; earlier tries may have been. */
@@ -138,6 +153,10 @@
         if (!from.equals(request.target)) {
             return;
         }
+        notLeader
+                .leader()
+                .filter(leader -> !replicas.contains(leader) && transport.reaches(leader))
+                .ifPresent(replicas::add);
         int hinted = notLeader.leader().map(replicas::indexOf).orElse(-1);
         request.target = null;
         if (hinted >= 0 && !replicas.get(hinted).equals(from)) {
@@ -190,6 +209,9 @@
         return request instanceof PlaceRequest
                 || request instanceof EndAttempt
                 || request instanceof ReadJob
+                || request instanceof ReadWorkflow
+                || request instanceof ReadConfiguration
+                || request instanceof TakeAdviceQuestion
                 || request instanceof ReadRules
                 || request instanceof ReadStatus;
     }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/CellLinks.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellLinks.java
@@ -1,10 +1,10 @@
 package org.marjoramnotch.daemon.link;
 
 import io.grpc.Server;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.apache.pekko.actor.typed.Behavior;
@@ -37,12 +37,13 @@
     private final DaemonMetrics metrics;
     private final Frames frames = new Frames(new CborMapper());
     private final LinkNetwork network = new LinkNetwork();
-    private final Map<VmId, PeerLink> links = new HashMap<>();
-    private final Map<VmId, DutyInput<Frame>> linkInputs = new HashMap<>();
+    private final Map<VmId, PeerLink> links = new ConcurrentHashMap<>();
+    private final Map<VmId, DutyInput<Frame>> linkInputs = new ConcurrentHashMap<>();
     private final DutyInput<ClientInput> clientInput;
     private final CellClient client;
     private final Optional<LocalReplica> local;
     private volatile @Nullable PeerLinkService service;
+    private volatile @Nullable Consumer<VmId> linkStarter;
     private @Nullable Server server;
 
     /**
@@ -86,16 +87,9 @@
     /** Hands the duties of the links and of the client to a starter, by their names. */
     public void startDuties(
             BiConsumer<String, Behavior<Duty.Turn>> starter, Consumer<Throwable> failure) {
-        links.forEach(
-                (vm, link) ->
-                        starter.accept(
-                                "link-" + vm.value(),
-                                Duty.create(
-                                        linkInputs.get(vm),
-                                        link,
-                                        clock,
-                                        PeerLink.tickMilliseconds(settings.deadlineMilliseconds()),
-                                        failure)));
+        Consumer<VmId> starterOfLinks = vm -> startLink(vm, starter, failure);
+        linkStarter = starterOfLinks;
+        links.keySet().forEach(starterOfLinks);
         List<VmId> replicas = settings.replicas().stream().map(ReplicaAddress::vm).toList();
         CellClientDuty duty =
                 new CellClientDuty(replicas, this, metrics, settings.largestPendingRequests());
@@ -111,13 +105,13 @@
             return local.isPresent()
                     && local.get().input().offer(new CellInput.Request(handle, request));
         }
-        PeerLink link = links.get(replica);
+        PeerLink link = linkTo(replica);
         return link != null && link.offer(frames.request(correlation, request));
     }
 
     @Override
     public void send(ReplicationEffects.Outgoing message) {
-        PeerLink link = links.get(message.to().vm());
+        PeerLink link = linkTo(message.to().vm());
         ReplicaId self = local.orElseThrow().self();
         Frame frame =
                 frames.replication(new ReplicationEnvelope(self, message.to(), message.message()));
@@ -156,6 +150,41 @@
         network.close();
     }
 
+    @Override
+    public boolean reaches(VmId vm) {
+        return vm.equals(settings.vm()) ? local.isPresent() : linkTo(vm) != null;
+    }
+
+    /** Returns the link to a VM, and opens it where the VM's name is its address. */
+    private @Nullable PeerLink linkTo(VmId vm) {
+        PeerLink link = links.get(vm);
+        Consumer<VmId> starter = linkStarter;
+        if (link != null || starter == null || settings.sharedLinkPort().isEmpty()) {
+            return link;
+        }
+        return openLink(vm, settings.sharedLinkPort().get(), starter);
+    }
+
+    private synchronized @Nullable PeerLink openLink(VmId vm, int port, Consumer<VmId> starter) {
+        if (!links.containsKey(vm) && !vm.equals(settings.vm())) {
+            addLink(new ReplicaAddress(vm, vm.value(), port));
+            starter.accept(vm);
+        }
+        return links.get(vm);
+    }
+
+    private void startLink(
+            VmId vm, BiConsumer<String, Behavior<Duty.Turn>> starter, Consumer<Throwable> failure) {
+        starter.accept(
+                "link-" + vm.value(),
+                Duty.create(
+                        linkInputs.get(vm),
+                        links.get(vm),
+                        clock,
+                        PeerLink.tickMilliseconds(settings.deadlineMilliseconds()),
+                        failure));
+    }
+
     private void addLink(ReplicaAddress replica) {
         DutyInput<Frame> input = new DutyInput<>(settings.ringCapacity());
         Frame hello = frames.hello(settings.vm(), settings.incarnation());
@@ -176,8 +205,8 @@
                         metrics,
                         () -> client.onLinkLost(replica.vm()),
                         settings.deadlineMilliseconds());
-        links.put(replica.vm(), link);
         linkInputs.put(replica.vm(), input);
+        links.put(replica.vm(), link);
     }
 
     private void received(VmId from, Frame frame) {
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/CellTransport.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellTransport.java
@@ -6,6 +6,11 @@
 /** Carries requests to replicas. */
 @FunctionalInterface
 public interface CellTransport {
+    /** Tells whether a VM can be sent requests. */
+    default boolean reaches(VmId vm) {
+        return false;
+    }
+
     /**
      * Hands a request over for sending.
      *
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/LinkSettings.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/LinkSettings.java
@@ -1,6 +1,7 @@
 package org.marjoramnotch.daemon.link;
 
 import java.util.List;
+import java.util.Optional;
 import org.marjoramnotch.daemon.settings.ReplicaAddress;
 import org.marjoramnotch.model.identifier.VmId;
 
@@ -11,6 +12,7 @@
  * @param incarnation drawn when the process starts
  * @param replicas all replicas of the cell
  * @param deadlineMilliseconds silence after which a link is replaced
+ * @param sharedLinkPort the link port of every VM, where VMs are named by their IP numbers
  * @param ringCapacity length of each ring
  * @param largestPendingRequests most requests that await the leader at once
  */
@@ -19,5 +21,6 @@
         String incarnation,
         List<ReplicaAddress> replicas,
         long deadlineMilliseconds,
+        Optional<Integer> sharedLinkPort,
         int ringCapacity,
         int largestPendingRequests) {}
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/PendingRequest.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/PendingRequest.java
@@ -10,6 +10,7 @@
 import org.marjoramnotch.model.message.PlaceRequest;
 import org.marjoramnotch.model.message.ReadJob;
 import org.marjoramnotch.model.message.RenewWorker;
+import org.marjoramnotch.model.message.TakeAdviceQuestion;
 
 /** A request that awaits the leader's reply, with the tries that were made. */
 final class PendingRequest {
@@ -38,6 +39,9 @@
         if (request instanceof RenewWorker renew) {
             return renew.waitMilliseconds();
         }
+        if (request instanceof TakeAdviceQuestion offer) {
+            return offer.waitMilliseconds();
+        }
         return 0;
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/log/DecisionLog.java
@@ -0,0 +1,55 @@
+package org.marjoramnotch.daemon.log;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.jboss.logging.Logger;
+import org.marjoramnotch.logic.leader.DecisionNote;
+import org.marjoramnotch.model.time.Clock;
+
+/**
+ * Writes the notes of decisions as log lines, at most so many of one kind a second; what is left
+ * out is counted in the next line of that kind.
+ */
+public final class DecisionLog {
+    private static final Logger LOGGER = Logger.getLogger(DecisionLog.class);
+    private static final int MOST_LINES_PER_SECOND = 200;
+    private static final long WINDOW_MILLISECONDS = 1_000;
+
+    private static final class Window {
+        long startedAt;
+        int lines;
+        long leftOut;
+    }
+
+    private final Clock clock;
+    private final Map<String, Window> windows = new HashMap<>();
+
+    /** Creates a log on a clock. */
+    public DecisionLog(Clock clock) {
+        this.clock = clock;
+    }
+
+    /** Writes a note unless there were too many of its kind within the second. */
+    public synchronized void write(DecisionNote note) {
+        long now = clock.nowMilliseconds();
+        Window window = windows.computeIfAbsent(note.event(), event -> new Window());
+        if (now - window.startedAt >= WINDOW_MILLISECONDS) {
+            window.startedAt = now;
+            window.lines = 0;
+        }
+        window.lines++;
+        if (window.lines > MOST_LINES_PER_SECOND) {
+            window.leftOut++;
+            return;
+        }
+        LogEvent line = LogEvent.of(note.event());
+        for (int field = 0; field + 1 < note.fields().size(); field += 2) {
+            line.with(String.valueOf(note.fields().get(field)), note.fields().get(field + 1));
+        }
+        if (window.leftOut > 0) {
+            line.with("left_out", window.leftOut);
+            window.leftOut = 0;
+        }
+        line.info(LOGGER);
+    }
+}
--- a/daemon/src/main/java/org/marjoramnotch/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/log/LogEvent.java
@@ -33,6 +33,11 @@
         logger.info(line);
     }
 
+    /** Writes the line for the search of faults. */
+    public void debug(Logger logger) {
+        logger.debug(line);
+    }
+
     /** Writes the line as a warning. */
     public void warn(Logger logger) {
         logger.warn(line);
--- a/daemon/src/main/java/org/marjoramnotch/daemon/log/LogSetup.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/log/LogSetup.java
@@ -7,7 +7,7 @@
 import org.jboss.logmanager.formatters.PatternFormatter;
 import org.jboss.logmanager.handlers.ConsoleHandler;
 
-/** Sends log lines to standard error, one line of key=value pairs for each event. */
+/** Sends log lines to standard output, one line of key=value pairs for each event. */
 public final class LogSetup {
     private static final String MANAGER_PROPERTY = "java.util.logging.manager";
     private static final String PATTERN =
@@ -19,7 +19,7 @@
     public static void configure(Logger.Level level) {
         System.setProperty(MANAGER_PROPERTY, "org.jboss.logmanager.LogManager");
         ConsoleHandler handler =
-                new ConsoleHandler(ConsoleHandler.Target.SYSTEM_ERR, new PatternFormatter(PATTERN));
+                new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, new PatternFormatter(PATTERN));
         handler.setAutoFlush(true);
         org.jboss.logmanager.Logger root = LogContext.getLogContext().getLogger("");
         root.setHandlers(new java.util.logging.Handler[] {handler});
--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/DaemonLimits.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/DaemonLimits.java
@@ -16,6 +16,7 @@
  * @param endpointConnectionsPerEntry most connections of this entry to one endpoint
  * @param queueCapacity length of the bounded queue of each duty thread, in messages
  * @param snapshotEveryEntries entries of the log between two snapshots
+ * @param stopMilliseconds longest time that a stop waits for open work
  */
 @JsonDeserialize(builder = DaemonLimits.Builder.class)
 public record DaemonLimits(
@@ -28,7 +29,8 @@
         int linkDeadlineMilliseconds,
         int endpointConnectionsPerEntry,
         int queueCapacity,
-        int snapshotEveryEntries) {
+        int snapshotEveryEntries,
+        int stopMilliseconds) {
 
     /** Returns the limits that hold where a settings file names none. */
     public static DaemonLimits defaults() {
@@ -53,6 +55,7 @@
         private int endpointConnectionsPerEntry = 8;
         private int queueCapacity = 10_000;
         private int snapshotEveryEntries = 20_000;
+        private int stopMilliseconds = 30_000;
 
         private Builder() {}
 
@@ -116,6 +119,12 @@
             return this;
         }
 
+        /** Sets the longest time that a stop waits for open work. */
+        public Builder stopMilliseconds(int value) {
+            stopMilliseconds = value;
+            return this;
+        }
+
         /** Returns the limits. */
         public DaemonLimits build() {
             return new DaemonLimits(
@@ -128,7 +137,8 @@
                     linkDeadlineMilliseconds,
                     endpointConnectionsPerEntry,
                     queueCapacity,
-                    snapshotEveryEntries);
+                    snapshotEveryEntries,
+                    stopMilliseconds);
         }
     }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/DaemonSettings.java
@@ -28,10 +28,13 @@
  * @param replicas the link addresses of all replicas of the cell, this one included if it is one
  * @param dataFolder where a replica keeps its log; present for the role {@link DaemonRole#REPLICA}
  * @param operatorKeySha256File the file with the SHA-256 of the operator key, see {@link
- *     OperatorKeyHash}
+ *     OperatorKeyHash}; without one the operator's interface is closed
  * @param logLevel the least severe log level that is written
  * @param jobOrder the order in which a leader looks at waiting jobs
  * @param limits bounds and intervals
+ * @param formation how replicas find one another, where no list of them is kept
+ * @param workflow what is known of workers that take orders, if there are any
+ * @param adapter addresses of an adapter to an outside platform
  */
 @JsonDeserialize(builder = DaemonSettings.Builder.class)
 public record DaemonSettings(
@@ -44,10 +47,13 @@
         int linkPort,
         List<ReplicaAddress> replicas,
         Optional<Path> dataFolder,
-        Path operatorKeySha256File,
+        Optional<Path> operatorKeySha256File,
         Logger.Level logLevel,
         QueueOrder jobOrder,
-        DaemonLimits limits) {
+        DaemonLimits limits,
+        Optional<FormationSettings> formation,
+        Optional<WorkflowDaemonSettings> workflow,
+        AdapterAddresses adapter) {
 
     /** Copies the collections, so that the settings stay as they are. */
     public DaemonSettings {
@@ -82,6 +88,9 @@
         private Logger.Level logLevel = Logger.Level.INFO;
         private QueueOrder jobOrder = QueueOrder.FAIR_SHARE;
         private DaemonLimits limits = DaemonLimits.defaults();
+        private @Nullable FormationSettings formation;
+        private @Nullable WorkflowDaemonSettings workflow;
+        private AdapterAddresses adapter = AdapterAddresses.none();
 
         private Builder() {}
 
@@ -163,6 +172,24 @@
             return this;
         }
 
+        /** Sets how replicas find one another. */
+        public Builder formation(FormationSettings value) {
+            formation = value;
+            return this;
+        }
+
+        /** Sets what is known of workers that take orders. */
+        public Builder workflow(WorkflowDaemonSettings value) {
+            workflow = value;
+            return this;
+        }
+
+        /** Sets the addresses of an adapter. */
+        public Builder adapter(AdapterAddresses value) {
+            adapter = value;
+            return this;
+        }
+
         /** Returns the settings; the required ones must have been set. */
         public DaemonSettings build() {
             return new DaemonSettings(
@@ -173,12 +200,15 @@
                     httpPort,
                     Objects.requireNonNull(linkHost, "linkHost"),
                     linkPort,
-                    replicas,
+                    formation == null ? replicas : formation.replicas(linkPort),
                     Optional.ofNullable(dataFolder),
-                    Objects.requireNonNull(operatorKeySha256File, "operatorKeySha256File"),
+                    Optional.ofNullable(operatorKeySha256File),
                     logLevel,
                     jobOrder,
-                    limits);
+                    limits,
+                    Optional.ofNullable(formation),
+                    Optional.ofNullable(workflow),
+                    adapter);
         }
     }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/SettingsConsistency.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/SettingsConsistency.java
@@ -26,7 +26,13 @@
                         "replicas: VM " + replica.vm() + " is listed twice; keep one address.");
             }
         }
-        if (settings.has(DaemonRole.REPLICA) && !seen.contains(settings.vm())) {
+        if (seen.isEmpty()) {
+            problems.add(
+                    "replicas: no replica is named; list them here or name seeds in formation.");
+        }
+        if (settings.has(DaemonRole.REPLICA)
+                && settings.formation().isEmpty()
+                && !seen.contains(settings.vm())) {
             problems.add(
                     "replicas: this VM "
                             + settings.vm()
--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/SettingsReader.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,6 +21,7 @@
             JsonMapper.builder()
                     .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
                     .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .addModule(new Jdk8Module())
                     .build();
     private static final List<String> PATH_FIELDS = List.of("dataFolder", "operatorKeySha256File");
 
--- a/daemon/src/main/java/org/marjoramnotch/daemon/storage/FileReplicaStorage.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/storage/FileReplicaStorage.java
@@ -37,9 +37,9 @@
     private @Nullable LogSegment log;
     private boolean failed;
 
-    private FileReplicaStorage(StorageFolder folder) throws IOException {
+    private FileReplicaStorage(StorageFolder folder, String newIdentity) throws IOException {
         this.folder = folder;
-        this.identity = createOrReadIdentity();
+        this.identity = createOrReadIdentity(newIdentity);
     }
 
     /**
@@ -49,10 +49,20 @@
      *     if it cannot be used or another process uses it
      */
     public static FileReplicaStorage open(Path path) {
+        return open(path, UUID.randomUUID().toString());
+    }
+
+    /**
+     * Opens a data folder, and creates it with the given identity if it is missing or empty.
+     *
+     * @throws org.marjoramnotch.model.error.MarjoramnotchException with code {@code STORAGE_FAILED}
+     *     if it cannot be used or another process uses it
+     */
+    public static FileReplicaStorage open(Path path, String newIdentity) {
         try {
             StorageFolder folder = StorageFolder.open(path);
             try {
-                return new FileReplicaStorage(folder);
+                return new FileReplicaStorage(folder, newIdentity);
             } catch (IOException | MarjoramnotchException e) {
                 folder.close();
                 throw e;
@@ -178,7 +188,7 @@
     }
 
     /** Creates the first log before the identity, so that a log missing later shows damage. */
-    private String createOrReadIdentity() throws IOException {
+    private String createOrReadIdentity(String newIdentity) throws IOException {
         Path path = folder.identity();
         if (Files.exists(path)) {
             String read = Files.readString(path).strip();
@@ -191,10 +201,9 @@
             throw StorageErrors.damaged(path, "the file is missing");
         }
         LogSegment.create(folder.log(0), codec).close();
-        String created = UUID.randomUUID().toString();
-        byte[] content = (created + "\n").getBytes(StandardCharsets.US_ASCII);
+        byte[] content = (newIdentity + "\n").getBytes(StandardCharsets.US_ASCII);
         folder.writeWhole(path, channel -> channel.write(ByteBuffer.wrap(content)));
-        return created;
+        return newIdentity;
     }
 
     private LogSegment current() {
--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.leader.DecisionNote;
 import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
@@ -21,6 +22,8 @@
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.NotLeader;
 import org.marjoramnotch.model.message.ReadStatus;
+import org.marjoramnotch.model.order.CallOutcome;
+import org.marjoramnotch.model.order.WorkerCall;
 import org.marjoramnotch.model.replication.ReplicationMessage;
 
 /**
@@ -29,6 +32,9 @@
  * and takes the effects after each batch of calls.
  */
 public final class CellCore {
+    /** Duties start anew in the same term only when the leader lease was lost and regained. */
+    private static final long TOKENS_PER_TERM = 1_024;
+
     private final CellSettings settings;
     private final ReplicatedLog log;
     private final PayloadCodec codec;
@@ -38,6 +44,8 @@
     private final List<StorageWrite> writes = new ArrayList<>();
     private final List<ReplicationEffects.Outgoing> messages = new ArrayList<>();
     private final List<CellReplyTo> replies = new ArrayList<>();
+    private final List<WorkerCall> calls = new ArrayList<>();
+    private final List<DecisionNote> notes = new ArrayList<>();
     private final AwaitedRequests awaited = new AwaitedRequests();
     private final ProposedCommands proposed = new ProposedCommands();
 
@@ -47,6 +55,7 @@
     private long now;
     private long appliedIndex;
     private long compactedIndex;
+    private long dutyStarts;
 
     /** Creates the core over a log whose recovered effects have not been taken yet. */
     public CellCore(CellSettings settings, ReplicatedLog log, PayloadCodec codec, CellParts parts) {
@@ -88,6 +97,15 @@
         pump();
     }
 
+    /** Takes what came of a call to a worker; of no effect once the duties that called are over. */
+    public void outcome(long nowMilliseconds, CallOutcome outcome) {
+        advance(nowMilliseconds);
+        if (duties != null) {
+            duties.onOutcome(now, outcome, output);
+            pump();
+        }
+    }
+
     /** Forms a group of this replica; see {@link ReplicatedLog#form}. */
     public void form(long nowMilliseconds) {
         now = nowMilliseconds;
@@ -114,10 +132,17 @@
     public CellEffects takeEffects() {
         pump();
         CellEffects effects =
-                new CellEffects(List.copyOf(writes), List.copyOf(messages), List.copyOf(replies));
+                new CellEffects(
+                        List.copyOf(writes),
+                        List.copyOf(messages),
+                        List.copyOf(replies),
+                        List.copyOf(calls),
+                        List.copyOf(notes));
         writes.clear();
         messages.clear();
         replies.clear();
+        calls.clear();
+        notes.clear();
         return effects;
     }
 
@@ -191,6 +216,8 @@
         }
         duties.onTermEnd();
         duties = null;
+        calls.clear();
+        notes.add(DecisionNote.of("leader_duties_ended", "term", log.status(now).term()));
         proposed.clear();
         CellReply reply = new NotLeader(otherLeader());
         awaited.takeAll().forEach(handle -> replies.add(new CellReplyTo(handle, reply)));
@@ -203,10 +230,25 @@
      */
     private void startDecidingIfReady() {
         if (duties == null && log.ready(now) && !isProposalUnderWay()) {
-            duties = parts.all(ledger, now);
+            dutyStarts++;
+            duties = parts.all(ledger, now, fencingToken());
+            notes.add(
+                    DecisionNote.of(
+                            "leader_duties_started",
+                            "term",
+                            log.status(now).term(),
+                            "applied_index",
+                            appliedIndex,
+                            "fencing_token",
+                            fencingToken()));
         }
     }
 
+    /** Returns a token above that of all earlier duties, also of those of the same term. */
+    private long fencingToken() {
+        return log.status(now).term() * TOKENS_PER_TERM + dutyStarts % TOKENS_PER_TERM;
+    }
+
     private boolean isProposalUnderWay() {
         return proposed.isUnderWay(log.status(now).term(), appliedIndex);
     }
@@ -237,5 +279,15 @@
                 replies.add(new CellReplyTo(handle, reply));
             }
         }
+
+        @Override
+        public void call(WorkerCall call) {
+            calls.add(call);
+        }
+
+        @Override
+        public void note(DecisionNote note) {
+            notes.add(note);
+        }
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellParts.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellParts.java
@@ -21,9 +21,19 @@
                 configuration(ledger, termStartMilliseconds),
                 placement(ledger, termStartMilliseconds),
                 job(ledger, termStartMilliseconds),
+                Optional.empty(),
                 Optional.empty());
     }
 
+    /**
+     * Returns all parts as one, with those that give orders to workers.
+     *
+     * @param fencingToken higher than that of every earlier leader
+     */
+    default LeaderDuty all(Ledger ledger, long termStartMilliseconds, long fencingToken) {
+        return all(ledger, termStartMilliseconds);
+    }
+
     /** Returns parts that report to the measures, if these can be measured. */
     default CellParts measured(LeaderMeasures measures) {
         return this;
--- a/library/src/main/java/org/marjoramnotch/logic/cell/LeaderDuties.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/LeaderDuties.java
@@ -21,25 +21,35 @@
 import org.marjoramnotch.model.message.RenewEntry;
 import org.marjoramnotch.model.message.RenewWorker;
 import org.marjoramnotch.model.message.SubmitJobRequest;
+import org.marjoramnotch.model.message.WorkflowRequest;
+import org.marjoramnotch.model.order.CallOutcome;
 
 /** The parts of a leader's decisions for one term of leadership, and which requests are whose. */
 final class LeaderDuties implements LeaderDuty {
     private final LeaderDuty configuration;
     private final LeaderDuty placement;
     private final LeaderDuty job;
+    private final Optional<LeaderDuty> workflow;
     private final List<LeaderDuty> all;
 
-    /** Creates the parts; the observer takes no request. */
+    /** Creates the parts; only some cells have workflows, and the observer takes no request. */
     LeaderDuties(
             LeaderDuty configuration,
             LeaderDuty placement,
             LeaderDuty job,
+            Optional<LeaderDuty> workflow,
             Optional<LeaderDuty> observer) {
         this.configuration = configuration;
         this.placement = placement;
         this.job = job;
+        this.workflow = workflow;
         this.all =
-                Stream.concat(Stream.of(configuration, placement, job), observer.stream()).toList();
+                Stream.of(
+                                Stream.of(configuration, placement, job),
+                                workflow.stream(),
+                                observer.stream())
+                        .flatMap(parts -> parts)
+                        .toList();
     }
 
     @Override
@@ -56,6 +66,11 @@
         }
     }
 
+    @Override
+    public void onOutcome(long nowMilliseconds, CallOutcome outcome, LeaderOutput output) {
+        workflow.ifPresent(duty -> duty.onOutcome(nowMilliseconds, outcome, output));
+    }
+
     @Override
     public void onTick(long nowMilliseconds, LeaderOutput output) {
         for (LeaderDuty duty : all) {
@@ -69,6 +84,9 @@
     }
 
     private LeaderDuty dutyOf(CellRequest request) {
+        if (request instanceof WorkflowRequest && workflow.isPresent()) {
+            return workflow.get();
+        }
         if (request instanceof ApplyRules || request instanceof ReadRules) {
             return configuration;
         }
--- a/library/src/main/java/org/marjoramnotch/logic/cell/StandardCellParts.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/StandardCellParts.java
@@ -14,6 +14,7 @@
 import org.marjoramnotch.logic.placement.PlacementMeasures;
 import org.marjoramnotch.logic.placement.PlacementPolicy;
 import org.marjoramnotch.logic.placement.PlacementSettings;
+import org.marjoramnotch.logic.workflow.WorkflowDuty;
 import org.marjoramnotch.model.identifier.TeamName;
 
 /**
@@ -22,12 +23,14 @@
  * @param placementSettings settings of quick requests and feeds
  * @param jobSettings settings of jobs
  * @param random draws names of jobs and the order among equals
+ * @param workflow settings of workflows, if the cell serves them
  * @param measures takes what the decisions are measured by, if anything does
  */
 public record StandardCellParts(
         PlacementSettings placementSettings,
         JobSettings jobSettings,
         UniformRandomProvider random,
+        Optional<WorkflowPart> workflow,
         Optional<LeaderMeasures> measures)
         implements CellParts {
     /** Creates parts that nothing measures. */
@@ -35,17 +38,22 @@
             PlacementSettings placementSettings,
             JobSettings jobSettings,
             UniformRandomProvider random) {
-        this(placementSettings, jobSettings, random, Optional.empty());
+        this(placementSettings, jobSettings, random, Optional.empty(), Optional.empty());
     }
 
     @Override
     public CellParts measured(LeaderMeasures newMeasures) {
         return new StandardCellParts(
-                placementSettings, jobSettings, random, Optional.of(newMeasures));
+                placementSettings, jobSettings, random, workflow, Optional.of(newMeasures));
     }
 
     @Override
     public LeaderDuty all(Ledger ledger, long termStartMilliseconds) {
+        return all(ledger, termStartMilliseconds, 0);
+    }
+
+    @Override
+    public LeaderDuty all(Ledger ledger, long termStartMilliseconds, long fencingToken) {
         PlacementDuty placement = placement(ledger, termStartMilliseconds);
         JobDuty job = job(ledger, termStartMilliseconds);
         Optional<LeaderDuty> observer =
@@ -58,7 +66,18 @@
                                         taker,
                                         termStartMilliseconds));
         return new LeaderDuties(
-                configuration(ledger, termStartMilliseconds), placement, job, observer);
+                configuration(ledger, termStartMilliseconds),
+                placement,
+                job,
+                workflow.map(
+                        part ->
+                                new WorkflowDuty(
+                                        part.settings(),
+                                        ledger.workflow(),
+                                        part.wallClock(),
+                                        fencingToken,
+                                        termStartMilliseconds)),
+                observer);
     }
 
     private static Set<TeamName> waitingTeams(PlacementDuty placement, JobDuty job) {
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/WorkflowPart.java
@@ -0,0 +1,12 @@
+package org.marjoramnotch.logic.cell;
+
+import org.marjoramnotch.logic.workflow.WorkflowSettings;
+import org.marjoramnotch.model.time.Clock;
+
+/**
+ * What a cell needs to serve workflows.
+ *
+ * @param settings the intervals
+ * @param wallClock tells the milliseconds since 1970
+ */
+public record WorkflowPart(WorkflowSettings settings, Clock wallClock) {}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/leader/DecisionNote.java
@@ -0,0 +1,16 @@
+package org.marjoramnotch.logic.leader;
+
+import java.util.List;
+
+/**
+ * A decision for the log: what was decided, from what, with which outcome.
+ *
+ * @param event the kind of decision
+ * @param fields names and values in turn
+ */
+public record DecisionNote(String event, List<Object> fields) {
+    /** Creates a note of names and values in turn. */
+    public static DecisionNote of(String event, Object... fields) {
+        return new DecisionNote(event, List.of(fields));
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/leader/LeaderDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/leader/LeaderDuty.java
@@ -3,6 +3,7 @@
 import org.marjoramnotch.model.command.Command;
 import org.marjoramnotch.model.command.CommandResult;
 import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.order.CallOutcome;
 
 /**
  * One part of a leader's decisions. An instance lives for one term of leadership: what it keeps is
@@ -20,6 +21,9 @@
     void onApplied(
             long nowMilliseconds, Command command, CommandResult result, LeaderOutput output);
 
+    /** Is told what came of a call that it made with {@link LeaderOutput#call}. */
+    default void onOutcome(long nowMilliseconds, CallOutcome outcome, LeaderOutput output) {}
+
     /** Is told that its term is over; from then on it must not follow the ledger any more. */
     default void onTermEnd() {}
 
--- a/library/src/main/java/org/marjoramnotch/logic/leader/LeaderOutput.java
+++ b/library/src/main/java/org/marjoramnotch/logic/leader/LeaderOutput.java
@@ -2,6 +2,7 @@
 
 import org.marjoramnotch.model.command.Command;
 import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.order.WorkerCall;
 
 /** Takes what a leader's decisions lead to. */
 public interface LeaderOutput {
@@ -10,4 +11,12 @@
 
     /** Answers a request; a reply to a request that is no longer awaited is dropped. */
     void reply(RequestHandle handle, CellReply reply);
+
+    /** Calls a worker; the outcome comes back to {@link LeaderDuty#onOutcome}. */
+    default void call(WorkerCall call) {
+        throw new UnsupportedOperationException("Nothing carries orders to workers here.");
+    }
+
+    /** Notes a decision for the log. */
+    default void note(DecisionNote note) {}
 }
--- a/library/src/main/java/org/marjoramnotch/logic/ledger/Ledger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/ledger/Ledger.java
@@ -3,6 +3,7 @@
 import org.marjoramnotch.logic.configuration.ConfigurationState;
 import org.marjoramnotch.logic.job.JobLedger;
 import org.marjoramnotch.logic.placement.PlacementState;
+import org.marjoramnotch.logic.workflow.WorkflowLedger;
 import org.marjoramnotch.model.command.CancelJob;
 import org.marjoramnotch.model.command.ChangeConfiguration;
 import org.marjoramnotch.model.command.ChangeEndpointState;
@@ -19,6 +20,7 @@
 import org.marjoramnotch.model.command.ReserveSlot;
 import org.marjoramnotch.model.command.StartTasks;
 import org.marjoramnotch.model.command.SubmitJob;
+import org.marjoramnotch.model.command.WorkflowCommand;
 import org.marjoramnotch.model.error.Invariant;
 import org.marjoramnotch.model.rule.TeamRule;
 
@@ -28,6 +30,7 @@
     private final TeamUsage usage;
     private final PlacementState placement;
     private final JobLedger job;
+    private final WorkflowLedger workflow = new WorkflowLedger();
 
     /** Creates the state before the first command. */
     public Ledger() {
@@ -47,6 +50,7 @@
         Ledger ledger = new Ledger(ConfigurationState.restore(snapshot.configuration()));
         ledger.placement.restore(snapshot.placement());
         ledger.job.restore(snapshot.job());
+        ledger.workflow.restore(snapshot.workflow());
         ledger.checkCounts();
         return ledger;
     }
@@ -60,7 +64,11 @@
 
     /** Returns the whole state. */
     public LedgerSnapshot snapshot() {
-        return new LedgerSnapshot(configuration.snapshot(), placement.snapshot(), job.snapshot());
+        return new LedgerSnapshot(
+                configuration.snapshot(),
+                placement.snapshot(),
+                job.snapshot(),
+                workflow.snapshot());
     }
 
     /** Returns the rules. */
@@ -83,6 +91,11 @@
         return job;
     }
 
+    /** Returns fleet configuration, workers that take orders and workflows. */
+    public WorkflowLedger workflow() {
+        return workflow;
+    }
+
     /** Returns the version of the rules in force. */
     public long configurationVersion() {
         return configuration.version();
@@ -104,6 +117,9 @@
     }
 
     private CommandResult dispatch(Command command) {
+        if (command instanceof WorkflowCommand change) {
+            return workflow.apply(change);
+        }
         if (command instanceof ReserveSlot reserve) {
             return placement.apply(reserve);
         }
--- a/library/src/main/java/org/marjoramnotch/logic/replication/JoinDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/JoinDuty.java
@@ -1,6 +1,9 @@
 package org.marjoramnotch.logic.replication;
 
+import java.util.HashSet;
+import java.util.Set;
 import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.replication.JoinReply;
 import org.marjoramnotch.model.replication.JoinRequest;
 
@@ -22,13 +25,20 @@
             return;
         }
         nextRequestAt = state.now() + state.settings().joinIntervalMilliseconds();
-        state.settings().replicaVms().stream()
+        contacts().stream()
                 .filter(vm -> !vm.equals(state.self().vm()))
                 .sorted()
                 .map(vm -> new ReplicaId(vm, ""))
                 .forEach(peer -> state.send(peer, new JoinRequest(state.self())));
     }
 
+    /** Returns the VMs of the settings and those that the own log knows as members. */
+    private Set<VmId> contacts() {
+        Set<VmId> contacts = new HashSet<>(state.settings().replicaVms());
+        state.membership().members().map(ReplicaId::vm).forEach(contacts::add);
+        return contacts;
+    }
+
     void onRequest(ReplicaId from, JoinRequest request) {
         if (!state.membership().exists()) {
             return;
--- a/library/src/main/java/org/marjoramnotch/logic/replication/MembershipChanges.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/MembershipChanges.java
@@ -30,9 +30,10 @@
     void onJoinRequest(ReplicaId replica) {
         Membership membership = state.membership();
         boolean unwanted =
-                !state.settings().replicaVms().contains(replica.vm())
-                        || membership.contains(replica)
-                        || membership.removed().contains(replica);
+                membership.contains(replica)
+                        || !rule().open()
+                                && (!state.settings().replicaVms().contains(replica.vm())
+                                        || membership.removed().contains(replica));
         if (!unwanted) {
             joins.put(replica.vm(), new Join(replica, state.now()));
         }
@@ -88,15 +89,54 @@
                 return change;
             }
         }
+        Optional<ReplicaId> lost = rule().open() ? lostVoter() : Optional.empty();
+        if (isOneMoreThanWanted()) {
+            return lost.or(this::lastOtherVoter).map(state.membership()::without);
+        }
+        if (hasVotersEnough() && lost.isEmpty()) {
+            return Optional.empty();
+        }
         return state.membership().learners().stream()
                 .filter(this::mayPromote)
                 .findFirst()
                 .map(state.membership()::withPromoted);
     }
 
+    private MembershipRule rule() {
+        return state.settings().membershipRule();
+    }
+
+    private boolean hasVotersEnough() {
+        return state.membership().voters().size() >= rule().mostVoters();
+    }
+
+    private boolean isOneMoreThanWanted() {
+        return state.membership().voters().size() > rule().mostVoters();
+    }
+
+    /** Returns a voter to step back; it joins again as a learner. */
+    private Optional<ReplicaId> lastOtherVoter() {
+        return state.membership().voters().stream()
+                .filter(voter -> !voter.equals(state.self()))
+                .reduce((first, second) -> second);
+    }
+
+    /** Returns a voter that has not answered for so long that a learner replaces it. */
+    private Optional<ReplicaId> lostVoter() {
+        return state.membership().voters().stream()
+                .filter(voter -> !voter.equals(state.self()))
+                .filter(voter -> silenceOf(voter) >= rule().replaceAfterMilliseconds())
+                .findFirst();
+    }
+
+    private long silenceOf(ReplicaId member) {
+        return state.now() - leadership.members().get(member).heardAt();
+    }
+
     private Optional<Membership> changeFor(ReplicaId joining) {
         Membership membership = state.membership();
-        if (membership.contains(joining) || membership.removed().contains(joining)) {
+        boolean barred = !rule().open() && membership.removed().contains(joining);
+        if (membership.contains(joining) || barred) {
             return Optional.empty();
         }
         Optional<ReplicaId> former = membership.membersOn(joining.vm()).findFirst();
@@ -119,8 +159,7 @@
     }
 
     private boolean answersLately(ReplicaId member) {
-        return state.now() - leadership.members().get(member).heardAt()
-                < state.settings().electionTimeoutMaximumMilliseconds();
+        return silenceOf(member) < state.settings().electionTimeoutMaximumMilliseconds();
     }
 
     private static MarjoramnotchException groupState(String message) {
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/MembershipRule.java
@@ -0,0 +1,26 @@
+package org.marjoramnotch.logic.replication;
+
+/**
+ * Says which VMs may join a group and how many members vote.
+ *
+ * @param open whether any VM may join; otherwise only those of the settings, and an identity that
+ *     was removed never again
+ * @param mostVoters further members stay learners until a voter is lost
+ * @param replaceAfterMilliseconds silence after which a learner takes the place of a voter
+ */
+public record MembershipRule(boolean open, int mostVoters, long replaceAfterMilliseconds) {
+    /** Returns the rule of a group whose VMs are all listed in the settings, and all vote. */
+    public static MembershipRule fixed() {
+        return new MembershipRule(false, Integer.MAX_VALUE, Long.MAX_VALUE);
+    }
+
+    /**
+     * Returns the rule of a group whose VMs come and go.
+     *
+     * @param tolerableLosses how many voters may be lost at once
+     * @param replaceAfterMilliseconds silence after which a learner takes the place of a voter
+     */
+    public static MembershipRule open(int tolerableLosses, long replaceAfterMilliseconds) {
+        return new MembershipRule(true, 2 * tolerableLosses + 1, replaceAfterMilliseconds);
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
@@ -1,6 +1,7 @@
 package org.marjoramnotch.logic.replication;
 
 import java.util.Collections;
+import java.util.List;
 import java.util.OptionalLong;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.marjoramnotch.model.error.ErrorCode;
@@ -29,6 +30,8 @@
  * reading would shorten the time for which a vote is refused, and with it the leader lease.
  */
 public final class Replica implements ReplicatedLog {
+    private static final long FOUNDING_TERM = 1;
+
     private final ReplicaState state;
     private final Election election;
     private final LogReceiver receiver;
@@ -54,6 +57,19 @@
         join = new JoinDuty(state);
     }
 
+    /**
+     * Starts a replica that has stored nothing as one of the founders of a group. All founders
+     * begin with the same membership, so that the group exists once a majority of them runs.
+     */
+    public void found(List<ReplicaId> founders) {
+        if (state.group().isEmpty() && state.log().lastIndex() == 0) {
+            Membership membership = Membership.foundedBy(founders);
+            state.follow(FOUNDING_TERM, null);
+            state.log().append(LogEntry.membership(1, FOUNDING_TERM, membership));
+            state.joinGroup(membership.group());
+        }
+    }
+
     @Override
     public void tick(long nowMilliseconds) {
         state.advance(nowMilliseconds);
@@ -201,6 +217,7 @@
     }
 
     private boolean isRemoved() {
-        return state.membership().removed().contains(state.self());
+        return !state.settings().membershipRule().open()
+                && state.membership().removed().contains(state.self());
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/replication/ReplicaSettingsBuilder.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ReplicaSettingsBuilder.java
@@ -17,6 +17,7 @@
     private int batchesInFlight = 16;
     private int snapshotChunkBytes = 256 * 1024;
     private int trailingEntries = 512;
+    private MembershipRule membershipRule = MembershipRule.fixed();
 
     ReplicaSettingsBuilder(ReplicaId self, Set<VmId> replicaVms) {
         this.self = self;
@@ -67,6 +68,12 @@
         return this;
     }
 
+    /** Sets which VMs may join and how many vote. */
+    public ReplicaSettingsBuilder membershipRule(MembershipRule rule) {
+        membershipRule = rule;
+        return this;
+    }
+
     /**
      * Creates the settings.
      *
@@ -85,6 +92,7 @@
                 batchBytes,
                 batchesInFlight,
                 snapshotChunkBytes,
-                trailingEntries);
+                trailingEntries,
+                membershipRule);
     }
 }
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/AdviceDesk.java
@@ -0,0 +1,207 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import org.marjoramnotch.logic.leader.DecisionNote;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.fleet.AdviceTerms;
+import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.identifier.WorkerId;
+import org.marjoramnotch.model.message.AdviceAnswer;
+import org.marjoramnotch.model.message.AdviceQuestion;
+import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.message.TakeAdviceQuestion;
+import org.marjoramnotch.model.workflow.StepId;
+
+/**
+ * Collects the placement advisor's tickets for steps. The advisor takes one question at a time from
+ * each VM and may need most of a second for it, so the questions are spread over all daemons: each
+ * offers itself in turn and is handed the most urgent one. Which workers may run a step never
+ * changes, but tickets expire.
+ */
+final class AdviceDesk {
+    /** Covers the way of the answer and of the start that carries the ticket. */
+    private static final long TICKET_MARGIN_MILLISECONDS = 150;
+
+    /** Time beyond the advisor's own after which a question is put again by another daemon. */
+    private static final long ANSWER_MARGIN_MILLISECONDS = 1_000;
+
+    private static final int MOST_WORKERS_PER_QUESTION = 100;
+
+    private record Offer(RequestHandle handle, long endsAt) {}
+
+    private static final class Question {
+        final long number;
+        final StepId step;
+        final List<WorkerId> workers;
+        final AdviceTerms terms;
+        final long urgency;
+        long givenUpAt;
+
+        Question(
+                long number, StepId step, List<WorkerId> workers, AdviceTerms terms, long urgency) {
+            this.number = number;
+            this.step = step;
+            this.workers = workers;
+            this.terms = terms;
+            this.urgency = urgency;
+        }
+    }
+
+    private static final class Advice {
+        final Set<WorkerId> asked = new HashSet<>();
+        final Map<WorkerId, String> tickets = new HashMap<>();
+        final Set<WorkerId> granted = new HashSet<>();
+        long validUntil = Long.MIN_VALUE;
+        boolean pending;
+    }
+
+    private final Map<StepId, Advice> byStep = new HashMap<>();
+    private final Map<Long, Question> given = new HashMap<>();
+    private final PriorityQueue<Question> waiting =
+            new PriorityQueue<>(
+                    Comparator.comparingLong((Question question) -> question.urgency)
+                            .thenComparingLong(question -> question.number));
+    private final Deque<Offer> offers = new ArrayDeque<>();
+    private long lastQuestion;
+
+    /** Returns the valid tickets of a step by worker; empty if there are none now. */
+    Map<WorkerId, String> tickets(StepId step, long nowMilliseconds) {
+        Advice advice = byStep.get(step);
+        return advice != null && nowMilliseconds < advice.validUntil ? advice.tickets : Map.of();
+    }
+
+    /** Tells whether a question about the step is under way. */
+    boolean isPending(StepId step) {
+        Advice advice = byStep.get(step);
+        return advice != null && advice.pending;
+    }
+
+    /** Tells whether a worker may run a step, as far as is known. */
+    boolean mayRun(StepId step, WorkerId worker) {
+        Advice advice = byStep.get(step);
+        return advice == null || !advice.asked.contains(worker) || advice.granted.contains(worker);
+    }
+
+    /**
+     * Asks about a step unless a question is under way.
+     *
+     * @param workers those that might run it
+     * @param urgency lower is asked first
+     */
+    void ask(
+            long nowMilliseconds,
+            StepId step,
+            List<WorkerId> workers,
+            AdviceTerms terms,
+            long urgency,
+            LeaderOutput output) {
+        Advice advice = byStep.computeIfAbsent(step, key -> new Advice());
+        List<WorkerId> named =
+                workers.stream()
+                        .filter(worker -> mayRun(step, worker))
+                        .limit(MOST_WORKERS_PER_QUESTION)
+                        .toList();
+        if (advice.pending || named.isEmpty()) {
+            return;
+        }
+        advice.pending = true;
+        lastQuestion++;
+        waiting.add(new Question(lastQuestion, step, named, terms, urgency));
+        handOut(nowMilliseconds, output);
+    }
+
+    /** Takes an offer to ask, and the answer that came with it. */
+    void onOffer(
+            long nowMilliseconds,
+            RequestHandle handle,
+            TakeAdviceQuestion offer,
+            LeaderOutput output) {
+        offer.answer().ifPresent(answer -> onAnswer(nowMilliseconds, answer, output));
+        offers.addLast(new Offer(handle, nowMilliseconds + offer.waitMilliseconds()));
+        handOut(nowMilliseconds, output);
+    }
+
+    /** Forgets the tickets of a step, for example after one was refused. */
+    void invalidate(StepId step) {
+        Advice advice = byStep.get(step);
+        if (advice != null) {
+            advice.validUntil = Long.MIN_VALUE;
+        }
+    }
+
+    /** Forgets the steps of a workflow. */
+    void forget(JobId workflow) {
+        byStep.keySet().removeIf(step -> step.workflow().equals(workflow));
+        waiting.removeIf(question -> question.step.workflow().equals(workflow));
+    }
+
+    void tick(long nowMilliseconds, LeaderOutput output) {
+        while (!offers.isEmpty() && offers.peekFirst().endsAt() <= nowMilliseconds) {
+            output.reply(offers.removeFirst().handle(), new Done());
+        }
+        for (Question question : List.copyOf(given.values())) {
+            if (nowMilliseconds >= question.givenUpAt) {
+                given.remove(question.number);
+                output.note(DecisionNote.of("advice_unanswered", "step", question.step));
+                askAgain(question);
+            }
+        }
+        handOut(nowMilliseconds, output);
+    }
+
+    private void onAnswer(long nowMilliseconds, AdviceAnswer answer, LeaderOutput output) {
+        Question question = given.remove(answer.question());
+        Advice advice = question == null ? null : byStep.get(question.step);
+        if (question == null || advice == null) {
+            return;
+        }
+        if (answer.granted().isEmpty()) {
+            output.note(DecisionNote.of("advice_refused", "step", question.step));
+            askAgain(question);
+            return;
+        }
+        advice.pending = false;
+        advice.asked.addAll(question.workers);
+        advice.granted.addAll(answer.granted().get().keySet());
+        advice.tickets.clear();
+        advice.tickets.putAll(answer.granted().get());
+        advice.validUntil =
+                nowMilliseconds + answer.validMilliseconds() - TICKET_MARGIN_MILLISECONDS;
+    }
+
+    private void askAgain(Question question) {
+        if (byStep.containsKey(question.step)) {
+            lastQuestion++;
+            waiting.add(
+                    new Question(
+                            lastQuestion,
+                            question.step,
+                            question.workers,
+                            question.terms,
+                            question.urgency));
+        }
+    }
+
+    private void handOut(long nowMilliseconds, LeaderOutput output) {
+        while (!waiting.isEmpty() && !offers.isEmpty()) {
+            Question question = waiting.remove();
+            double longest =
+                    question.terms.decisionMilliseconds()
+                            + question.terms.perWorkerMilliseconds() * question.workers.size();
+            question.givenUpAt = nowMilliseconds + (long) longest + ANSWER_MARGIN_MILLISECONDS;
+            given.put(question.number, question);
+            output.reply(
+                    offers.removeFirst().handle(),
+                    new AdviceQuestion(question.number, question.step, question.workers));
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/AwaitedReplies.java
@@ -0,0 +1,37 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.message.CellReply;
+
+/**
+ * Requests that are answered once a command is applied, by what the command is about.
+ *
+ * @param <K> names what a command is about
+ */
+final class AwaitedReplies<K> {
+    private final Map<K, List<RequestHandle>> handles = new HashMap<>();
+
+    boolean isAwaited(K key) {
+        return handles.containsKey(key);
+    }
+
+    /** Adds a request; returns whether it is the first about this. */
+    boolean add(K key, RequestHandle handle) {
+        boolean first = !handles.containsKey(key);
+        handles.computeIfAbsent(key, added -> new ArrayList<>()).add(handle);
+        return first;
+    }
+
+    /** Answers all requests about this. */
+    void answer(K key, CellReply reply, LeaderOutput output) {
+        List<RequestHandle> waiting = handles.remove(key);
+        if (waiting != null) {
+            waiting.forEach(handle -> output.reply(handle, reply));
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/OrderBook.java
@@ -0,0 +1,219 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.model.order.RejectionReason;
+import org.marjoramnotch.model.order.StartRun;
+import org.marjoramnotch.model.order.StopRun;
+import org.marjoramnotch.model.order.WorkerCall;
+import org.marjoramnotch.model.workflow.RunEnd;
+import org.marjoramnotch.model.workflow.RunId;
+import org.marjoramnotch.model.workflow.RunOutcome;
+import org.marjoramnotch.model.workflow.RunPlacement;
+import org.marjoramnotch.model.workflow.WorkflowTaskId;
+
+/** The orders to one life of a worker that have not led to an end yet. */
+final class OrderBook {
+    private static final int MOST_DEFERRED_STARTS = 3;
+
+    private final WorkflowSettings settings;
+    private final WorkflowLedger ledger;
+    private final CallRegister calls;
+    private final long fencingToken;
+    private final WorkerSession session;
+    private final WorkerLease lease;
+    private final Map<RunId, OpenOrder> orders = new LinkedHashMap<>();
+
+    OrderBook(
+            WorkflowSettings settings,
+            WorkflowLedger ledger,
+            CallRegister calls,
+            long fencingToken,
+            WorkerSession session,
+            WorkerLease lease) {
+        this.settings = settings;
+        this.ledger = ledger;
+        this.calls = calls;
+        this.fencingToken = fencingToken;
+        this.session = session;
+        this.lease = lease;
+    }
+
+    /** Tells whether any order is on its way. */
+    boolean hasOutstanding() {
+        return orders.values().stream().anyMatch(OpenOrder::isOutstanding);
+    }
+
+    /** Returns tasks whose start may have been carried out without an answer. */
+    Set<WorkflowTaskId> unsettledTasks() {
+        return orders.values().stream()
+                .filter(order -> order.wasUnanswered() || order.isOutstanding())
+                .map(order -> order.placement().run().task())
+                .collect(Collectors.toSet());
+    }
+
+    /** Tells whether a list that was asked for at a time shows the run if the worker has it. */
+    boolean isShownBy(long listSentAt, RunId run) {
+        OpenOrder order = orders.get(run);
+        // Without an order of this term the run was an earlier leader's, who is fenced off.
+        return order == null || order.isShownBy(listSentAt);
+    }
+
+    void retain(Predicate<RunId> kept) {
+        orders.keySet().removeIf(run -> !kept.test(run));
+    }
+
+    void clear() {
+        orders.clear();
+    }
+
+    /** Sends the start of a run. */
+    void start(
+            long nowMilliseconds,
+            RunPlacement placement,
+            Optional<String> ticket,
+            LeaderOutput output) {
+        OpenOrder order = new OpenOrder(placement, ticket);
+        orders.put(placement.run(), order);
+        sendStart(nowMilliseconds, order, output);
+    }
+
+    /** Sends the stop of a run. */
+    void stop(long nowMilliseconds, RunId run, LeaderOutput output) {
+        OpenOrder order =
+                orders.computeIfAbsent(
+                        run,
+                        key ->
+                                new OpenOrder(
+                                        new RunPlacement(key, session.worker().incarnation(), ""),
+                                        Optional.empty()));
+        order.wantStop();
+        sendStopIfDue(nowMilliseconds, order, output);
+    }
+
+    /** Sends the stop of a run unless it was sent before. */
+    void stopOnce(long nowMilliseconds, RunId run, LeaderOutput output) {
+        OpenOrder order = orders.get(run);
+        if (order == null || !order.isStopWanted()) {
+            stop(nowMilliseconds, run, output);
+        }
+    }
+
+    /** Sends again what had no answer. */
+    void sendDue(long nowMilliseconds, boolean startsToo, LeaderOutput output) {
+        for (OpenOrder order : List.copyOf(orders.values())) {
+            sendStopIfDue(nowMilliseconds, order, output);
+            if (startsToo && order.isStartDue(nowMilliseconds)) {
+                sendStart(nowMilliseconds, order, output);
+            }
+        }
+    }
+
+    void onUnanswered(long nowMilliseconds, WorkerCall call) {
+        long retryAt = nowMilliseconds + settings.orderRetryMilliseconds();
+        if (call instanceof StartRun start) {
+            order(start.run()).ifPresent(order -> order.startUnanswered(retryAt));
+        } else if (call instanceof StopRun stop) {
+            order(stop.run()).ifPresent(order -> order.stopUnanswered(retryAt));
+        }
+    }
+
+    void onAccepted(long nowMilliseconds, WorkerCall call) {
+        if (call instanceof StartRun start) {
+            order(start.run()).ifPresent(order -> order.startAnswered(nowMilliseconds));
+        } else if (call instanceof StopRun stop) {
+            order(stop.run()).ifPresent(order -> order.stopAnswered(nowMilliseconds));
+        }
+    }
+
+    /** Takes a refusal; returns the end of the run if it has surely not started. */
+    Optional<RunEnd> onRejected(
+            long nowMilliseconds, WorkerCall call, RejectionReason reason, LeaderOutput output) {
+        if (call instanceof StopRun stop) {
+            order(stop.run()).ifPresent(order -> order.stopAnswered(nowMilliseconds));
+        }
+        return call instanceof StartRun start
+                ? order(start.run())
+                        .flatMap(order -> onRejected(nowMilliseconds, order, reason, output))
+                : Optional.empty();
+    }
+
+    private Optional<RunEnd> onRejected(
+            long nowMilliseconds, OpenOrder order, RejectionReason reason, LeaderOutput output) {
+        long retryAt = nowMilliseconds + settings.orderRetryMilliseconds();
+        RunId run = order.placement().run();
+        if (reason == RejectionReason.SUPERSEDED) {
+            order.startAnswered(nowMilliseconds);
+            return Optional.empty();
+        }
+        if (reason == RejectionReason.LEASE_OVER) {
+            order.startUnanswered(retryAt);
+            return Optional.empty();
+        }
+        if (reason == RejectionReason.UNHEALTHY
+                && order.startDeferred(retryAt) < MOST_DEFERRED_STARTS) {
+            return Optional.empty();
+        }
+        order.startAnswered(nowMilliseconds);
+        if (order.wasUnanswered()) {
+            // A copy without an answer may have been carried out before this one was refused.
+            stop(nowMilliseconds, run, output);
+            return Optional.empty();
+        }
+        return Optional.of(new RunEnd(run, RunOutcome.NOT_STARTED, ""));
+    }
+
+    private Optional<OpenOrder> order(RunId run) {
+        return Optional.ofNullable(orders.get(run));
+    }
+
+    private void sendStart(long nowMilliseconds, OpenOrder order, LeaderOutput output) {
+        RunPlacement placement = order.placement();
+        Optional<WorkflowEntry> workflow =
+                ledger.workflow(placement.run().task().step().workflow());
+        OptionalLong until = lease.grant(nowMilliseconds);
+        if (until.isEmpty() || workflow.isEmpty()) {
+            return;
+        }
+        if (workflow.get().state().isFinal()) {
+            stop(nowMilliseconds, placement.run(), output);
+            return;
+        }
+        order.startSent();
+        calls.send(
+                nowMilliseconds,
+                session,
+                new StartRun(
+                        calls.nextId(),
+                        session.worker(),
+                        fencingToken,
+                        placement.run(),
+                        workflow.get().workflow().payload(),
+                        until.getAsLong(),
+                        placement.checkpoint(),
+                        order.ticket()),
+                output);
+    }
+
+    private void sendStopIfDue(long nowMilliseconds, OpenOrder order, LeaderOutput output) {
+        if (order.isStopDue(nowMilliseconds)) {
+            order.stopSent();
+            calls.send(
+                    nowMilliseconds,
+                    session,
+                    new StopRun(
+                            calls.nextId(),
+                            session.worker(),
+                            fencingToken,
+                            order.placement().run()),
+                    output);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunChanges.java
@@ -0,0 +1,181 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.List;
+import org.marjoramnotch.model.command.EndRuns;
+import org.marjoramnotch.model.command.StartRuns;
+import org.marjoramnotch.model.resource.Resources;
+import org.marjoramnotch.model.workflow.RunEnd;
+import org.marjoramnotch.model.workflow.RunId;
+import org.marjoramnotch.model.workflow.RunOutcome;
+import org.marjoramnotch.model.workflow.RunPlacement;
+import org.marjoramnotch.model.workflow.StepDefinition;
+import org.marjoramnotch.model.workflow.StepId;
+import org.marjoramnotch.model.workflow.WorkflowState;
+import org.marjoramnotch.model.workflow.WorkflowTaskId;
+
+/** Starts and ends runs in the ledger, and keeps what they hold of workers and teams. */
+final class RunChanges {
+    private final WorkflowLedger ledger;
+    private final TeamConsumption consumption;
+
+    RunChanges(WorkflowLedger ledger, TeamConsumption consumption) {
+        this.ledger = ledger;
+        this.consumption = consumption;
+    }
+
+    /** Ends all runs of a worker whose life is over. */
+    void lapseAll(WorkerEntry worker) {
+        for (ActiveRun run : List.copyOf(worker.runs())) {
+            end(worker, new RunEnd(run.run(), RunOutcome.LAPSED, ""));
+        }
+    }
+
+    /** Applies starts; the members of a gang all or none. */
+    void start(StartRuns start) {
+        List<RunPlacement> placements = start.placements();
+        boolean gang = placements.stream().anyMatch(this::isOfGang);
+        if (gang && !placements.stream().allMatch(this::mayStart)) {
+            return;
+        }
+        for (RunPlacement placement : placements) {
+            if (mayStart(placement)) {
+                start(placement);
+            }
+        }
+    }
+
+    private boolean isOfGang(RunPlacement placement) {
+        StepId step = placement.run().task().step();
+        return ledger.workflow(step.workflow())
+                .flatMap(entry -> entry.step(step))
+                .map(tasks -> tasks.definition().gang())
+                .orElse(false);
+    }
+
+    private boolean mayStart(RunPlacement placement) {
+        WorkflowTaskId id = placement.run().task();
+        WorkflowEntry entry = ledger.activeWorkflow(id.step().workflow()).orElse(null);
+        WorkerEntry worker = ledger.worker(placement.worker()).orElse(null);
+        if (entry == null || worker == null || worker.worker().draining()) {
+            return false;
+        }
+        TaskState task = entry.task(id).orElse(null);
+        return task != null
+                && task.isWaiting()
+                && placement.run().number() > task.run()
+                && entry.isReady(id.step().occurrence(), id.step().step())
+                && worker.worker()
+                        .capacity()
+                        .holds(worker.reserved().plus(reservedBy(entry, id.step())));
+    }
+
+    private static Resources reservedBy(WorkflowEntry entry, StepId step) {
+        return entry.step(step).orElseThrow().definition().reserved();
+    }
+
+    private void start(RunPlacement placement) {
+        WorkflowTaskId id = placement.run().task();
+        WorkflowEntry entry = ledger.activeWorkflow(id.step().workflow()).orElseThrow();
+        TaskState task = entry.task(id).orElseThrow();
+        task.start(placement.run().number(), placement.worker().worker());
+        entry.countStart();
+        hold(ledger.worker(placement.worker()).orElseThrow(), entry, placement.run());
+    }
+
+    private void hold(WorkerEntry worker, WorkflowEntry entry, RunId run) {
+        StepDefinition step = entry.step(run.task().step()).orElseThrow().definition();
+        worker.add(new ActiveRun(run, step, entry.workflow().team()));
+        consumption.add(entry.workflow().team(), step.demand());
+    }
+
+    /** Applies ends. */
+    void end(EndRuns ends) {
+        WorkerEntry worker = ledger.worker(ends.worker()).orElse(null);
+        if (worker != null) {
+            ends.ends().forEach(end -> end(worker, end));
+        }
+    }
+
+    private void end(WorkerEntry worker, RunEnd end) {
+        RunId run = end.run();
+        WorkflowEntry entry = ledger.workflow(run.task().step().workflow()).orElse(null);
+        StepTasks step = entry == null ? null : entry.step(run.task().step()).orElse(null);
+        TaskState task = entry == null ? null : entry.task(run.task()).orElse(null);
+        if (step == null || task == null || task.run() != run.number()) {
+            return;
+        }
+        boolean running = task.isRunning() && worker.has(run);
+        // A run that counted as lapsed may turn out to have done its work before.
+        boolean doneBeforeLapse = task.isWaiting() && end.outcome() == RunOutcome.DONE;
+        if (!running && !doneBeforeLapse) {
+            return;
+        }
+        if (running) {
+            task.await(end.checkpoint());
+            release(worker, entry, step, run);
+        }
+        if (end.outcome() == RunOutcome.DONE) {
+            finish(entry, step, run);
+        } else if (end.outcome() == RunOutcome.FAILED) {
+            fail(entry, step, task);
+        }
+        if (running) {
+            entry.countEnd();
+        } else {
+            entry.completeIfDone();
+        }
+        ledger.onRunEnded(entry);
+    }
+
+    private void release(WorkerEntry worker, WorkflowEntry entry, StepTasks step, RunId run) {
+        worker.remove(run);
+        consumption.remove(entry.workflow().team(), step.definition().demand());
+    }
+
+    private void finish(WorkflowEntry entry, StepTasks step, RunId run) {
+        if (step.definition().standing()) {
+            return;
+        }
+        if (!step.definition().gang()) {
+            step.finish(entry.task(run.task()).orElseThrow());
+            return;
+        }
+        for (int index = 0; index < step.tasks().size(); index++) {
+            TaskState member = step.tasks().get(index);
+            RunId memberRun = new RunId(new WorkflowTaskId(run.task().step(), index), run.number());
+            if (member.isRunning()) {
+                ledger.worker(member.worker().orElseThrow())
+                        .ifPresent(worker -> release(worker, entry, step, memberRun));
+                member.await("");
+                step.finish(member);
+                entry.countEnd();
+            } else {
+                step.finish(member);
+            }
+        }
+    }
+
+    private static void fail(WorkflowEntry entry, StepTasks step, TaskState task) {
+        int failures = step.countFailure(task);
+        if (!step.definition().standing() && failures >= entry.queue().mostFailures()) {
+            entry.end(WorkflowState.FAILED);
+        }
+    }
+
+    /** Takes the runs of a restored workflow into account. */
+    void restore(WorkflowEntry entry) {
+        for (int occurrence = 0; occurrence < entry.occurrenceCount(); occurrence++) {
+            for (int step = 0; step < entry.steps(occurrence).size(); step++) {
+                StepId id = new StepId(entry.id(), occurrence, step);
+                List<TaskState> tasks = entry.steps(occurrence).get(step).tasks();
+                for (int index = 0; index < tasks.size(); index++) {
+                    TaskState task = tasks.get(index);
+                    RunId run = new RunId(new WorkflowTaskId(id, index), task.run());
+                    if (task.isRunning()) {
+                        hold(ledger.worker(task.worker().orElseThrow()).orElseThrow(), entry, run);
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListReader.java
@@ -0,0 +1,89 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.marjoramnotch.model.fleet.WorkerIncarnation;
+import org.marjoramnotch.model.order.CallOutcome;
+import org.marjoramnotch.model.order.EndedRow;
+import org.marjoramnotch.model.order.RunningRow;
+import org.marjoramnotch.model.workflow.RunEnd;
+import org.marjoramnotch.model.workflow.RunId;
+import org.marjoramnotch.model.workflow.RunOutcome;
+
+/** Compares a worker's list with what the ledger has on that worker. */
+final class RunListReader {
+    private static final int LARGEST_PAGE_OF_ENDS = 500;
+
+    private final WorkflowLedger ledger;
+    private final OrderBook orders;
+
+    /**
+     * What a list shows.
+     *
+     * @param foreign runs that the ledger does not know there
+     * @param over runs of workflows that have ended
+     * @param ends ends that the ledger does not know
+     * @param lastEnd the number of the last end in the list; 0 if there is none
+     */
+    record Findings(Set<RunId> foreign, Set<RunId> over, List<RunEnd> ends, long lastEnd) {}
+
+    RunListReader(WorkflowLedger ledger, OrderBook orders) {
+        this.ledger = ledger;
+        this.orders = orders;
+    }
+
+    Findings read(
+            WorkerIncarnation worker, long acknowledged, long sentAt, CallOutcome.Listed list) {
+        Collection<ActiveRun> runs = ledger.worker(worker).map(WorkerEntry::runs).orElse(List.of());
+        Set<RunId> known = runs.stream().map(ActiveRun::run).collect(Collectors.toSet());
+        Set<RunId> running =
+                list.running().stream().map(RunningRow::run).collect(Collectors.toSet());
+        Set<RunId> foreign = new HashSet<>();
+        Set<RunId> over = new HashSet<>();
+        for (RunId run : running) {
+            if (!known.contains(run)) {
+                foreign.add(run);
+            } else if (isWorkflowOver(run)) {
+                over.add(run);
+            }
+        }
+        List<RunEnd> ends = new ArrayList<>();
+        Set<RunId> ended = new HashSet<>();
+        for (EndedRow row : list.ended()) {
+            RunEnd end = row.end();
+            ended.add(end.run());
+            boolean counts = known.contains(end.run()) || isDoneAfterAll(end);
+            if (row.number() > acknowledged && counts) {
+                ends.add(end);
+            }
+        }
+        if (list.ended().size() < LARGEST_PAGE_OF_ENDS) {
+            known.stream()
+                    .filter(run -> !running.contains(run) && !ended.contains(run))
+                    .filter(run -> orders.isShownBy(sentAt, run))
+                    .forEach(run -> ends.add(new RunEnd(run, RunOutcome.NOT_STARTED, "")));
+        }
+        int last = list.ended().size() - 1;
+        return new Findings(foreign, over, ends, last < 0 ? 0 : list.ended().get(last).number());
+    }
+
+    private boolean isWorkflowOver(RunId run) {
+        return ledger.workflow(run.task().step().workflow())
+                .map(workflow -> workflow.state().isFinal())
+                .orElse(true);
+    }
+
+    /** Tells whether a run that counted as lapsed had done its work, and none followed it. */
+    private boolean isDoneAfterAll(RunEnd end) {
+        RunId run = end.run();
+        return end.outcome() == RunOutcome.DONE
+                && ledger.workflow(run.task().step().workflow())
+                        .flatMap(workflow -> workflow.task(run.task()))
+                        .map(task -> task.isWaiting() && task.run() == run.number())
+                        .orElse(false);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/StepTasks.java
@@ -0,0 +1,74 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.marjoramnotch.model.workflow.StepDefinition;
+import org.marjoramnotch.model.workflow.TaskRecord;
+
+/** The tasks of one step of one occurrence. */
+final class StepTasks {
+    private final StepDefinition definition;
+    private final List<TaskState> tasks;
+    private int done;
+    private long lastFailedRun;
+    private int gangFailures;
+
+    StepTasks(StepDefinition definition) {
+        this.definition = definition;
+        this.tasks =
+                IntStream.range(0, definition.tasks()).mapToObj(index -> new TaskState()).toList();
+    }
+
+    StepTasks(StepDefinition definition, List<TaskRecord> records) {
+        this.definition = definition;
+        this.tasks = records.stream().map(TaskState::of).toList();
+        this.done = (int) tasks.stream().filter(StepTasks::isDone).count();
+        if (definition.gang()) {
+            gangFailures = tasks.stream().mapToInt(TaskState::failures).sum();
+        }
+    }
+
+    StepDefinition definition() {
+        return definition;
+    }
+
+    List<TaskState> tasks() {
+        return tasks;
+    }
+
+    boolean isDone() {
+        return done == tasks.size();
+    }
+
+    int doneCount() {
+        return done;
+    }
+
+    void finish(TaskState task) {
+        if (!isDone(task)) {
+            task.finish();
+            done++;
+        }
+    }
+
+    /**
+     * Counts a failed run and returns how often the task has failed. Members of a gang that fail in
+     * the same run count once for all of them.
+     */
+    int countFailure(TaskState task) {
+        if (!definition.gang()) {
+            task.countFailure();
+            return task.failures();
+        }
+        if (task.run() != lastFailedRun) {
+            lastFailedRun = task.run();
+            gangFailures++;
+            task.countFailure();
+        }
+        return gangFailures;
+    }
+
+    private static boolean isDone(TaskState task) {
+        return task.phase() == TaskState.Phase.DONE;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/TaskState.java
@@ -0,0 +1,94 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.model.identifier.WorkerId;
+import org.marjoramnotch.model.workflow.TaskRecord;
+
+/** A task in the ledger. */
+final class TaskState {
+    /** Where a task stands. */
+    enum Phase {
+        WAITING,
+        RUNNING,
+        DONE
+    }
+
+    private Phase phase = Phase.WAITING;
+    private long run;
+    private int failures;
+    private String checkpoint = "";
+    private @Nullable WorkerId worker;
+
+    static TaskState of(TaskRecord task) {
+        TaskState state = new TaskState();
+        state.phase =
+                switch (task.phase()) {
+                    case 'R' -> Phase.RUNNING;
+                    case 'D' -> Phase.DONE;
+                    default -> Phase.WAITING;
+                };
+        state.run = task.run();
+        state.failures = task.failures();
+        state.checkpoint = task.checkpoint();
+        state.worker = task.worker().orElse(null);
+        return state;
+    }
+
+    TaskRecord snapshot() {
+        char letter = phase.name().charAt(0);
+        return new TaskRecord(letter, run, failures, checkpoint, Optional.ofNullable(worker));
+    }
+
+    Phase phase() {
+        return phase;
+    }
+
+    boolean isWaiting() {
+        return phase == Phase.WAITING;
+    }
+
+    boolean isRunning() {
+        return phase == Phase.RUNNING;
+    }
+
+    /** Returns the number of the last run; 0 before the first. */
+    long run() {
+        return run;
+    }
+
+    int failures() {
+        return failures;
+    }
+
+    String checkpoint() {
+        return checkpoint;
+    }
+
+    /** Returns the worker of the last run. */
+    Optional<WorkerId> worker() {
+        return Optional.ofNullable(worker);
+    }
+
+    void start(long number, WorkerId on) {
+        phase = Phase.RUNNING;
+        run = number;
+        worker = on;
+    }
+
+    /** Returns the task to waiting after its run ended without success. */
+    void await(String newCheckpoint) {
+        phase = Phase.WAITING;
+        if (!newCheckpoint.isEmpty()) {
+            checkpoint = newCheckpoint;
+        }
+    }
+
+    void countFailure() {
+        failures++;
+    }
+
+    void finish() {
+        phase = Phase.DONE;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/TeamConsumption.java
@@ -0,0 +1,24 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.resource.Resources;
+
+/** What each team has running. */
+final class TeamConsumption {
+    private final Map<TeamName, Resources> running = new HashMap<>();
+
+    Resources of(TeamName team) {
+        return running.getOrDefault(team, Resources.NONE);
+    }
+
+    void add(Optional<TeamName> team, Resources demand) {
+        team.ifPresent(name -> running.merge(name, demand, Resources::plus));
+    }
+
+    void remove(Optional<TeamName> team, Resources demand) {
+        team.ifPresent(name -> running.put(name, of(name).minus(demand)));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerEntry.java
@@ -0,0 +1,53 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.marjoramnotch.model.fleet.FleetWorker;
+import org.marjoramnotch.model.resource.Resources;
+import org.marjoramnotch.model.workflow.RunId;
+
+/** A worker in the ledger, with what runs on it. */
+final class WorkerEntry {
+    private FleetWorker worker;
+    private final Map<RunId, ActiveRun> runs = new LinkedHashMap<>();
+    private Resources reserved = Resources.NONE;
+
+    WorkerEntry(FleetWorker worker) {
+        this.worker = worker;
+    }
+
+    FleetWorker worker() {
+        return worker;
+    }
+
+    void update(FleetWorker newCondition) {
+        worker = newCondition;
+    }
+
+    /** Returns the runs that hold capacity, oldest first. */
+    Collection<ActiveRun> runs() {
+        return Collections.unmodifiableCollection(runs.values());
+    }
+
+    boolean has(RunId run) {
+        return runs.containsKey(run);
+    }
+
+    Resources reserved() {
+        return reserved;
+    }
+
+    void add(ActiveRun run) {
+        runs.put(run.run(), run);
+        reserved = reserved.plus(run.step().reserved());
+    }
+
+    void remove(RunId run) {
+        ActiveRun removed = runs.remove(run);
+        if (removed != null) {
+            reserved = reserved.minus(removed.step().reserved());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -0,0 +1,284 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.marjoramnotch.logic.leader.DecisionNote;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.model.fleet.FleetWorker;
+import org.marjoramnotch.model.order.CallOutcome;
+import org.marjoramnotch.model.order.ListRuns;
+import org.marjoramnotch.model.order.PaceRun;
+import org.marjoramnotch.model.order.RejectionReason;
+import org.marjoramnotch.model.order.RunningRow;
+import org.marjoramnotch.model.order.StartRun;
+import org.marjoramnotch.model.order.WorkerCall;
+import org.marjoramnotch.model.workflow.RunId;
+import org.marjoramnotch.model.workflow.RunPlacement;
+import org.marjoramnotch.model.workflow.WorkflowTaskId;
+
+/**
+ * What a leader knows of one life of a worker in its term, and the orders it gives there.
+ *
+ * <p>The first list raises the worker's fencing token, so that no order of an earlier leader takes
+ * effect afterwards; nothing starts before. A start without an answer is sent again under the same
+ * number until the worker answers or its lease is over: a copy that is carried out late is the same
+ * run. A run counts as not started only when a list that was asked for after the last order about
+ * it was answered shows neither the run nor its end.
+ */
+final class WorkerSession {
+    private static final int MOST_UNANSWERED_CALLS = 2;
+
+    private final WorkflowSettings settings;
+    private final CallRegister calls;
+    private final long fencingToken;
+    private final WorkerLease lease;
+    private final OrderBook orders;
+    private final WorkerTrust trust;
+    private final ListDuty lists;
+    private FleetWorker worker;
+    private boolean fenced;
+    private boolean gone;
+    private long heardAt;
+    private int unansweredInRow;
+    private long reportSequence = -1;
+
+    WorkerSession(
+            WorkflowSettings settings,
+            WorkflowLedger ledger,
+            CallRegister calls,
+            long fencingToken,
+            FleetWorker worker,
+            long nowMilliseconds) {
+        this.settings = settings;
+        this.calls = calls;
+        this.fencingToken = fencingToken;
+        this.worker = worker;
+        this.lease = new WorkerLease(settings, nowMilliseconds);
+        this.orders = new OrderBook(settings, ledger, calls, fencingToken, this, lease);
+        this.trust = new WorkerTrust(worker.id());
+        this.lists = new ListDuty(ledger, worker.incarnation(), orders, trust, nowMilliseconds);
+        this.heardAt = nowMilliseconds;
+    }
+
+    FleetWorker worker() {
+        return worker;
+    }
+
+    void update(FleetWorker newCondition) {
+        worker = newCondition;
+    }
+
+    /** Returns whether a report is newer than those before it, and remembers it. */
+    boolean isNewReport(long sequence, long nowMilliseconds) {
+        if (sequence <= reportSequence) {
+            return false;
+        }
+        reportSequence = sequence;
+        heardAt = nowMilliseconds;
+        return true;
+    }
+
+    /** Tells whether runs may start here. */
+    boolean isUsable(long nowMilliseconds) {
+        return lists.isListed()
+                && !fenced
+                && !gone
+                && !worker.draining()
+                && lists.foreign().isEmpty()
+                && unansweredInRow < MOST_UNANSWERED_CALLS
+                && !trust.isQuarantined(nowMilliseconds)
+                && silenceMilliseconds(nowMilliseconds) < settings.reportTimeoutMilliseconds();
+    }
+
+    /** Tells whether the worker has answered in this term. */
+    boolean isListed() {
+        return lists.isListed();
+    }
+
+    /** Tells whether the worker has ended, as another life at its address shows. */
+    boolean isGone() {
+        return gone;
+    }
+
+    /** Tells whether any order is on its way. */
+    boolean hasOutstandingOrders() {
+        return orders.hasOutstanding();
+    }
+
+    /** Returns tasks whose start may have been carried out without an answer. */
+    Set<WorkflowTaskId> unsettledTasks() {
+        return orders.unsettledTasks();
+    }
+
+    /** Tells whether the worker lists a run of the task that the ledger does not know. */
+    boolean hasForeign(WorkflowTaskId task) {
+        return lists.foreign().stream().anyMatch(run -> run.task().equals(task));
+    }
+
+    /** Tells whether the last runs here failed. */
+    boolean hasRecentFailures() {
+        return trust.hasRecentFailures();
+    }
+
+    /** Returns the newest row of a run. */
+    Optional<RunningRow> row(RunId run) {
+        return lists.row(run);
+    }
+
+    /** Returns how long nothing was heard of the worker. */
+    long silenceMilliseconds(long nowMilliseconds) {
+        return nowMilliseconds - heardAt;
+    }
+
+    /** Sends the start of a run that was committed. */
+    void start(
+            long nowMilliseconds,
+            RunPlacement placement,
+            Optional<String> ticket,
+            LeaderOutput output) {
+        orders.start(nowMilliseconds, placement, ticket, output);
+        lists.onStart(nowMilliseconds);
+    }
+
+    /** Stops a run; its end shows in the list. */
+    void stop(long nowMilliseconds, RunId run, LeaderOutput output) {
+        if (!fenced && !gone) {
+            orders.stop(nowMilliseconds, run, output);
+        }
+    }
+
+    /** Sets the pace of a run. */
+    void pace(long nowMilliseconds, RunId run, int percent, LeaderOutput output) {
+        calls.send(
+                nowMilliseconds,
+                this,
+                new PaceRun(calls.nextId(), worker, fencingToken, run, percent),
+                output);
+    }
+
+    /** Sends what is due and gives up runs whose lease is over. */
+    void tick(long nowMilliseconds, LeaderOutput output) {
+        if (fenced || gone) {
+            return;
+        }
+        orders.sendDue(nowMilliseconds, unansweredInRow < MOST_UNANSWERED_CALLS, output);
+        if (lists.isDue(nowMilliseconds)) {
+            sendList(nowMilliseconds, output);
+        }
+        lapseIfOver(nowMilliseconds, output);
+    }
+
+    /** Takes the outcome of a call. */
+    void onOutcome(
+            long nowMilliseconds,
+            WorkerCall call,
+            long sentAt,
+            CallOutcome outcome,
+            LeaderOutput output) {
+        if (call instanceof ListRuns) {
+            lists.onOutcome();
+        }
+        if (outcome instanceof CallOutcome.Unanswered) {
+            onUnanswered(nowMilliseconds, call);
+            return;
+        }
+        unansweredInRow = 0;
+        heardAt = nowMilliseconds;
+        if (outcome instanceof CallOutcome.Listed list) {
+            lease.onAnswer(sentAt, nowMilliseconds, list.workerClockMilliseconds());
+            onList(nowMilliseconds, (ListRuns) call, sentAt, list, output);
+        } else if (outcome instanceof CallOutcome.Accepted accepted) {
+            learnClock(sentAt, nowMilliseconds, accepted.workerClockMilliseconds());
+            orders.onAccepted(nowMilliseconds, call);
+        } else if (outcome instanceof CallOutcome.Rejected rejected) {
+            learnClock(sentAt, nowMilliseconds, rejected.workerClockMilliseconds());
+            onRejected(nowMilliseconds, call, rejected.reason(), output);
+        }
+    }
+
+    /** Is told that ends of this worker were applied; they may be forgotten there now. */
+    void onEndsApplied(long nowMilliseconds) {
+        lists.onEndsApplied(nowMilliseconds);
+    }
+
+    private void learnClock(long sentAt, long nowMilliseconds, OptionalLong workerClock) {
+        workerClock.ifPresent(clock -> lease.onAnswer(sentAt, nowMilliseconds, clock));
+    }
+
+    private void sendList(long nowMilliseconds, LeaderOutput output) {
+        boolean settled = lists.mayWait() && unansweredInRow == 0;
+        // A worker that does not answer is only asked, so that its lease can run out.
+        OptionalLong until =
+                unansweredInRow == 0 ? lease.grant(nowMilliseconds) : OptionalLong.empty();
+        long wait = settled ? settings.listWaitMilliseconds() : 0;
+        lists.onSent();
+        calls.send(
+                nowMilliseconds,
+                this,
+                new ListRuns(
+                        calls.nextId(), worker, fencingToken, lists.acknowledged(), until, wait),
+                output);
+    }
+
+    private void onUnanswered(long nowMilliseconds, WorkerCall call) {
+        unansweredInRow++;
+        orders.onUnanswered(nowMilliseconds, call);
+        if (call instanceof ListRuns) {
+            lists.onUnanswered(nowMilliseconds);
+        }
+    }
+
+    private void onRejected(
+            long nowMilliseconds, WorkerCall call, RejectionReason reason, LeaderOutput output) {
+        output.note(
+                DecisionNote.of(
+                        "order_rejected",
+                        "worker",
+                        worker.id(),
+                        "call",
+                        call.getClass().getSimpleName(),
+                        "run",
+                        call instanceof StartRun start ? start.run() : "none",
+                        "reason",
+                        reason));
+        if (reason == RejectionReason.FENCED) {
+            fenced = true;
+            return;
+        }
+        if (reason == RejectionReason.OTHER_INCARNATION) {
+            gone = true;
+            return;
+        }
+        if (reason == RejectionReason.UNHEALTHY) {
+            trust.quarantine(nowMilliseconds, "refuses_calls", output);
+        }
+        if (call instanceof ListRuns) {
+            lists.onRefused(nowMilliseconds);
+        }
+        orders.onRejected(nowMilliseconds, call, reason, output)
+                .ifPresent(end -> lists.propose(List.of(end), output));
+    }
+
+    private void onList(
+            long nowMilliseconds,
+            ListRuns call,
+            long sentAt,
+            CallOutcome.Listed list,
+            LeaderOutput output) {
+        OptionalLong started = list.startedEpochMilliseconds();
+        if (started.isPresent()
+                && started.getAsLong() != worker.incarnation().startedEpochMilliseconds()) {
+            gone = true;
+            return;
+        }
+        lists.onList(nowMilliseconds, call, sentAt, list, output);
+    }
+
+    private void lapseIfOver(long nowMilliseconds, LeaderOutput output) {
+        if (unansweredInRow > 0 && !lists.isAwaitingCommit() && lease.isOver(nowMilliseconds)) {
+            lists.lapse(output);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerTrust.java
@@ -0,0 +1,62 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.List;
+import org.marjoramnotch.logic.leader.DecisionNote;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.model.identifier.WorkerId;
+import org.marjoramnotch.model.order.RunningRow;
+import org.marjoramnotch.model.workflow.RunEnd;
+import org.marjoramnotch.model.workflow.RunId;
+import org.marjoramnotch.model.workflow.RunOutcome;
+
+/** Judges a worker by how its runs go, and keeps work off one that fails or stalls them. */
+final class WorkerTrust {
+    /** Time for which a worker that fails or stalls its runs gets no more. */
+    private static final long QUARANTINE_MILLISECONDS = 5_000;
+
+    private final WorkerId worker;
+    private final FailureStreak failures = new FailureStreak();
+    private final StallWatch stalls = new StallWatch();
+    private long quarantinedUntil;
+
+    WorkerTrust(WorkerId worker) {
+        this.worker = worker;
+    }
+
+    boolean isQuarantined(long nowMilliseconds) {
+        return nowMilliseconds < quarantinedUntil;
+    }
+
+    boolean hasRecentFailures() {
+        return failures.hasFailures();
+    }
+
+    void onEnd(long nowMilliseconds, RunEnd end, LeaderOutput output) {
+        if (end.outcome() == RunOutcome.DONE) {
+            failures.onDone();
+        } else if (end.outcome() == RunOutcome.FAILED) {
+            failures.onFailure(end.run().task().step().workflow());
+            if (failures.isSuspect()) {
+                quarantine(nowMilliseconds, "fails_runs", output);
+            }
+        }
+    }
+
+    /** Takes the rows of a list; returns runs that stand still. */
+    List<RunId> onRows(long nowMilliseconds, List<RunningRow> rows) {
+        return stalls.onRows(nowMilliseconds, rows);
+    }
+
+    void quarantine(long nowMilliseconds, String cause, LeaderOutput output) {
+        quarantinedUntil = nowMilliseconds + QUARANTINE_MILLISECONDS;
+        output.note(
+                DecisionNote.of(
+                        "worker_quarantined",
+                        "worker",
+                        worker,
+                        "cause",
+                        cause,
+                        "for_ms",
+                        QUARANTINE_MILLISECONDS));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -0,0 +1,238 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.Optional;
+import org.marjoramnotch.logic.leader.DecisionNote;
+import org.marjoramnotch.logic.leader.LeaderDuty;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.command.CancelWorkflow;
+import org.marjoramnotch.model.command.Command;
+import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.command.EndRuns;
+import org.marjoramnotch.model.command.FailWorkflow;
+import org.marjoramnotch.model.command.ReplaceConfiguration;
+import org.marjoramnotch.model.command.StartRuns;
+import org.marjoramnotch.model.command.WorkflowCommand;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.message.ApplyConfiguration;
+import org.marjoramnotch.model.message.CancelWorkflowRequest;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.ReadConfiguration;
+import org.marjoramnotch.model.message.ReadWorkflow;
+import org.marjoramnotch.model.message.Refused;
+import org.marjoramnotch.model.message.ReleaseWorker;
+import org.marjoramnotch.model.message.ReportWorker;
+import org.marjoramnotch.model.message.SubmitWorkflowRequest;
+import org.marjoramnotch.model.message.TakeAdviceQuestion;
+import org.marjoramnotch.model.order.CallOutcome;
+import org.marjoramnotch.model.time.Clock;
+import org.marjoramnotch.model.workflow.RunEnd;
+import org.marjoramnotch.model.workflow.RunOutcome;
+import org.marjoramnotch.model.workflow.RunPlacement;
+
+/** The leader's decisions about workflows, for one term of leadership. */
+public final class WorkflowDuty implements LeaderDuty {
+    /** Interval of checks that walk all workflows. */
+    private static final long SLOW_TICK_MILLISECONDS = 1_000;
+
+    private final WorkflowLedger ledger;
+    private final WorkerSessions sessions;
+    private final ConfigurationRequests configuration;
+    private final WorkflowRequests workflows;
+    private final WorkerReports workers;
+    private final AdviceDesk advice = new AdviceDesk();
+    private final RunScheduler scheduler;
+    private final Feasibility feasibility;
+    private final EndedWorkflows ended;
+    private boolean scheduleDue = true;
+    private long nextSlowTickAt;
+
+    /**
+     * Creates the duty.
+     *
+     * @param settings the intervals
+     * @param ledger the live state
+     * @param wallClock tells the time since 1970, for workflows that are due at times
+     * @param fencingToken higher than that of every earlier duty of the cell
+     * @param nowMilliseconds when the duty starts
+     */
+    public WorkflowDuty(
+            WorkflowSettings settings,
+            WorkflowLedger ledger,
+            Clock wallClock,
+            long fencingToken,
+            long nowMilliseconds) {
+        this.ledger = ledger;
+        this.sessions = new WorkerSessions(settings, ledger, fencingToken, nowMilliseconds);
+        this.configuration = new ConfigurationRequests(ledger);
+        this.workflows = new WorkflowRequests(ledger, configuration, wallClock);
+        this.workers = new WorkerReports(ledger, sessions);
+        this.scheduler =
+                new RunScheduler(
+                        ledger,
+                        sessions,
+                        advice,
+                        new ObjectiveClock(nowMilliseconds - wallClock.nowMilliseconds()));
+        this.feasibility = new Feasibility(ledger, settings.feasibilityDelayMilliseconds());
+        this.ended = new EndedWorkflows(ledger, settings.retentionMilliseconds());
+    }
+
+    @Override
+    public void onRequest(
+            long nowMilliseconds, RequestHandle handle, CellRequest request, LeaderOutput output) {
+        try {
+            dispatch(nowMilliseconds, handle, request, output);
+        } catch (MarjoramnotchException refusal) {
+            if (refusal.code() == ErrorCode.INVARIANT_VIOLATED) {
+                throw refusal;
+            }
+            output.reply(handle, new Refused(refusal.refusal()));
+        }
+    }
+
+    @Override
+    public void onApplied(
+            long nowMilliseconds, Command command, CommandResult result, LeaderOutput output) {
+        if (!(command instanceof WorkflowCommand applied)) {
+            return;
+        }
+        if (applied instanceof StartRuns start) {
+            onStarted(nowMilliseconds, start, output);
+        } else if (applied instanceof EndRuns end) {
+            onEnded(nowMilliseconds, end, output);
+        } else if (applied instanceof CancelWorkflow cancel) {
+            stopRuns(nowMilliseconds, cancel.workflow(), output);
+        } else if (applied instanceof FailWorkflow fail) {
+            stopRuns(nowMilliseconds, fail.workflow(), output);
+        } else if (applied instanceof ReplaceConfiguration replace) {
+            configuration.onApplied(replace, output);
+        }
+        workers.onApplied(nowMilliseconds, applied, output);
+        workflows.onApplied(applied, output);
+        scheduleDue = true;
+        scheduleIfDue(nowMilliseconds, output);
+    }
+
+    @Override
+    public void onOutcome(long nowMilliseconds, CallOutcome outcome, LeaderOutput output) {
+        sessions.onOutcome(nowMilliseconds, outcome, output);
+    }
+
+    @Override
+    public void onTick(long nowMilliseconds, LeaderOutput output) {
+        sessions.tick(nowMilliseconds, output);
+        advice.tick(nowMilliseconds, output);
+        workers.tick(nowMilliseconds, output);
+        if (nowMilliseconds >= nextSlowTickAt) {
+            nextSlowTickAt = nowMilliseconds + SLOW_TICK_MILLISECONDS;
+            feasibility.check(nowMilliseconds, output);
+            ended.tick(nowMilliseconds, output);
+        }
+        scheduler.schedule(nowMilliseconds, output);
+    }
+
+    private void dispatch(
+            long nowMilliseconds, RequestHandle handle, CellRequest request, LeaderOutput output) {
+        if (request instanceof SubmitWorkflowRequest submit) {
+            workflows.submit(handle, submit, output);
+        } else if (request instanceof ReadWorkflow read) {
+            workflows.read(handle, read, output);
+        } else if (request instanceof CancelWorkflowRequest cancel) {
+            workflows.cancel(handle, cancel, output);
+        } else if (request instanceof ApplyConfiguration apply) {
+            configuration.apply(handle, apply, output);
+        } else if (request instanceof ReadConfiguration) {
+            configuration.read(handle, output);
+        } else if (request instanceof ReportWorker report) {
+            workers.report(nowMilliseconds, handle, report, output);
+        } else if (request instanceof ReleaseWorker release) {
+            workers.release(handle, release, output);
+        } else if (request instanceof TakeAdviceQuestion offer) {
+            advice.onOffer(nowMilliseconds, handle, offer, output);
+            scheduleDue = true;
+            scheduleIfDue(nowMilliseconds, output);
+        } else {
+            throw new MarjoramnotchException(
+                    ErrorCode.INVALID_REQUEST,
+                    "The request is not about workflows; report the fault of its routing.");
+        }
+    }
+
+    private void scheduleIfDue(long nowMilliseconds, LeaderOutput output) {
+        if (scheduleDue) {
+            scheduleDue = false;
+            scheduler.schedule(nowMilliseconds, output);
+        }
+    }
+
+    /** Sends the orders of starts that took effect. */
+    private void onStarted(long nowMilliseconds, StartRuns start, LeaderOutput output) {
+        scheduler.onApplied(start);
+        for (RunPlacement placement : start.placements()) {
+            Optional<String> ticket = scheduler.takeTicket(placement.run());
+            boolean started =
+                    ledger.worker(placement.worker())
+                            .map(worker -> worker.has(placement.run()))
+                            .orElse(false);
+            if (started) {
+                sessions.of(placement.worker())
+                        .ifPresent(
+                                session ->
+                                        session.start(nowMilliseconds, placement, ticket, output));
+                output.note(
+                        DecisionNote.of(
+                                "run_started",
+                                "run",
+                                placement.run(),
+                                "worker",
+                                placement.worker().worker()));
+            }
+        }
+    }
+
+    private void onEnded(long nowMilliseconds, EndRuns end, LeaderOutput output) {
+        sessions.of(end.worker()).ifPresent(session -> session.onEndsApplied(nowMilliseconds));
+        for (RunEnd run : end.ends()) {
+            JobId workflow = run.run().task().step().workflow();
+            if (run.outcome() == RunOutcome.NOT_STARTED) {
+                advice.invalidate(run.run().task().step());
+            }
+            output.note(
+                    DecisionNote.of(
+                            "run_ended",
+                            "run",
+                            run.run(),
+                            "worker",
+                            end.worker().worker(),
+                            "outcome",
+                            run.outcome(),
+                            "state",
+                            ledger.workflow(workflow)
+                                    .map(entry -> entry.state().name())
+                                    .orElse("forgotten")));
+            stopRunsIfOver(nowMilliseconds, workflow, output);
+        }
+    }
+
+    private void stopRunsIfOver(long nowMilliseconds, JobId workflow, LeaderOutput output) {
+        boolean over = ledger.workflow(workflow).map(entry -> entry.state().isFinal()).orElse(true);
+        if (over) {
+            stopRuns(nowMilliseconds, workflow, output);
+        }
+    }
+
+    /** Stops what still runs of a workflow that has ended. */
+    private void stopRuns(long nowMilliseconds, JobId workflow, LeaderOutput output) {
+        advice.forget(workflow);
+        for (WorkerEntry worker : ledger.workers()) {
+            for (ActiveRun run : worker.runs()) {
+                if (run.run().task().step().workflow().equals(workflow)) {
+                    sessions.of(worker.worker().incarnation())
+                            .ifPresent(session -> session.stop(nowMilliseconds, run.run(), output));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowEntry.java
@@ -0,0 +1,174 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.marjoramnotch.model.fleet.QueueDefinition;
+import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.workflow.StepId;
+import org.marjoramnotch.model.workflow.TaskRecord;
+import org.marjoramnotch.model.workflow.Workflow;
+import org.marjoramnotch.model.workflow.WorkflowRecord;
+import org.marjoramnotch.model.workflow.WorkflowState;
+import org.marjoramnotch.model.workflow.WorkflowTaskId;
+
+/** A workflow in the ledger. */
+final class WorkflowEntry {
+    private Workflow workflow;
+    private QueueDefinition queue;
+    private WorkflowState state;
+    private List<List<StepTasks>> occurrences;
+    private int running;
+
+    WorkflowEntry(Workflow workflow, QueueDefinition queue) {
+        this.workflow = workflow;
+        this.queue = queue;
+        this.state = WorkflowState.QUEUED;
+        this.occurrences =
+                IntStream.range(0, workflow.occurrences())
+                        .mapToObj(
+                                occurrence ->
+                                        workflow.steps().stream().map(StepTasks::new).toList())
+                        .toList();
+    }
+
+    WorkflowEntry(WorkflowRecord stored) {
+        workflow = stored.workflow();
+        queue = stored.queue();
+        state = stored.state();
+        occurrences = new ArrayList<>();
+        for (List<List<TaskRecord>> steps : stored.tasks()) {
+            List<StepTasks> tasks = new ArrayList<>();
+            for (int step = 0; step < steps.size(); step++) {
+                tasks.add(new StepTasks(workflow.steps().get(step), steps.get(step)));
+            }
+            occurrences.add(tasks);
+        }
+        running =
+                (int)
+                        allSteps()
+                                .flatMap(step -> step.tasks().stream())
+                                .filter(TaskState::isRunning)
+                                .count();
+    }
+
+    WorkflowRecord snapshot() {
+        return new WorkflowRecord(
+                workflow,
+                queue,
+                state,
+                occurrences.stream()
+                        .map(
+                                steps ->
+                                        steps.stream()
+                                                .map(
+                                                        step ->
+                                                                step.tasks().stream()
+                                                                        .map(TaskState::snapshot)
+                                                                        .toList())
+                                                .toList())
+                        .toList());
+    }
+
+    Workflow workflow() {
+        return workflow;
+    }
+
+    JobId id() {
+        return workflow.id();
+    }
+
+    QueueDefinition queue() {
+        return queue;
+    }
+
+    void useTerms(QueueDefinition terms) {
+        queue = terms;
+    }
+
+    WorkflowState state() {
+        return state;
+    }
+
+    int occurrenceCount() {
+        return occurrences.size();
+    }
+
+    /** Returns the steps of an occurrence. */
+    List<StepTasks> steps(int occurrence) {
+        return occurrences.get(occurrence);
+    }
+
+    Optional<StepTasks> step(StepId id) {
+        boolean known =
+                id.occurrence() >= 0
+                        && id.occurrence() < occurrences.size()
+                        && id.step() >= 0
+                        && id.step() < occurrences.get(id.occurrence()).size();
+        return known
+                ? Optional.of(occurrences.get(id.occurrence()).get(id.step()))
+                : Optional.empty();
+    }
+
+    Optional<TaskState> task(WorkflowTaskId id) {
+        return step(id.step())
+                .filter(step -> id.index() >= 0 && id.index() < step.tasks().size())
+                .map(step -> step.tasks().get(id.index()));
+    }
+
+    /** Tells whether all steps that a step follows are done. */
+    boolean isReady(int occurrence, int step) {
+        List<StepTasks> steps = occurrences.get(occurrence);
+        return steps.get(step).definition().after().stream()
+                .allMatch(earlier -> steps.get(earlier).isDone());
+    }
+
+    void countStart() {
+        running++;
+        if (state == WorkflowState.QUEUED) {
+            state = WorkflowState.RUNNING;
+        }
+    }
+
+    /** Takes note that a run ended; drops the tasks once nothing of an ended workflow is left. */
+    void countEnd() {
+        running--;
+        completeIfDone();
+        dropTasksIfOver();
+    }
+
+    void end(WorkflowState last) {
+        if (!state.isFinal()) {
+            state = last;
+            dropTasksIfOver();
+        }
+    }
+
+    /** Completes the workflow if all its tasks are done. */
+    void completeIfDone() {
+        if (!state.isFinal() && allSteps().allMatch(StepTasks::isDone)) {
+            end(WorkflowState.COMPLETE);
+        }
+    }
+
+    private void dropTasksIfOver() {
+        if (state.isFinal() && running == 0) {
+            occurrences = List.of();
+            workflow =
+                    new Workflow(
+                            workflow.id(),
+                            workflow.queue(),
+                            workflow.team(),
+                            "",
+                            List.of(),
+                            Optional.empty(),
+                            workflow.submittedEpochMilliseconds());
+        }
+    }
+
+    private Stream<StepTasks> allSteps() {
+        return occurrences.stream().flatMap(List::stream);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -0,0 +1,210 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.model.command.CancelWorkflow;
+import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.command.DismissWorker;
+import org.marjoramnotch.model.command.EndRuns;
+import org.marjoramnotch.model.command.EnrollWorker;
+import org.marjoramnotch.model.command.FailWorkflow;
+import org.marjoramnotch.model.command.ForgetWorkflows;
+import org.marjoramnotch.model.command.ReplaceConfiguration;
+import org.marjoramnotch.model.command.StartRuns;
+import org.marjoramnotch.model.command.SubmitWorkflow;
+import org.marjoramnotch.model.command.WorkflowCommand;
+import org.marjoramnotch.model.fleet.FleetConfiguration;
+import org.marjoramnotch.model.fleet.FleetWorker;
+import org.marjoramnotch.model.fleet.QueueDefinition;
+import org.marjoramnotch.model.fleet.WorkerIncarnation;
+import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.identifier.QueueName;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.identifier.WorkerId;
+import org.marjoramnotch.model.resource.Resources;
+import org.marjoramnotch.model.workflow.Workflow;
+import org.marjoramnotch.model.workflow.WorkflowRecord;
+import org.marjoramnotch.model.workflow.WorkflowSnapshot;
+import org.marjoramnotch.model.workflow.WorkflowState;
+
+/** Configuration, workers and workflows, as the replicas agree on them. */
+public final class WorkflowLedger {
+    private @Nullable FleetConfiguration configuration;
+    private final Map<WorkerId, WorkerEntry> workers = new TreeMap<>();
+    private final Map<JobId, WorkflowEntry> workflows = new LinkedHashMap<>();
+    private final Map<JobId, WorkflowEntry> active = new LinkedHashMap<>();
+    private final TeamConsumption consumption = new TeamConsumption();
+    private final RunChanges runs = new RunChanges(this, consumption);
+
+    /** Takes the state of a snapshot over. */
+    public void restore(WorkflowSnapshot snapshot) {
+        configuration = snapshot.configuration().orElse(null);
+        snapshot.workers().forEach(worker -> workers.put(worker.id(), new WorkerEntry(worker)));
+        for (WorkflowRecord stored : snapshot.workflows()) {
+            WorkflowEntry entry = new WorkflowEntry(stored);
+            workflows.put(entry.id(), entry);
+            if (!entry.state().isFinal()) {
+                active.put(entry.id(), entry);
+            }
+            runs.restore(entry);
+        }
+    }
+
+    /** Returns the whole state. */
+    public WorkflowSnapshot snapshot() {
+        return new WorkflowSnapshot(
+                Optional.ofNullable(configuration),
+                workers.values().stream().map(WorkerEntry::worker).toList(),
+                workflows.values().stream().map(WorkflowEntry::snapshot).toList());
+    }
+
+    /** Applies a command; the same on every replica. */
+    public CommandResult apply(WorkflowCommand command) {
+        if (command instanceof StartRuns start) {
+            runs.start(start);
+        } else if (command instanceof EndRuns end) {
+            runs.end(end);
+        } else if (command instanceof SubmitWorkflow submit) {
+            apply(submit);
+        } else if (command instanceof CancelWorkflow cancel) {
+            endWorkflow(cancel.workflow(), WorkflowState.CANCELLED);
+        } else if (command instanceof FailWorkflow fail) {
+            endWorkflow(fail.workflow(), WorkflowState.FAILED);
+        } else if (command instanceof EnrollWorker enroll) {
+            apply(enroll);
+        } else if (command instanceof DismissWorker dismiss) {
+            apply(dismiss);
+        } else if (command instanceof ForgetWorkflows forget) {
+            forget.workflows().forEach(this::forget);
+        } else if (command instanceof ReplaceConfiguration replace) {
+            apply(replace);
+        }
+        return new CommandResult.Accepted();
+    }
+
+    /** Returns the configuration in force, if there is one. */
+    public Optional<FleetConfiguration> configuration() {
+        return Optional.ofNullable(configuration);
+    }
+
+    /** Returns how many workflows are not forgotten. */
+    public int workflowCount() {
+        return workflows.size();
+    }
+
+    Collection<WorkerEntry> workers() {
+        return workers.values();
+    }
+
+    Optional<WorkerEntry> worker(WorkerId id) {
+        return Optional.ofNullable(workers.get(id));
+    }
+
+    /** Returns the entry of this life of a worker. */
+    Optional<WorkerEntry> worker(WorkerIncarnation incarnation) {
+        return worker(incarnation.worker())
+                .filter(entry -> entry.worker().incarnation().equals(incarnation));
+    }
+
+    Optional<WorkflowEntry> workflow(JobId id) {
+        return Optional.ofNullable(workflows.get(id));
+    }
+
+    Collection<WorkflowEntry> workflows() {
+        return workflows.values();
+    }
+
+    /** Returns the workflows that have not ended, oldest first. */
+    Collection<WorkflowEntry> active() {
+        return active.values();
+    }
+
+    /** Returns a workflow that has not ended. */
+    Optional<WorkflowEntry> activeWorkflow(JobId id) {
+        return Optional.ofNullable(active.get(id));
+    }
+
+    /** Follows a workflow whose last run may have ended it. */
+    void onRunEnded(WorkflowEntry entry) {
+        if (entry.state().isFinal()) {
+            active.remove(entry.id());
+        }
+    }
+
+    Resources runningOf(TeamName team) {
+        return consumption.of(team);
+    }
+
+    private void apply(ReplaceConfiguration replace) {
+        FleetConfiguration proposed = replace.configuration();
+        if (configuration != null && proposed.version() <= configuration.version()) {
+            return;
+        }
+        configuration = proposed;
+        Map<QueueName, QueueDefinition> queues = new HashMap<>();
+        proposed.queues().forEach(queue -> queues.put(queue.name(), queue));
+        for (WorkflowEntry entry : active.values()) {
+            // A queue that was removed still holds for what it had accepted.
+            entry.useTerms(queues.getOrDefault(entry.queue().name(), entry.queue()));
+        }
+    }
+
+    private void apply(SubmitWorkflow submit) {
+        Workflow workflow = submit.workflow();
+        Optional<QueueDefinition> queue =
+                configuration().stream()
+                        .flatMap(known -> known.queues().stream())
+                        .filter(known -> known.name().equals(workflow.queue()))
+                        .findFirst();
+        if (queue.isPresent() && !workflows.containsKey(workflow.id())) {
+            WorkflowEntry entry = new WorkflowEntry(workflow, queue.get());
+            workflows.put(workflow.id(), entry);
+            active.put(workflow.id(), entry);
+        }
+    }
+
+    private void endWorkflow(JobId id, WorkflowState state) {
+        WorkflowEntry entry = workflows.get(id);
+        if (entry != null) {
+            entry.end(state);
+            active.remove(id);
+        }
+    }
+
+    private void forget(JobId id) {
+        if (!active.containsKey(id)) {
+            workflows.remove(id);
+        }
+    }
+
+    private void apply(EnrollWorker enroll) {
+        FleetWorker worker = enroll.worker();
+        WorkerEntry known = workers.get(worker.id());
+        if (known == null) {
+            workers.put(worker.id(), new WorkerEntry(worker));
+            return;
+        }
+        long knownStart = known.worker().incarnation().startedEpochMilliseconds();
+        long start = worker.incarnation().startedEpochMilliseconds();
+        if (start > knownStart) {
+            runs.lapseAll(known);
+            workers.put(worker.id(), new WorkerEntry(worker));
+        } else if (start == knownStart) {
+            known.update(worker);
+        }
+    }
+
+    private void apply(DismissWorker dismiss) {
+        worker(dismiss.worker())
+                .ifPresent(
+                        entry -> {
+                            runs.lapseAll(entry);
+                            workers.remove(entry.worker().id());
+                        });
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequests.java
@@ -0,0 +1,140 @@
+package org.marjoramnotch.logic.workflow;
+
+import org.marjoramnotch.logic.leader.DecisionNote;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.command.CancelWorkflow;
+import org.marjoramnotch.model.command.FailWorkflow;
+import org.marjoramnotch.model.command.SubmitWorkflow;
+import org.marjoramnotch.model.command.WorkflowCommand;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.identifier.QueueName;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.message.CancelWorkflowRequest;
+import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.message.QueueAnswer;
+import org.marjoramnotch.model.message.ReadWorkflow;
+import org.marjoramnotch.model.message.SubmitWorkflowRequest;
+import org.marjoramnotch.model.message.WorkflowAnswer;
+import org.marjoramnotch.model.time.Clock;
+import org.marjoramnotch.model.workflow.Workflow;
+import org.marjoramnotch.model.workflow.WorkflowDraft;
+import org.marjoramnotch.model.workflow.WorkflowState;
+
+/** Accepts workflows, tells where they stand and withdraws them. */
+final class WorkflowRequests {
+    private final WorkflowLedger ledger;
+    private final ConfigurationRequests configuration;
+    private final Clock wallClock;
+    private final AwaitedReplies<JobId> submitting = new AwaitedReplies<>();
+    private final AwaitedReplies<JobId> cancelling = new AwaitedReplies<>();
+
+    WorkflowRequests(WorkflowLedger ledger, ConfigurationRequests configuration, Clock wallClock) {
+        this.ledger = ledger;
+        this.configuration = configuration;
+        this.wallClock = wallClock;
+    }
+
+    void submit(RequestHandle handle, SubmitWorkflowRequest request, LeaderOutput output) {
+        RouteTable.Route route = configuration.routes().resolve(request.target());
+        JobId id = named(route);
+        if (ledger.workflow(id).isPresent()) {
+            output.reply(handle, new Done());
+            return;
+        }
+        if (submitting.add(id, handle)) {
+            WorkflowDraft draft = request.draft();
+            Workflow workflow =
+                    new Workflow(
+                            id,
+                            route.queue().name(),
+                            route.team(),
+                            draft.payload(),
+                            draft.steps(),
+                            draft.recurrence(),
+                            wallClock.nowMilliseconds());
+            output.propose(new SubmitWorkflow(workflow));
+        }
+    }
+
+    void read(RequestHandle handle, ReadWorkflow request, LeaderOutput output) {
+        RouteTable.Route route = configuration.routes().resolve(request.target());
+        if (route.workflow().isEmpty()) {
+            output.reply(handle, new QueueAnswer(pendingOf(route.queue().name())));
+            return;
+        }
+        JobId id = route.workflow().get();
+        if (submitting.isAwaited(id)) {
+            throw new MarjoramnotchException(
+                    ErrorCode.OVERLOADED, "The workflow is being stored; ask again.");
+        }
+        output.reply(handle, new WorkflowAnswer(known(id).state()));
+    }
+
+    void cancel(RequestHandle handle, CancelWorkflowRequest request, LeaderOutput output) {
+        JobId id = named(configuration.routes().resolve(request.target()));
+        boolean over = !submitting.isAwaited(id) && known(id).state().isFinal();
+        if (over) {
+            output.reply(handle, new Done());
+        } else if (cancelling.add(id, handle)) {
+            output.propose(new CancelWorkflow(id));
+        }
+    }
+
+    void onApplied(WorkflowCommand command, LeaderOutput output) {
+        if (command instanceof SubmitWorkflow submit) {
+            Workflow workflow = submit.workflow();
+            output.note(
+                    DecisionNote.of(
+                            "workflow_accepted",
+                            "workflow",
+                            workflow.id(),
+                            "queue",
+                            workflow.queue(),
+                            "team",
+                            workflow.team().map(TeamName::value).orElse("none"),
+                            "steps",
+                            workflow.steps().size()));
+            submitting.answer(workflow.id(), new Done(), output);
+        } else if (command instanceof CancelWorkflow cancel) {
+            output.note(DecisionNote.of("workflow_cancelled", "workflow", cancel.workflow()));
+            cancelling.answer(cancel.workflow(), new Done(), output);
+        } else if (command instanceof FailWorkflow fail) {
+            output.note(
+                    DecisionNote.of(
+                            "workflow_given_up",
+                            "workflow",
+                            fail.workflow(),
+                            "reason",
+                            fail.reason()));
+        }
+    }
+
+    private int pendingOf(QueueName queue) {
+        return (int)
+                ledger.active().stream()
+                        .filter(entry -> entry.queue().name().equals(queue))
+                        .filter(entry -> entry.state() == WorkflowState.QUEUED)
+                        .count();
+    }
+
+    private WorkflowEntry known(JobId id) {
+        return ledger.workflow(id)
+                .orElseThrow(
+                        () ->
+                                new MarjoramnotchException(
+                                        ErrorCode.UNKNOWN_JOB,
+                                        "No workflow has this name; submit it first."));
+    }
+
+    private static JobId named(RouteTable.Route route) {
+        return route.workflow()
+                .orElseThrow(
+                        () ->
+                                new MarjoramnotchException(
+                                        ErrorCode.INVALID_REQUEST,
+                                        "The path names no workflow; add its name."));
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/model/command/Command.java
+++ b/library/src/main/java/org/marjoramnotch/model/command/Command.java
@@ -19,7 +19,8 @@
     @JsonSubTypes.Type(value = SubmitJob.class, name = "submit-job"),
     @JsonSubTypes.Type(value = CancelJob.class, name = "cancel-job"),
     @JsonSubTypes.Type(value = StartTasks.class, name = "start-tasks"),
-    @JsonSubTypes.Type(value = EndTask.class, name = "end-task")
+    @JsonSubTypes.Type(value = EndTask.class, name = "end-task"),
+    @JsonSubTypes.Type(value = WorkflowCommand.class)
 })
 public sealed interface Command
         permits ChangeConfiguration,
@@ -35,4 +36,5 @@
                 SubmitJob,
                 CancelJob,
                 StartTasks,
-                EndTask {}
+                EndTask,
+                WorkflowCommand {}
--- a/library/src/main/java/org/marjoramnotch/model/message/CellReply.java
+++ b/library/src/main/java/org/marjoramnotch/model/message/CellReply.java
@@ -16,7 +16,11 @@
     @JsonSubTypes.Type(value = WorkerRenewed.class, name = "worker-renewed"),
     @JsonSubTypes.Type(value = JobAnswer.class, name = "job-answer"),
     @JsonSubTypes.Type(value = RulesAnswer.class, name = "rules-answer"),
-    @JsonSubTypes.Type(value = StatusAnswer.class, name = "status-answer")
+    @JsonSubTypes.Type(value = StatusAnswer.class, name = "status-answer"),
+    @JsonSubTypes.Type(value = WorkflowAnswer.class, name = "workflow-answer"),
+    @JsonSubTypes.Type(value = QueueAnswer.class, name = "queue-answer"),
+    @JsonSubTypes.Type(value = ConfigurationAnswer.class, name = "configuration-answer"),
+    @JsonSubTypes.Type(value = AdviceQuestion.class, name = "advice-question")
 })
 public sealed interface CellReply
         permits Done,
@@ -29,4 +33,8 @@
                 WorkerRenewed,
                 JobAnswer,
                 RulesAnswer,
-                StatusAnswer {}
+                StatusAnswer,
+                WorkflowAnswer,
+                QueueAnswer,
+                ConfigurationAnswer,
+                AdviceQuestion {}
--- a/library/src/main/java/org/marjoramnotch/model/message/CellRequest.java
+++ b/library/src/main/java/org/marjoramnotch/model/message/CellRequest.java
@@ -18,7 +18,8 @@
     @JsonSubTypes.Type(value = CancelJobRequest.class, name = "cancel-job-request"),
     @JsonSubTypes.Type(value = ApplyRules.class, name = "apply-rules"),
     @JsonSubTypes.Type(value = ReadRules.class, name = "read-rules"),
-    @JsonSubTypes.Type(value = ReadStatus.class, name = "read-status")
+    @JsonSubTypes.Type(value = ReadStatus.class, name = "read-status"),
+    @JsonSubTypes.Type(value = WorkflowRequest.class)
 })
 public sealed interface CellRequest
         permits PlaceRequest,
@@ -33,4 +34,5 @@
                 CancelJobRequest,
                 ApplyRules,
                 ReadRules,
-                ReadStatus {}
+                ReadStatus,
+                WorkflowRequest {}
--- a/library/src/main/java/org/marjoramnotch/model/replication/Membership.java
+++ b/library/src/main/java/org/marjoramnotch/model/replication/Membership.java
@@ -16,6 +16,8 @@
  */
 public record Membership(
         String group, List<ReplicaId> voters, List<ReplicaId> learners, List<ReplicaId> removed) {
+    private static final int MOST_REMOVED_REMEMBERED = 64;
+
     /** Returns the membership of a replica that belongs to no group. */
     public static Membership none() {
         return new Membership("", List.of(), List.of(), List.of());
@@ -26,6 +28,15 @@
         return new Membership(founder.toString(), List.of(founder), List.of(), List.of());
     }
 
+    /**
+     * Returns the membership that several replicas found together. Each of them starts with the
+     * same one, so that none is ever the only holder of what the group acknowledges.
+     */
+    public static Membership foundedBy(List<ReplicaId> founders) {
+        List<ReplicaId> sorted = founders.stream().sorted().toList();
+        return new Membership(sorted.toString(), sorted, List.of(), List.of());
+    }
+
     /** Tells whether there is a group. */
     public boolean exists() {
         return !group.isEmpty();
@@ -53,7 +64,7 @@
 
     /** Returns this membership with one more learner. */
     public Membership withLearner(ReplicaId replica) {
-        return new Membership(group, voters, plus(learners, replica), removed);
+        return new Membership(group, voters, plus(learners, replica), minus(removed, replica));
     }
 
     /** Returns this membership with a learner made a voter. */
@@ -64,7 +75,16 @@
     /** Returns this membership without a member. */
     public Membership without(ReplicaId member) {
         return new Membership(
-                group, minus(voters, member), minus(learners, member), plus(removed, member));
+                group,
+                minus(voters, member),
+                minus(learners, member),
+                latest(plus(removed, member)));
+    }
+
+    /** Keeps the list bounded; a late message of an older identity is no member's in any case. */
+    private static List<ReplicaId> latest(List<ReplicaId> replicas) {
+        return replicas.subList(
+                Math.max(0, replicas.size() - MOST_REMOVED_REMEMBERED), replicas.size());
     }
 
     private static List<ReplicaId> plus(List<ReplicaId> replicas, ReplicaId replica) {
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/model/workflow/TaskRecord.java
@@ -0,0 +1,16 @@
+package org.marjoramnotch.model.workflow;
+
+import java.util.Optional;
+import org.marjoramnotch.model.identifier.WorkerId;
+
+/**
+ * A task in a snapshot.
+ *
+ * @param phase W for waiting, R for running, D for done
+ * @param run the number of the last run; 0 before the first
+ * @param failures how many runs failed
+ * @param checkpoint what a next run may go on from; empty for nothing
+ * @param worker the worker of the running run
+ */
+public record TaskRecord(
+        char phase, long run, int failures, String checkpoint, Optional<WorkerId> worker) {}
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/AdviceDeskTest.java
@@ -0,0 +1,111 @@
+package org.marjoramnotch.logic.workflow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.model.command.Command;
+import org.marjoramnotch.model.fleet.AdviceTerms;
+import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.identifier.WorkerId;
+import org.marjoramnotch.model.message.AdviceAnswer;
+import org.marjoramnotch.model.message.AdviceQuestion;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.message.TakeAdviceQuestion;
+import org.marjoramnotch.model.workflow.StepId;
+
+class AdviceDeskTest {
+    private static final AdviceTerms TERMS = new AdviceTerms(30, 0.5, 2_500);
+    private static final StepId STEP = new StepId(new JobId("0123456789abcdef"), 0, 0);
+    private static final WorkerId ONE = new WorkerId("w-1");
+    private static final WorkerId TWO = new WorkerId("w-2");
+
+    private final AdviceDesk desk = new AdviceDesk();
+    private final Map<RequestHandle, CellReply> replies = new LinkedHashMap<>();
+    private final LeaderOutput output =
+            new LeaderOutput() {
+                @Override
+                public void propose(Command command) {
+                    throw new AssertionError("advice changes no state");
+                }
+
+                @Override
+                public void reply(RequestHandle handle, CellReply reply) {
+                    replies.put(handle, reply);
+                }
+            };
+
+    private void offer(long now, long number, Optional<AdviceAnswer> answer) {
+        desk.onOffer(
+                now,
+                new RequestHandle("vm", number),
+                new TakeAdviceQuestion(new VmId("vm"), answer, 2_000),
+                output);
+    }
+
+    private AdviceQuestion questionTo(long number) {
+        return (AdviceQuestion) replies.get(new RequestHandle("vm", number));
+    }
+
+    @Test
+    void ticketsExpire() {
+        offer(0, 1, Optional.empty());
+        desk.ask(0, STEP, List.of(ONE, TWO), TERMS, 0, output);
+        AdviceAnswer answer =
+                new AdviceAnswer(questionTo(1).question(), Optional.of(Map.of(TWO, "t")), 2_500);
+        offer(100, 2, Optional.of(answer));
+
+        assertThat(desk.tickets(STEP, 2_000)).isEqualTo(Map.of(TWO, "t"));
+        assertThat(desk.tickets(STEP, 2_500)).isEmpty();
+        assertThat(desk.mayRun(STEP, ONE)).isFalse();
+        assertThat(desk.mayRun(STEP, TWO)).isTrue();
+    }
+
+    @Test
+    void workersThatWereDeniedAreNotNamedAgain() {
+        ticketsExpire();
+        desk.ask(3_000, STEP, List.of(ONE, TWO), TERMS, 0, output);
+        assertThat(questionTo(2).workers()).containsExactly(TWO);
+    }
+
+    @Test
+    void mostUrgentQuestionIsAskedFirst() {
+        StepId urgent = new StepId(new JobId("fedcba9876543210"), 0, 0);
+        desk.ask(0, STEP, List.of(ONE), TERMS, 500, output);
+        desk.ask(0, urgent, List.of(ONE), TERMS, 100, output);
+        offer(0, 1, Optional.empty());
+        assertThat(questionTo(1).step()).isEqualTo(urgent);
+    }
+
+    @Test
+    void questionWithoutAnswerIsAskedByAnother() {
+        offer(0, 1, Optional.empty());
+        desk.ask(0, STEP, List.of(ONE), TERMS, 0, output);
+        offer(100, 2, Optional.empty());
+        desk.tick(1_500, output);
+        assertThat(questionTo(2).step()).isEqualTo(STEP);
+    }
+
+    @Test
+    void questionThatTheAdvisorRefusedIsAskedAgain() {
+        offer(0, 1, Optional.empty());
+        desk.ask(0, STEP, List.of(ONE), TERMS, 0, output);
+        AdviceAnswer refused = new AdviceAnswer(questionTo(1).question(), Optional.empty(), 0);
+        offer(50, 2, Optional.of(refused));
+        assertThat(questionTo(2).step()).isEqualTo(STEP);
+    }
+
+    @Test
+    void offerIsGivenBackAfterItsWait() {
+        offer(0, 1, Optional.empty());
+        desk.tick(2_000, output);
+        assertThat(replies.get(new RequestHandle("vm", 1))).isEqualTo(new Done());
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedFleetWorker.java
@@ -0,0 +1,187 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.Function;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.marjoramnotch.model.fleet.FleetWorker;
+import org.marjoramnotch.model.order.CallOutcome;
+import org.marjoramnotch.model.order.EndedRow;
+import org.marjoramnotch.model.order.ListRuns;
+import org.marjoramnotch.model.order.RejectionReason;
+import org.marjoramnotch.model.order.RunningRow;
+import org.marjoramnotch.model.order.StartRun;
+import org.marjoramnotch.model.order.StopRun;
+import org.marjoramnotch.model.order.WorkerCall;
+import org.marjoramnotch.model.workflow.RunEnd;
+import org.marjoramnotch.model.workflow.RunId;
+import org.marjoramnotch.model.workflow.RunOutcome;
+import org.marjoramnotch.model.workflow.StepDefinition;
+import org.marjoramnotch.model.workflow.WorkflowTaskId;
+
+/** A worker in virtual time that takes orders as workers do: leases, fencing, late orders, ends. */
+final class SimulatedFleetWorker {
+    private static final long LONGEST_LEASE_MILLISECONDS = 10_000;
+    private static final long STOP_MILLISECONDS = 200;
+
+    /** A run that the worker has. */
+    static final class LiveRun {
+        final RunId run;
+        final StepDefinition step;
+        final long startedAt;
+        final long endsAt;
+        final RunOutcome outcome;
+        long stopsAt = Long.MAX_VALUE;
+
+        LiveRun(RunId run, StepDefinition step, long startedAt, long endsAt, RunOutcome outcome) {
+            this.run = run;
+            this.step = step;
+            this.startedAt = startedAt;
+            this.endsAt = endsAt;
+            this.outcome = outcome;
+        }
+    }
+
+    private final FleetWorker worker;
+    private final long clockOrigin;
+    private final double clockRate;
+    private final Function<RunId, StepDefinition> steps;
+    private final UniformRandomProvider random;
+    private final double failureShare;
+    private final Map<WorkflowTaskId, LiveRun> live = new LinkedHashMap<>();
+    private final Map<WorkflowTaskId, Long> closed = new HashMap<>();
+    private final List<EndedRow> ended = new ArrayList<>();
+    private long fence;
+    private long leaseUntil;
+    private long lastEnd;
+
+    SimulatedFleetWorker(
+            FleetWorker worker,
+            long clockOrigin,
+            double clockRate,
+            Function<RunId, StepDefinition> steps,
+            UniformRandomProvider random,
+            double failureShare) {
+        this.worker = worker;
+        this.clockOrigin = clockOrigin;
+        this.clockRate = clockRate;
+        this.steps = steps;
+        this.random = random;
+        this.failureShare = failureShare;
+    }
+
+    FleetWorker worker() {
+        return worker;
+    }
+
+    Collection<LiveRun> live() {
+        return live.values();
+    }
+
+    long clock(long now) {
+        return clockOrigin + (long) (now * clockRate);
+    }
+
+    /** Lets runs end whose time has come. */
+    void advance(long now) {
+        boolean lapsed = clock(now) >= leaseUntil;
+        for (LiveRun run : List.copyOf(live.values())) {
+            if (lapsed) {
+                end(run, RunOutcome.LAPSED);
+            } else if (now >= run.stopsAt) {
+                end(run, RunOutcome.STOPPED);
+            } else if (now >= run.endsAt) {
+                end(run, run.outcome);
+            }
+        }
+    }
+
+    CallOutcome take(long now, WorkerCall call) {
+        advance(now);
+        if (call.fencingToken() < fence) {
+            return rejected(now, call, RejectionReason.FENCED);
+        }
+        fence = call.fencingToken();
+        if (call instanceof ListRuns list) {
+            return list(now, list);
+        }
+        if (call instanceof StopRun stop) {
+            closed.merge(stop.run().task(), stop.run().number(), Math::max);
+            LiveRun run = live.get(stop.run().task());
+            if (run != null && run.run.equals(stop.run())) {
+                run.stopsAt = Math.min(run.stopsAt, now + random.nextLong(STOP_MILLISECONDS));
+            }
+            return new CallOutcome.Accepted(call.id(), OptionalLong.of(clock(now)));
+        }
+        return call instanceof StartRun start
+                ? start(now, start)
+                : new CallOutcome.Accepted(call.id(), OptionalLong.of(clock(now)));
+    }
+
+    private CallOutcome list(long now, ListRuns list) {
+        ended.removeIf(row -> row.number() <= list.acknowledgedEnds());
+        list.leaseUntil().ifPresent(until -> extend(now, until));
+        List<RunningRow> rows =
+                live.values().stream()
+                        .map(run -> new RunningRow(run.run, "", progress(now, run), -1))
+                        .toList();
+        return new CallOutcome.Listed(
+                list.id(),
+                clock(now),
+                OptionalLong.of(worker.incarnation().startedEpochMilliseconds()),
+                rows,
+                List.copyOf(ended));
+    }
+
+    private static int progress(long now, LiveRun run) {
+        return (int) (100 * (now - run.startedAt) / Math.max(1, run.endsAt - run.startedAt));
+    }
+
+    private CallOutcome start(long now, StartRun start) {
+        RunId run = start.run();
+        LiveRun there = live.get(run.task());
+        extend(now, start.leaseUntil());
+        if (there != null && there.run.equals(run)) {
+            return new CallOutcome.Accepted(start.id(), OptionalLong.of(clock(now)));
+        }
+        if (run.number() <= closed.getOrDefault(run.task(), 0L)) {
+            return rejected(now, start, RejectionReason.SUPERSEDED);
+        }
+        if (start.leaseUntil() <= clock(now)) {
+            return rejected(now, start, RejectionReason.LEASE_OVER);
+        }
+        StepDefinition step = steps.apply(run);
+        boolean fails = random.nextDouble() < failureShare;
+        long duration = step.estimateMilliseconds() / 2 + random.nextLong(600);
+        live.put(
+                run.task(),
+                new LiveRun(
+                        run,
+                        step,
+                        now,
+                        now + duration,
+                        fails ? RunOutcome.FAILED : RunOutcome.DONE));
+        return new CallOutcome.Accepted(start.id(), OptionalLong.of(clock(now)));
+    }
+
+    private void extend(long now, long until) {
+        long longest = clock(now) + LONGEST_LEASE_MILLISECONDS;
+        leaseUntil = Math.max(leaseUntil, Math.min(until, longest));
+    }
+
+    private CallOutcome rejected(long now, WorkerCall call, RejectionReason reason) {
+        return new CallOutcome.Rejected(call.id(), OptionalLong.of(clock(now)), reason);
+    }
+
+    private void end(LiveRun run, RunOutcome outcome) {
+        live.remove(run.run.task());
+        closed.merge(run.run.task(), run.run.number(), Math::max);
+        lastEnd++;
+        ended.add(new EndedRow(lastEnd, new RunEnd(run.run, outcome, "")));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/TestFleet.java
@@ -0,0 +1,71 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.List;
+import java.util.Optional;
+import org.marjoramnotch.model.fleet.AdviceTerms;
+import org.marjoramnotch.model.fleet.FleetConfiguration;
+import org.marjoramnotch.model.fleet.PoolDefinition;
+import org.marjoramnotch.model.fleet.QueueDefinition;
+import org.marjoramnotch.model.fleet.TeamDefinition;
+import org.marjoramnotch.model.identifier.QueueName;
+import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.message.CallTarget;
+import org.marjoramnotch.model.resource.Resources;
+import org.marjoramnotch.model.workflow.StepDefinition;
+import org.marjoramnotch.model.workflow.WorkflowDraft;
+
+/** A configuration of two queues and two teams. */
+final class TestFleet {
+    static final String KEY = "key-of-team-one";
+
+    private TestFleet() {}
+
+    static FleetConfiguration configuration(long version) {
+        return configuration(version, Resources.NONE, Optional.empty());
+    }
+
+    static FleetConfiguration configuration(
+            long version, Resources upperLimit, Optional<AdviceTerms> advice) {
+        return new FleetConfiguration(
+                version,
+                "document " + version,
+                List.of(
+                        queue("quick", "/quick/", 0, false, advice),
+                        queue("open", "/open/", 1, true, Optional.empty())),
+                List.of(new PoolDefinition(WorkflowCell.POOL, false, false)),
+                List.of(
+                        new TeamDefinition(
+                                new TeamName("one"), List.of(KEY, "second-key"), 3, upperLimit),
+                        new TeamDefinition(
+                                new TeamName("two"), List.of("key-two"), 1, Resources.NONE)));
+    }
+
+    static QueueDefinition queue(
+            String name, String prefix, int priority, boolean open, Optional<AdviceTerms> advice) {
+        return new QueueDefinition(
+                new QueueName(name),
+                "callers.example",
+                prefix,
+                WorkflowCell.POOL,
+                priority,
+                4,
+                1.5,
+                250,
+                open,
+                advice);
+    }
+
+    static CallTarget target(String workflow) {
+        return new CallTarget("callers.example", "/quick/" + workflow, Optional.of(KEY));
+    }
+
+    static WorkflowDraft draft(int tasks, long processorMillis) {
+        StepDefinition step =
+                StepDefinition.builder()
+                        .tasks(tasks)
+                        .demand(new Resources(processorMillis, 100, 0))
+                        .estimateMilliseconds(400)
+                        .build();
+        return new WorkflowDraft("payload", List.of(step), Optional.empty());
+    }
+}
