--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/SettingsReader.java
@@ -41,6 +41,26 @@
         return settings;
     }
 
+    /**
+     * Returns the settings of a file that a tested template wrote. It is bound strictly and checked
+     * for consistency, but not against the JSON schema, which takes a large part of a start: a
+     * restart under load has callers waiting.
+     *
+     * @throws MarjoramnotchException with {@code INVALID_SETTINGS}; the schema then tells the cause
+     */
+    public static DaemonSettings readGenerated(Path file) {
+        JsonNode document = parse(file);
+        resolvePaths(file, (ObjectNode) document);
+        try {
+            DaemonSettings settings = MAPPER.convertValue(document, DaemonSettings.class);
+            refuse(file, SettingsConsistency.problems(settings));
+            return settings;
+        } catch (IllegalArgumentException | MarjoramnotchException unbound) {
+            refuse(file, new SettingsSchema().problems(document));
+            throw invalid(file + " cannot be read: " + unbound.getMessage());
+        }
+    }
+
     private static JsonNode parse(Path file) {
         try {
             return MAPPER.readTree(Files.readString(file));
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/AdviceDesk.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/AdviceDesk.java
@@ -145,8 +145,11 @@
     }
 
     void tick(long nowMilliseconds, LeaderOutput output) {
-        while (!offers.isEmpty() && offers.peekFirst().endsAt() <= nowMilliseconds) {
-            output.reply(offers.removeFirst().handle(), new Done());
+        for (Offer offer : List.copyOf(offers)) {
+            if (offer.endsAt() <= nowMilliseconds) {
+                offers.remove(offer);
+                output.reply(offer.handle(), new Done());
+            }
         }
         for (Question question : List.copyOf(given.values())) {
             if (nowMilliseconds >= question.givenUpAt) {
@@ -191,6 +194,7 @@
         }
     }
 
+    /** Hands questions to the newest offers; an old one may be of a daemon that has died. */
     private void handOut(long nowMilliseconds, LeaderOutput output) {
         while (!waiting.isEmpty() && !offers.isEmpty()) {
             Question question = waiting.remove();
@@ -200,7 +204,7 @@
             question.givenUpAt = nowMilliseconds + (long) longest + ANSWER_MARGIN_MILLISECONDS;
             given.put(question.number, question);
             output.reply(
-                    offers.removeFirst().handle(),
+                    offers.removeLast().handle(),
                     new AdviceQuestion(question.number, question.step, question.workers));
         }
     }
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/AdviceForesight.java
@@ -0,0 +1,34 @@
+package org.marjoramnotch.logic.workflow;
+
+import java.util.List;
+import org.marjoramnotch.model.fleet.AdviceTerms;
+
+/**
+ * Tells when a step is so near its turn that its tickets, which expire, are worth asking for. It
+ * answers the chains of short steps in which each step would wait for the advisor anew.
+ */
+final class AdviceForesight {
+    /** A ticket must outlast the wait for its step even if estimates are half of the run times. */
+    private static final double MOST_OF_TICKET_TIME = 0.5;
+
+    /** Of long tasks, the end is near once so many are done. */
+    private static final double NEARLY_DONE_SHARE = 0.75;
+
+    /** Tells whether all that a step follows runs and is likely to end while tickets hold. */
+    boolean isSoonReady(WorkflowEntry entry, int occurrence, int step) {
+        double ticketTime = entry.queue().advice().map(AdviceTerms::ticketMilliseconds).orElse(0.0);
+        List<StepTasks> steps = entry.steps(occurrence);
+        return ticketTime > 0
+                && steps.get(step).definition().after().stream()
+                        .map(steps::get)
+                        .allMatch(earlier -> earlier.isDone() || isNearEnd(earlier, ticketTime));
+    }
+
+    private static boolean isNearEnd(StepTasks step, double ticketTime) {
+        boolean allStarted = step.tasks().stream().noneMatch(TaskState::isWaiting);
+        boolean brief =
+                step.definition().estimateMilliseconds() <= ticketTime * MOST_OF_TICKET_TIME;
+        boolean nearlyDone = step.doneCount() >= step.tasks().size() * NEARLY_DONE_SHARE;
+        return allStarted && (brief || nearlyDone) && !step.definition().standing();
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -10,6 +10,7 @@
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.command.StartRuns;
 import org.marjoramnotch.model.fleet.AdviceTerms;
+import org.marjoramnotch.model.fleet.QueueDefinition;
 import org.marjoramnotch.model.fleet.TeamDefinition;
 import org.marjoramnotch.model.identifier.ServiceName;
 import org.marjoramnotch.model.identifier.TeamName;
@@ -29,6 +30,7 @@
     private final ObjectiveClock objectives;
     private final WaitingOrder order;
     private final TaskPlacer placer;
+    private final AdviceForesight foresight;
 
     RunScheduler(
             WorkflowLedger ledger,
@@ -41,6 +43,7 @@
         this.capacity = new CapacityView(ledger);
         this.objectives = objectives;
         this.order = new ObjectiveOrder();
+        this.foresight = new AdviceForesight();
         this.placer =
                 new TaskPlacer(sessions, advice, capacity, new TightestFit(capacity, sessions));
     }
@@ -66,7 +69,8 @@
                                         .forEach(team -> teams.put(team.name(), team)));
         Map<ServiceName, List<WorkerEntry>> usable = usableByPool(nowMilliseconds);
         List<RunPlacement> singles = new ArrayList<>();
-        for (ReadyStep step : readySteps(nowMilliseconds)) {
+        List<ReadyStep> soon = new ArrayList<>();
+        for (ReadyStep step : readySteps(nowMilliseconds, soon)) {
             List<WorkerEntry> pool = usable.getOrDefault(step.workflow().queue().pool(), List.of());
             Optional<TeamDefinition> team = step.workflow().workflow().team().map(teams::get);
             List<RunPlacement> placed = place(nowMilliseconds, step, pool, team, output);
@@ -77,6 +81,23 @@
             }
         }
         propose(singles, output);
+        soon.forEach(step -> askAhead(nowMilliseconds, step, usable, output));
+    }
+
+    /**
+     * Asks the advisor about a step whose turn is near, so that it need not wait for the answer.
+     */
+    private void askAhead(
+            long nowMilliseconds,
+            ReadyStep step,
+            Map<ServiceName, List<WorkerEntry>> usable,
+            LeaderOutput output) {
+        QueueDefinition queue = step.workflow().queue();
+        if (advice.tickets(step.id(), nowMilliseconds).isEmpty()) {
+            List<WorkerEntry> pool = usable.getOrDefault(queue.pool(), List.of());
+            queue.advice()
+                    .ifPresent(terms -> askAdvice(nowMilliseconds, step, pool, terms, output));
+        }
     }
 
     private static void propose(List<RunPlacement> placements, LeaderOutput output) {
@@ -95,14 +116,14 @@
                 .collect(Collectors.groupingBy(entry -> entry.worker().pool()));
     }
 
-    private List<ReadyStep> readySteps(long nowMilliseconds) {
+    private List<ReadyStep> readySteps(long nowMilliseconds, List<ReadyStep> soon) {
         List<ReadyStep> ready = new ArrayList<>();
         for (WorkflowEntry entry : ledger.active()) {
             for (int occurrence = 0; occurrence < entry.occurrenceCount(); occurrence++) {
                 long start = objectives.startOf(entry.workflow(), occurrence);
                 boolean due = entry.workflow().recurrence().isEmpty() || nowMilliseconds >= start;
                 if (due) {
-                    addReadySteps(entry, occurrence, start, ready);
+                    addReadySteps(entry, occurrence, start, ready, soon);
                 }
             }
         }
@@ -111,16 +132,23 @@
     }
 
     private void addReadySteps(
-            WorkflowEntry entry, int occurrence, long start, List<ReadyStep> ready) {
+            WorkflowEntry entry,
+            int occurrence,
+            long start,
+            List<ReadyStep> ready,
+            List<ReadyStep> soon) {
         List<StepTasks> steps = entry.steps(occurrence);
         for (int step = 0; step < steps.size(); step++) {
             StepTasks tasks = steps.get(step);
             StepId id = new StepId(entry.id(), occurrence, step);
-            if (hasWaiting(id, tasks) && entry.isReady(occurrence, step)) {
+            boolean waiting = hasWaiting(id, tasks);
+            if (waiting && entry.isReady(occurrence, step)) {
                 long objective = objectives.objective(entry);
                 long dueAt = start + objective;
                 long latest = dueAt - objectives.chainFrom(entry, step);
                 ready.add(new ReadyStep(entry, id, tasks, dueAt, latest, objective));
+            } else if (waiting && foresight.isSoonReady(entry, occurrence, step)) {
+                soon.add(new ReadyStep(entry, id, tasks, start, start, 0));
             }
         }
     }
--- a/wire/src/test/java/org/marjoramnotch/wire/CborMapperTest.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/CborMapperTest.java
@@ -19,9 +19,10 @@
 import org.marjoramnotch.model.message.StatusAnswer;
 
 class CborMapperTest {
-    static final List<CellRequest> REQUESTS = MessageExamples.REQUESTS;
-    static final List<CellReply> REPLIES = MessageExamples.REPLIES;
-    static final List<Command> COMMANDS = MessageExamples.COMMANDS;
+    static final List<CellRequest> REQUESTS =
+            both(MessageExamples.REQUESTS, WorkflowExamples.REQUESTS);
+    static final List<CellReply> REPLIES = both(MessageExamples.REPLIES, WorkflowExamples.REPLIES);
+    static final List<Command> COMMANDS = both(MessageExamples.COMMANDS, WorkflowExamples.COMMANDS);
 
     private final CborMapper mapper = new CborMapper();
 
@@ -52,7 +53,18 @@
     void everyTypeOfTheFamilyHasAnExample(List<?> examples) {
         Class<?> family = examples.get(0).getClass().getInterfaces()[0];
         assertThat(examples.stream().map(Object::getClass).distinct().toList())
-                .containsExactlyInAnyOrder(family.getPermittedSubclasses());
+                .containsExactlyInAnyOrderElementsOf(typesOf(family).toList());
+    }
+
+    /** Returns the types of a family, with those of the families that it consists of. */
+    private static Stream<Class<?>> typesOf(Class<?> family) {
+        return family.isSealed()
+                ? Stream.of(family.getPermittedSubclasses()).flatMap(CborMapperTest::typesOf)
+                : Stream.of(family);
+    }
+
+    private static <T> List<T> both(List<T> first, List<T> second) {
+        return Stream.concat(first.stream(), second.stream()).toList();
     }
 
     @Test
