--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -196,6 +196,7 @@
         if (stopped.getCount() == 0) {
             return;
         }
+        stop.begin();
         extension.beginStop();
         stop.drain(http, entry, replica);
         extension.finishStop();
--- a/daemon/src/main/java/org/marjoramnotch/daemon/DaemonStop.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/DaemonStop.java
@@ -42,10 +42,14 @@
         return begun;
     }
 
-    /** Takes no more work, hands leadership over and waits for what is in flight, to a bound. */
-    void drain(HttpInterface http, Entry entry, Optional<ReplicaHost> replica) {
+    /** Begins the stop: the process is not ready any more, and still serves. */
+    void begin() {
         begun = true;
         LogEvent.of("daemon_stopping").info(LOGGER);
+    }
+
+    /** Takes no more work, hands leadership over and waits for what is in flight, to a bound. */
+    void drain(HttpInterface http, Entry entry, Optional<ReplicaHost> replica) {
         pause(READINESS_GRACE_MILLISECONDS);
         http.stopTaking();
         replica.filter(DaemonStop::hasOtherVoters).ifPresent(host -> await(host.prepareStop()));
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -36,7 +36,8 @@
             WorkflowLedger ledger,
             WorkerSessions sessions,
             AdviceDesk advice,
-            ObjectiveClock objectives) {
+            ObjectiveClock objectives,
+            SpeedBook speeds) {
         this.ledger = ledger;
         this.sessions = sessions;
         this.advice = advice;
@@ -45,7 +46,8 @@
         this.order = new ObjectiveOrder();
         this.foresight = new AdviceForesight();
         this.placer =
-                new TaskPlacer(sessions, advice, capacity, new TightestFit(capacity, sessions));
+                new TaskPlacer(
+                        sessions, advice, capacity, new TightestFit(capacity, sessions, speeds));
     }
 
     /** Returns the ticket that a decided run was given, and forgets it. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -43,6 +43,7 @@
     private final WorkflowRequests workflows;
     private final WorkerReports workers;
     private final AdviceDesk advice = new AdviceDesk();
+    private final SpeedBook speeds = new SpeedBook();
     private final RunScheduler scheduler;
     private final Feasibility feasibility;
     private final EndedWorkflows ended;
@@ -74,7 +75,8 @@
                         ledger,
                         sessions,
                         advice,
-                        new ObjectiveClock(nowMilliseconds - wallClock.nowMilliseconds()));
+                        new ObjectiveClock(nowMilliseconds - wallClock.nowMilliseconds()),
+                        speeds);
         this.feasibility = new Feasibility(ledger, settings.feasibilityDelayMilliseconds());
         this.ended = new EndedWorkflows(ledger, settings.retentionMilliseconds());
     }
@@ -177,6 +179,7 @@
                             .map(worker -> worker.has(placement.run()))
                             .orElse(false);
             if (started) {
+                speeds.onStarted(nowMilliseconds, placement.run());
                 sessions.of(placement.worker())
                         .ifPresent(
                                 session ->
@@ -196,6 +199,7 @@
         sessions.of(end.worker()).ifPresent(session -> session.onEndsApplied(nowMilliseconds));
         for (RunEnd run : end.ends()) {
             JobId workflow = run.run().task().step().workflow();
+            speeds.onEnded(nowMilliseconds, end.worker().worker(), run);
             if (run.outcome() == RunOutcome.NOT_STARTED) {
                 advice.invalidate(run.run().task().step());
             }
@@ -226,6 +230,7 @@
     /** Stops what still runs of a workflow that has ended. */
     private void stopRuns(long nowMilliseconds, JobId workflow, LeaderOutput output) {
         advice.forget(workflow);
+        speeds.forget(workflow);
         for (WorkerEntry worker : ledger.workers()) {
             for (ActiveRun run : worker.runs()) {
                 if (run.run().task().step().workflow().equals(workflow)) {
