Decide placements once for a batch of calls, and cache chains of work

Change: a duty is told when a batch of calls ends and schedules there, at most 150 ms after a change that only time brings; tasks that are held back are collected once a round; chains of work are measured once a workflow.

--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -130,6 +130,9 @@
 
     /** Returns the effects since the last call and forgets them. */
     public CellEffects takeEffects() {
+        if (duties != null) {
+            duties.onBatchEnd(now, output);
+        }
         pump();
         CellEffects effects =
                 new CellEffects(
--- a/library/src/main/java/org/marjoramnotch/logic/cell/LeaderDuties.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/LeaderDuties.java
@@ -71,6 +71,11 @@
         workflow.ifPresent(duty -> duty.onOutcome(nowMilliseconds, outcome, output));
     }
 
+    @Override
+    public void onBatchEnd(long nowMilliseconds, LeaderOutput output) {
+        workflow.ifPresent(duty -> duty.onBatchEnd(nowMilliseconds, output));
+    }
+
     @Override
     public void onTick(long nowMilliseconds, LeaderOutput output) {
         for (LeaderDuty duty : all) {
--- a/library/src/main/java/org/marjoramnotch/logic/leader/LeaderDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/leader/LeaderDuty.java
@@ -24,6 +24,12 @@
     /** Is told what came of a call that it made with {@link LeaderOutput#call}. */
     default void onOutcome(long nowMilliseconds, CallOutcome outcome, LeaderOutput output) {}
 
+    /**
+     * Is told that a batch of calls is over; its effects leave next. What walks much state belongs
+     * here, so that it is done once for all calls of a batch.
+     */
+    default void onBatchEnd(long nowMilliseconds, LeaderOutput output) {}
+
     /** Is told that its term is over; from then on it must not follow the ledger any more. */
     default void onTermEnd() {}
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/ObjectiveClock.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/ObjectiveClock.java
@@ -1,6 +1,9 @@
 package org.marjoramnotch.logic.workflow;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.workflow.StepDefinition;
 import org.marjoramnotch.model.workflow.Workflow;
 
@@ -12,7 +15,16 @@
     /** An estimate for tasks that come without one. */
     private static final long UNKNOWN_ESTIMATE_MILLISECONDS = 500;
 
+    /**
+     * The chains of a workflow.
+     *
+     * @param from the longest chain from each step on
+     * @param longest the longest of all
+     */
+    private record Chains(long[] from, long longest) {}
+
     private final long epochOffset;
+    private final Map<JobId, Chains> known = new HashMap<>();
 
     /**
      * Creates the clock.
@@ -34,31 +46,40 @@
 
     /** Returns the latency objective of one occurrence. */
     long objective(WorkflowEntry entry) {
-        long chain = 0;
-        for (int step = 0; step < entry.workflow().steps().size(); step++) {
-            chain = Math.max(chain, chainTo(entry, step));
-        }
-        return (long) (chain * entry.queue().stretch()) + entry.queue().slackMilliseconds();
+        Chains chains = chains(entry);
+        return (long) (chains.longest() * entry.queue().stretch())
+                + entry.queue().slackMilliseconds();
     }
 
     /** Returns the longest chain of work from a step on, with the step. */
     long chainFrom(WorkflowEntry entry, int step) {
-        long longest = 0;
-        List<StepDefinition> steps = entry.workflow().steps();
-        for (int later = step + 1; later < steps.size(); later++) {
-            if (steps.get(later).after().contains(step)) {
-                longest = Math.max(longest, chainFrom(entry, later));
-            }
-        }
-        return longest + cost(entry, step);
+        return chains(entry).from()[step];
+    }
+
+    /** Forgets a workflow that has ended. */
+    void forget(JobId workflow) {
+        known.remove(workflow);
     }
 
-    private long chainTo(WorkflowEntry entry, int step) {
+    private Chains chains(WorkflowEntry entry) {
+        return known.computeIfAbsent(entry.id(), id -> measure(entry));
+    }
+
+    private static Chains measure(WorkflowEntry entry) {
+        List<StepDefinition> steps = entry.workflow().steps();
+        long[] from = new long[steps.size()];
         long longest = 0;
-        for (int earlier : entry.workflow().steps().get(step).after()) {
-            longest = Math.max(longest, chainTo(entry, earlier));
+        for (int step = steps.size() - 1; step >= 0; step--) {
+            long after = 0;
+            for (int later = step + 1; later < steps.size(); later++) {
+                if (steps.get(later).after().contains(step)) {
+                    after = Math.max(after, from[later]);
+                }
+            }
+            from[step] = after + cost(entry, step);
+            longest = Math.max(longest, from[step]);
         }
-        return longest + cost(entry, step);
+        return new Chains(from, longest);
     }
 
     private static long cost(WorkflowEntry entry, int step) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -69,6 +69,7 @@
                                 configuration
                                         .teams()
                                         .forEach(team -> teams.put(team.name(), team)));
+        placer.begin();
         Map<ServiceName, List<WorkerEntry>> usable = usableByPool(nowMilliseconds);
         List<RunPlacement> singles = new ArrayList<>();
         List<ReadyStep> soon = new ArrayList<>();
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/TaskPlacer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/TaskPlacer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.marjoramnotch.model.fleet.TeamDefinition;
 import org.marjoramnotch.model.identifier.TeamName;
@@ -22,6 +23,7 @@
     private final CapacityView capacity;
     private final WorkerChoice choice;
     private final Map<RunId, String> tickets = new HashMap<>();
+    private Set<WorkflowTaskId> heldBack = Set.of();
 
     TaskPlacer(
             WorkerSessions sessions,
@@ -34,6 +36,11 @@
         this.choice = choice;
     }
 
+    /** Begins a round of decisions. */
+    void begin() {
+        heldBack = sessions.heldBack();
+    }
+
     /** Returns the ticket that a decided run was given, and forgets it. */
     Optional<String> takeTicket(RunId run) {
         return Optional.ofNullable(tickets.remove(run));
@@ -54,7 +61,7 @@
         List<TaskState> tasks = step.tasks().tasks();
         for (int index = 0; index < tasks.size(); index++) {
             WorkflowTaskId task = new WorkflowTaskId(step.id(), index);
-            if (!isWaiting(step.tasks(), task) || sessions.isHeldBack(task)) {
+            if (!isWaiting(step.tasks(), task) || heldBack.contains(task)) {
                 continue;
             }
             Optional<WorkerEntry> worker = choose(step, task, candidates, team);
@@ -101,7 +108,7 @@
         List<RunPlacement> placements = new ArrayList<>();
         for (int index = 0; index < tasks.size(); index++) {
             WorkflowTaskId task = new WorkflowTaskId(step.id(), index);
-            boolean free = isWaiting(step.tasks(), task) && !sessions.isHeldBack(task);
+            boolean free = isWaiting(step.tasks(), task) && !heldBack.contains(task);
             Optional<WorkerEntry> worker =
                     free ? choose(step, task, candidates, team) : Optional.empty();
             if (worker.isEmpty()) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -112,9 +112,9 @@
         return orders.unsettledTasks();
     }
 
-    /** Tells whether the worker lists a run of the task that the ledger does not know. */
-    boolean hasForeign(WorkflowTaskId task) {
-        return lists.foreign().stream().anyMatch(run -> run.task().equals(task));
+    /** Adds the tasks of runs that the worker lists and the ledger does not know. */
+    void addForeignTasks(Set<WorkflowTaskId> tasks) {
+        lists.foreign().forEach(run -> tasks.add(run.task()));
     }
 
     /** Tells whether the last runs here failed. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -70,10 +71,12 @@
         }
     }
 
-    /** Tells whether a task must not start since a run of it may be somewhere. */
-    boolean isHeldBack(WorkflowTaskId task) {
-        return heldBack.values().stream().anyMatch(tasks -> tasks.contains(task))
-                || sessions.values().stream().anyMatch(session -> session.hasForeign(task));
+    /** Returns tasks that must not start since a run of them may be somewhere. */
+    Set<WorkflowTaskId> heldBack() {
+        Set<WorkflowTaskId> tasks = new HashSet<>();
+        heldBack.values().forEach(tasks::addAll);
+        sessions.values().forEach(session -> session.addForeignTasks(tasks));
+        return tasks;
     }
 
     void tick(long nowMilliseconds, LeaderOutput output) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -37,6 +37,11 @@
     /** Interval of checks that walk all workflows. */
     private static final long SLOW_TICK_MILLISECONDS = 1_000;
 
+    /**
+     * Longest time until a change that only time brings, such as the end of a quarantine, is seen.
+     */
+    private static final long SCHEDULE_INTERVAL_MILLISECONDS = 150;
+
     private final WorkflowLedger ledger;
     private final WorkerSessions sessions;
     private final ConfigurationRequests configuration;
@@ -44,11 +49,13 @@
     private final WorkerReports workers;
     private final AdviceDesk advice = new AdviceDesk();
     private final SpeedBook speeds = new SpeedBook();
+    private final ObjectiveClock objectives;
     private final RunScheduler scheduler;
     private final Feasibility feasibility;
     private final EndedWorkflows ended;
     private boolean scheduleDue = true;
     private long nextSlowTickAt;
+    private long nextScheduleAt;
 
     /**
      * Creates the duty.
@@ -70,13 +77,8 @@
         this.configuration = new ConfigurationRequests(ledger);
         this.workflows = new WorkflowRequests(ledger, configuration, wallClock);
         this.workers = new WorkerReports(ledger, sessions);
-        this.scheduler =
-                new RunScheduler(
-                        ledger,
-                        sessions,
-                        advice,
-                        new ObjectiveClock(nowMilliseconds - wallClock.nowMilliseconds()),
-                        speeds);
+        this.objectives = new ObjectiveClock(nowMilliseconds - wallClock.nowMilliseconds());
+        this.scheduler = new RunScheduler(ledger, sessions, advice, objectives, speeds);
         this.feasibility = new Feasibility(ledger, settings.feasibilityDelayMilliseconds());
         this.ended = new EndedWorkflows(ledger, settings.retentionMilliseconds());
     }
@@ -114,7 +116,6 @@
         workers.onApplied(nowMilliseconds, applied, output);
         workflows.onApplied(applied, output);
         scheduleDue = true;
-        scheduleIfDue(nowMilliseconds, output);
     }
 
     @Override
@@ -132,7 +133,18 @@
             feasibility.check(nowMilliseconds, output);
             ended.tick(nowMilliseconds, output);
         }
-        scheduler.schedule(nowMilliseconds, output);
+        if (nowMilliseconds >= nextScheduleAt) {
+            scheduleDue = true;
+        }
+    }
+
+    @Override
+    public void onBatchEnd(long nowMilliseconds, LeaderOutput output) {
+        if (scheduleDue) {
+            scheduleDue = false;
+            nextScheduleAt = nowMilliseconds + SCHEDULE_INTERVAL_MILLISECONDS;
+            scheduler.schedule(nowMilliseconds, output);
+        }
     }
 
     private void dispatch(
@@ -154,7 +166,6 @@
         } else if (request instanceof TakeAdviceQuestion offer) {
             advice.onOffer(nowMilliseconds, handle, offer, output);
             scheduleDue = true;
-            scheduleIfDue(nowMilliseconds, output);
         } else {
             throw new MarjoramnotchException(
                     ErrorCode.INVALID_REQUEST,
@@ -162,13 +173,6 @@
         }
     }
 
-    private void scheduleIfDue(long nowMilliseconds, LeaderOutput output) {
-        if (scheduleDue) {
-            scheduleDue = false;
-            scheduler.schedule(nowMilliseconds, output);
-        }
-    }
-
     /** Sends the orders of starts that took effect. */
     private void onStarted(long nowMilliseconds, StartRuns start, LeaderOutput output) {
         scheduler.onApplied(start);
@@ -231,6 +235,7 @@
     private void stopRuns(long nowMilliseconds, JobId workflow, LeaderOutput output) {
         advice.forget(workflow);
         speeds.forget(workflow);
+        objectives.forget(workflow);
         for (WorkerEntry worker : ledger.workers()) {
             for (ActiveRun run : worker.runs()) {
                 if (run.run().task().step().workflow().equals(workflow)) {
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
@@ -176,6 +176,7 @@
             if (now % 45 < STEP_MILLISECONDS) {
                 Objects.requireNonNull(duty).onTick(now, this);
             }
+            Objects.requireNonNull(duty).onBatchEnd(now, this);
             workers.values().forEach(worker -> worker.advance(now));
             check();
         }
