Follow changed settings and SIGHUP, set damaged storage aside

Cause: SIGHUP ended the virtual machine; seeds that were exchanged were not used until a restart; a damaged data folder ended the process at each start. Change: SettingsWatch looks every 2 s and at SIGHUP and hands on new seeds; where members come and go, a damaged state is renamed, told in the log, and the VM joins under a new identity. Measured: SettingsWatchTest, FileReplicaStorageTest.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -2,6 +2,8 @@
 
 import com.typesafe.config.ConfigFactory;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CountDownLatch;
@@ -31,6 +33,8 @@
 import org.marjoramnotch.daemon.settings.DaemonRole;
 import org.marjoramnotch.daemon.settings.DaemonSettings;
 import org.marjoramnotch.daemon.settings.OperatorKeyHash;
+import org.marjoramnotch.daemon.settings.ReplicaAddress;
+import org.marjoramnotch.daemon.settings.SettingsWatch;
 import org.marjoramnotch.daemon.settings.WorkflowDaemonSettings;
 import org.marjoramnotch.logic.cell.CellParts;
 import org.marjoramnotch.logic.cell.StandardCellParts;
@@ -40,6 +44,7 @@
 import org.marjoramnotch.logic.placement.PlacementSettings;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.time.Clock;
 
 /** The process of the system that runs on every VM: entry, links and, with a disk, a replica. */
@@ -122,17 +127,23 @@
 
     /** Runs a process until it is told to stop by a signal. */
     public static void run(DaemonSettings settings) {
-        run(settings, DaemonExtension.NONE);
+        run(settings, DaemonExtension.NONE, Optional.empty());
     }
 
-    /** Runs a process with an extension until it is told to stop by a signal. */
-    public static void run(DaemonSettings settings, DaemonExtension extension) {
+    /**
+     * Runs a process with an extension until it is told to stop by a signal.
+     *
+     * @param watched the settings file, if changes of it are to be followed
+     */
+    public static void run(
+            DaemonSettings settings, DaemonExtension extension, Optional<Path> watched) {
         LogSetup.configure(settings.logLevel());
         Daemon daemon =
                 new Daemon(
                         settings,
                         standardParts(settings.jobOrder(), settings.workflow()),
                         extension);
+        watched.ifPresent(file -> new SettingsWatch(file, daemon::reload).start());
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
         System.out.println(
                 "event=daemon_started vm="
@@ -181,6 +192,13 @@
         return new Daemon(settings, parts, DaemonExtension.NONE);
     }
 
+    /** Takes new settings over as far as they can change while the process runs: the replicas. */
+    private void reload(DaemonSettings changed) {
+        List<VmId> vms = changed.replicas().stream().map(ReplicaAddress::vm).toList();
+        links.client().addReplicas(vms);
+        replica.ifPresent(host -> host.useContacts(vms));
+    }
+
     /** Returns where the process is reached. */
     public DaemonAddresses addresses() {
         return addresses;
--- a/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
@@ -27,9 +27,12 @@
 import org.marjoramnotch.logic.cell.CellParts;
 import org.marjoramnotch.logic.cell.CellSettings;
 import org.marjoramnotch.logic.replication.MembershipRule;
+import org.marjoramnotch.logic.replication.RecoveredState;
 import org.marjoramnotch.logic.replication.Replica;
 import org.marjoramnotch.logic.replication.ReplicaSettings;
 import org.marjoramnotch.logic.replication.ReplicationStatus;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.message.Done;
@@ -49,6 +52,7 @@
     private final CellParts parts;
     private final Clock clock;
     private final FileReplicaStorage storage;
+    private final RecoveredState recovered;
     private final ReplicaId self;
     private final DutyInput<CellInput> input;
 
@@ -57,10 +61,9 @@
         this.settings = settings;
         this.parts = parts;
         this.clock = clock;
-        this.storage =
-                founds(settings)
-                        ? FileReplicaStorage.open(dataFolder, FOUNDER)
-                        : FileReplicaStorage.open(dataFolder);
+        RecoveredStorage opened = open(settings, dataFolder);
+        this.storage = opened.storage();
+        this.recovered = opened.state();
         this.self = new ReplicaId(settings.vm(), storage.identity());
         this.input = new DutyInput<>(settings.limits().queueCapacity());
     }
@@ -75,7 +78,7 @@
         Replica replica =
                 new Replica(
                         replicaSettings(limits),
-                        storage.recover(),
+                        recovered,
                         RandomSource.XO_RO_SHI_RO_128_PP.create(),
                         clock.nowMilliseconds());
         if (founds(settings) && self.identity().equals(FOUNDER)) {
@@ -108,6 +111,13 @@
         return result;
     }
 
+    /** Replaces the VMs that the replica asks to let it join. */
+    void useContacts(List<VmId> vms) {
+        if (!input.offer(new CellInput.UseContacts(Set.copyOf(vms)))) {
+            LogEvent.of("contacts_not_used").with("vms", vms).warn(LOGGER);
+        }
+    }
+
     /** Hands leadership over and takes no more requests. */
     CompletableFuture<Done> prepareStop() {
         CompletableFuture<Done> result = new CompletableFuture<>();
@@ -136,6 +146,41 @@
                 .orElseGet(MembershipRule::fixed);
     }
 
+    private record RecoveredStorage(FileReplicaStorage storage, RecoveredState state) {}
+
+    /**
+     * Opens and reads the storage. Where members come and go, a damaged state is set aside and the
+     * VM joins anew under another identity; ending the process would end it at each start.
+     */
+    private static RecoveredStorage open(DaemonSettings settings, Path dataFolder) {
+        try {
+            FileReplicaStorage storage =
+                    founds(settings)
+                            ? FileReplicaStorage.open(dataFolder, FOUNDER)
+                            : FileReplicaStorage.open(dataFolder);
+            return recover(storage);
+        } catch (MarjoramnotchException damage) {
+            if (damage.code() != ErrorCode.STORAGE_DAMAGED || settings.formation().isEmpty()) {
+                throw damage;
+            }
+            LogEvent.of("storage_set_aside")
+                    .with("folder", dataFolder)
+                    .with("cause", damage.getMessage())
+                    .warn(LOGGER);
+            FileReplicaStorage.setAside(dataFolder);
+            return recover(FileReplicaStorage.open(dataFolder));
+        }
+    }
+
+    private static RecoveredStorage recover(FileReplicaStorage storage) {
+        try {
+            return new RecoveredStorage(storage, storage.recover());
+        } catch (MarjoramnotchException damage) {
+            storage.close();
+            throw damage;
+        }
+    }
+
     /** Tells whether the replica of a VM is one of those that found the group together. */
     private static boolean founds(DaemonSettings settings) {
         return settings.formation().map(FormationSettings::foundsGroup).orElse(false)
--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
@@ -58,6 +58,8 @@
             core.request(nowMilliseconds, request.handle(), request.request());
         } else if (input instanceof CellInput.Outcome outcome) {
             core.outcome(nowMilliseconds, outcome.outcome());
+        } else if (input instanceof CellInput.UseContacts use) {
+            core.useContacts(use.contacts());
         } else if (input instanceof CellInput.Form form) {
             attempt(form.result(), () -> core.form(nowMilliseconds));
         } else if (input instanceof CellInput.RemoveReplica remove) {
--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellInput.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellInput.java
@@ -1,5 +1,6 @@
 package org.marjoramnotch.daemon.duty;
 
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.logic.replication.ReplicationStatus;
@@ -33,6 +34,13 @@
      */
     record Outcome(CallOutcome outcome) implements CellInput {}
 
+    /**
+     * The settings name other replicas.
+     *
+     * @param contacts their VMs
+     */
+    record UseContacts(Set<VmId> contacts) implements CellInput {}
+
     /**
      * The operator's command to form a group.
      *
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClient.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClient.java
@@ -1,8 +1,11 @@
 package org.marjoramnotch.daemon.link;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.jboss.logging.Logger;
 import org.marjoramnotch.daemon.duty.DutyInput;
+import org.marjoramnotch.daemon.log.LogEvent;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.Refusal;
 import org.marjoramnotch.model.identifier.VmId;
@@ -12,6 +15,8 @@
 
 /** Sends requests to the leader of the cell, wherever it is, until their deadlines. */
 public final class CellClient {
+    private static final Logger LOGGER = Logger.getLogger(CellClient.class);
+
     private final DutyInput<ClientInput> input;
 
     /** Creates a client that hands requests to the duty of the ring. */
@@ -34,6 +39,13 @@
         return result;
     }
 
+    /** Adds replicas that requests may go to. */
+    public void addReplicas(List<VmId> replicas) {
+        if (!input.offer(new ClientInput.AddReplicas(replicas))) {
+            LogEvent.of("replicas_not_added").with("replicas", replicas).warn(LOGGER);
+        }
+    }
+
     /** Takes a reply that came from a replica; false if it had to be dropped. */
     boolean onReply(VmId from, long correlation, CellReply reply) {
         return input.offer(new ClientInput.Reply(from, correlation, reply));
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClientDuty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClientDuty.java
@@ -59,6 +59,11 @@
             submit(nowMilliseconds, submit);
         } else if (input instanceof ClientInput.Reply reply) {
             onReply(nowMilliseconds, reply);
+        } else if (input instanceof ClientInput.AddReplicas added) {
+            added.replicas().stream()
+                    .filter(replica -> !replicas.contains(replica))
+                    .filter(transport::reaches)
+                    .forEach(replicas::add);
         } else if (input instanceof ClientInput.LinkLost lost) {
             onLinkLost(nowMilliseconds, lost.replica());
         }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/ClientInput.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/ClientInput.java
@@ -1,5 +1,6 @@
 package org.marjoramnotch.daemon.link;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.message.CellReply;
@@ -7,6 +8,13 @@
 
 /** Input of the {@link CellClient}'s duty. */
 sealed interface ClientInput {
+    /**
+     * The settings name other replicas.
+     *
+     * @param replicas their VMs
+     */
+    record AddReplicas(List<VmId> replicas) implements ClientInput {}
+
     /** A request to send. */
     record Submit(
             CellRequest request, long deadlineMilliseconds, CompletableFuture<CellReply> result)
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/SettingsWatch.java
@@ -0,0 +1,81 @@
+package org.marjoramnotch.daemon.settings;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import org.jboss.logging.Logger;
+import org.marjoramnotch.daemon.log.LogEvent;
+import org.marjoramnotch.model.error.MarjoramnotchException;
+import sun.misc.Signal;
+
+/**
+ * Notices that the settings file has changed, by SIGHUP or by looking, and hands the new settings
+ * on. Settings that are not valid are logged and leave those in force.
+ */
+public final class SettingsWatch {
+    /** Seeds change while VMs are exchanged, which takes seconds. */
+    private static final long INTERVAL_MILLISECONDS = 2_000;
+
+    private static final Logger LOGGER = Logger.getLogger(SettingsWatch.class);
+
+    private final Path file;
+    private final Consumer<DaemonSettings> taker;
+    private final Thread thread;
+    private byte[] inForce;
+
+    /** Watches a file whose present content is in force. */
+    public SettingsWatch(Path file, Consumer<DaemonSettings> taker) {
+        this.file = file;
+        this.taker = taker;
+        this.inForce = read();
+        this.thread = new Thread(this::watch, "settings");
+        thread.setDaemon(true);
+    }
+
+    /** Starts to watch; without this a SIGHUP would end the process. */
+    public void start() {
+        thread.start();
+        Signal.handle(
+                new Signal("HUP"),
+                signal -> {
+                    LogEvent.of("settings_signal").info(LOGGER);
+                    LockSupport.unpark(thread);
+                });
+    }
+
+    private void watch() {
+        while (!Thread.currentThread().isInterrupted()) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(INTERVAL_MILLISECONDS));
+            look();
+        }
+    }
+
+    /** Reads the file once and hands on what has changed. */
+    void look() {
+        byte[] content = read();
+        if (content.length == 0 || Arrays.equals(content, inForce)) {
+            return;
+        }
+        inForce = content;
+        try {
+            DaemonSettings settings = SettingsReader.readGenerated(file);
+            LogEvent.of("settings_reloaded").with("seeds", settings.replicas().size()).info(LOGGER);
+            taker.accept(settings);
+        } catch (MarjoramnotchException invalid) {
+            LogEvent.of("settings_refused").with("message", invalid.getMessage()).warn(LOGGER);
+        }
+    }
+
+    private byte[] read() {
+        try {
+            return Files.readAllBytes(file);
+        } catch (IOException failure) {
+            LogEvent.of("settings_unreadable").with("cause", failure).warn(LOGGER);
+            return new byte[0];
+        }
+    }
+}
--- a/daemon/src/main/java/org/marjoramnotch/daemon/storage/FileReplicaStorage.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/storage/FileReplicaStorage.java
@@ -72,6 +72,20 @@
         }
     }
 
+    /**
+     * Sets a damaged state aside, so that the folder is opened next as one of a lost disk, under a
+     * new identity.
+     *
+     * @throws org.marjoramnotch.model.error.MarjoramnotchException with code {@code STORAGE_FAILED}
+     */
+    public static void setAside(Path path) {
+        try (StorageFolder folder = StorageFolder.open(path)) {
+            folder.setAside();
+        } catch (IOException e) {
+            throw StorageErrors.failed(path, e);
+        }
+    }
+
     /** Returns the identity that was drawn when the folder was created. */
     public String identity() {
         return identity;
--- a/daemon/src/main/java/org/marjoramnotch/daemon/storage/StorageFolder.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/storage/StorageFolder.java
@@ -19,6 +19,7 @@
 final class StorageFolder implements Closeable {
     private static final String LOG = "log-";
     private static final String SNAPSHOT = "snapshot-";
+    private static final String SET_ASIDE = "damaged-";
     private static final String TEMPORARY = ".temporary";
 
     /** Writes the content of a new file. */
@@ -88,6 +89,23 @@
         }
     }
 
+    /** Renames all files of the state, so that the folder counts as empty and nothing is lost. */
+    void setAside() throws IOException {
+        for (Path file : files()) {
+            String name = file.getFileName().toString();
+            boolean state =
+                    name.startsWith(LOG) || name.startsWith(SNAPSHOT) || file.equals(identity());
+            if (state) {
+                Files.move(
+                        file,
+                        folder.resolve(SET_ASIDE + name),
+                        StandardCopyOption.REPLACE_EXISTING,
+                        StandardCopyOption.ATOMIC_MOVE);
+            }
+        }
+        sync();
+    }
+
     /** Writes a file so that it is whole or not there, also after a power failure. */
     void writeWhole(Path file, Content content) throws IOException {
         Path temporary = file.resolveSibling(file.getFileName() + TEMPORARY);
--- a/daemon/src/test/java/org/marjoramnotch/daemon/storage/FileReplicaStorageTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/storage/FileReplicaStorageTest.java
@@ -116,6 +116,21 @@
         }
     }
 
+    @Test
+    void damagedStateIsSetAsideAndTheFolderIsNewAfterwards() throws IOException {
+        String former = openAndClose();
+        write(List.of(append(1, 2)), List.of(append(3)));
+        byte[] damaged = Files.readAllBytes(folder.resolve("log-0"));
+        damaged[damaged.length / 2] ^= 1;
+        Files.write(folder.resolve("log-0"), damaged);
+
+        FileReplicaStorage.setAside(folder);
+
+        assertRecovered(RecoveredState.empty());
+        assertThat(openAndClose()).isNotEqualTo(former);
+        assertThat(Files.readAllBytes(folder.resolve("damaged-log-0"))).isEqualTo(damaged);
+    }
+
     @Test
     void identityIsDrawnOnce() {
         String drawn = openAndClose();
--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.marjoramnotch.logic.leader.DecisionNote;
 import org.marjoramnotch.logic.leader.LeaderDuty;
@@ -113,6 +114,11 @@
         pump();
     }
 
+    /** Replaces the VMs that this replica asks to let it join. */
+    public void useContacts(Set<VmId> contacts) {
+        log.useContacts(contacts);
+    }
+
     /** Removes a VM from the group; see {@link ReplicatedLog#remove}. */
     public void removeReplica(long nowMilliseconds, VmId vm) {
         now = nowMilliseconds;
--- a/library/src/main/java/org/marjoramnotch/logic/replication/JoinDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/JoinDuty.java
@@ -13,11 +13,17 @@
  */
 final class JoinDuty {
     private final ReplicaState state;
+    private Set<VmId> configured;
     private long nextRequestAt;
 
     JoinDuty(ReplicaState state) {
         this.state = state;
         this.nextRequestAt = state.now();
+        this.configured = state.settings().replicaVms();
+    }
+
+    void useContacts(Set<VmId> contacts) {
+        configured = Set.copyOf(contacts);
     }
 
     void tick() {
@@ -34,7 +40,7 @@
 
     /** Returns the VMs of the settings and those that the own log knows as members. */
     private Set<VmId> contacts() {
-        Set<VmId> contacts = new HashSet<>(state.settings().replicaVms());
+        Set<VmId> contacts = new HashSet<>(configured);
         state.membership().members().map(ReplicaId::vm).forEach(contacts::add);
         return contacts;
     }
--- a/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
@@ -3,6 +3,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.Invariant;
@@ -139,6 +140,11 @@
         requireLeadership().changes().remove(vm);
     }
 
+    @Override
+    public void useContacts(Set<VmId> contacts) {
+        join.useContacts(contacts);
+    }
+
     @Override
     public void transferLeadership(long nowMilliseconds) {
         state.advance(nowMilliseconds);
--- a/library/src/main/java/org/marjoramnotch/logic/replication/ReplicatedLog.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ReplicatedLog.java
@@ -1,6 +1,7 @@
 package org.marjoramnotch.logic.replication;
 
 import java.util.OptionalLong;
+import java.util.Set;
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.replication.ReplicationMessage;
@@ -42,6 +43,9 @@
      */
     void remove(long nowMilliseconds, VmId vm);
 
+    /** Replaces the VMs that this replica asks to let it join. */
+    default void useContacts(Set<VmId> contacts) {}
+
     /** Hands leadership to the voter that is furthest ahead, if this replica leads. */
     void transferLeadership(long nowMilliseconds);
 
