--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -241,15 +241,7 @@
         if (duties == null && log.ready(now) && !isProposalUnderWay()) {
             dutyStarts++;
             duties = parts.all(ledger, now, fencingToken());
-            notes.add(
-                    DecisionNote.of(
-                            "leader_duties_started",
-                            "term",
-                            log.status(now).term(),
-                            "applied_index",
-                            appliedIndex,
-                            "fencing_token",
-                            fencingToken()));
+            notes.add(DecisionNote.of("leader_duties_started", "fencing_token", fencingToken()));
         }
     }
 
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/SpeedBookTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/SpeedBookTest.java
@@ -51,7 +51,7 @@
     }
 
     @Test
-    void workerThatTurnsSlowIsNoticedWithinAFewRuns() {
+    void workerThatTurnsSlowIsNoticedWithinFewRuns() {
         Map<String, Double> factors = new LinkedHashMap<>();
         factors.put("usual", 1.0);
         factors.put("other", 1.0);
