--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/FoundedGroupTest.java
@@ -0,0 +1,166 @@
+package org.marjoramnotch.logic.replication;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.marjoramnotch.model.identifier.ReplicaId;
+import org.marjoramnotch.model.identifier.VmId;
+
+/** Runs replicas that are told only seeds, with messages delivered at once. */
+class FoundedGroupTest {
+    private static final String FOUNDER = "founder";
+    private static final List<VmId> SEEDS =
+            List.of(new VmId("10.0.0.1"), new VmId("10.0.0.2"), new VmId("10.0.0.3"));
+    private static final VmId FOURTH = new VmId("10.0.0.4");
+    private static final long STEP_MILLISECONDS = 20;
+
+    private final Map<VmId, Replica> replicas = new TreeMap<>();
+    private final Set<VmId> down = new HashSet<>();
+    private long now = 1_000;
+
+    private void start(VmId vm, String identity, boolean founds) {
+        ReplicaId self = new ReplicaId(vm, identity);
+        ReplicaSettings settings =
+                ReplicaSettings.builder(self, Set.copyOf(SEEDS))
+                        .electionTimeoutMilliseconds(500, 900)
+                        .heartbeatIntervalMilliseconds(100)
+                        .membershipRule(MembershipRule.open(1, 900))
+                        .build();
+        Replica replica =
+                new Replica(
+                        settings,
+                        RecoveredState.empty(),
+                        RandomSource.XO_RO_SHI_RO_128_PP.create(vm.hashCode()),
+                        now);
+        if (founds) {
+            replica.found(SEEDS.stream().map(seed -> new ReplicaId(seed, FOUNDER)).toList());
+        }
+        replicas.put(vm, replica);
+    }
+
+    private void foundBySeeds() {
+        SEEDS.forEach(seed -> start(seed, FOUNDER, true));
+        run(4_000);
+    }
+
+    private void run(long milliseconds) {
+        long end = now + milliseconds;
+        while (now < end) {
+            now += STEP_MILLISECONDS;
+            replicas.forEach(
+                    (vm, replica) -> {
+                        if (!down.contains(vm)) {
+                            replica.tick(now);
+                        }
+                    });
+            deliver();
+        }
+    }
+
+    private void deliver() {
+        for (Map.Entry<VmId, Replica> entry : replicas.entrySet()) {
+            if (down.contains(entry.getKey())) {
+                continue;
+            }
+            for (ReplicationEffects.Outgoing message : entry.getValue().takeEffects().messages()) {
+                VmId to = message.to().vm();
+                Replica receiver = replicas.get(to);
+                ReplicaId self = receiver == null ? null : receiver.status(now).self();
+                boolean meant =
+                        self != null
+                                && (message.to().identity().isEmpty() || message.to().equals(self));
+                if (meant && !down.contains(to)) {
+                    receiver.receive(now, entry.getValue().status(now).self(), message.message());
+                }
+            }
+        }
+    }
+
+    private Optional<ReplicationStatus> leader() {
+        return replicas.entrySet().stream()
+                .filter(entry -> !down.contains(entry.getKey()))
+                .map(entry -> entry.getValue().status(now))
+                .filter(ReplicationStatus::ready)
+                .findFirst();
+    }
+
+    @Test
+    void seedsFoundOneGroupTogether() {
+        foundBySeeds();
+        assertThat(leader()).isPresent();
+        assertThat(leader().get().voters()).extracting(ReplicaId::vm).isEqualTo(SEEDS);
+    }
+
+    @Test
+    void groupIsReadyWhileOneSeedIsDown() {
+        down.add(SEEDS.get(2));
+        foundBySeeds();
+        assertThat(leader()).isPresent();
+    }
+
+    @Test
+    void oneSeedAloneDecidesNothing() {
+        down.add(SEEDS.get(1));
+        down.add(SEEDS.get(2));
+        foundBySeeds();
+        assertThat(leader()).isEmpty();
+    }
+
+    @Test
+    void emptyVmThatDoesNotFoundOnlyJoins() {
+        start(FOURTH, "drawn", false);
+        run(4_000);
+        assertThat(leader()).isEmpty();
+        foundBySeeds();
+        assertThat(leader().orElseThrow().learners())
+                .containsExactly(new ReplicaId(FOURTH, "drawn"));
+        assertThat(leader().orElseThrow().voters()).hasSize(3);
+    }
+
+    @Test
+    void learnerTakesThePlaceOfLostVoter() {
+        emptyVmThatDoesNotFoundOnlyJoins();
+        VmId lost = other(leader().orElseThrow());
+        down.add(lost);
+        run(6_000);
+        assertThat(leader().orElseThrow().voters())
+                .extracting(ReplicaId::vm)
+                .hasSize(3)
+                .contains(FOURTH)
+                .doesNotContain(lost);
+    }
+
+    @Test
+    void voterThatWasReplacedComesBackAsLearner() {
+        learnerTakesThePlaceOfLostVoter();
+        VmId back = down.iterator().next();
+        down.clear();
+        run(8_000);
+        assertThat(leader().orElseThrow().learners()).containsExactly(new ReplicaId(back, FOUNDER));
+        assertThat(leader().orElseThrow().voters()).hasSize(3);
+    }
+
+    @Test
+    void vmThatLostItsDiskIsAnotherMember() {
+        emptyVmThatDoesNotFoundOnlyJoins();
+        VmId wiped = other(leader().orElseThrow());
+        start(wiped, "new-disk", false);
+        run(8_000);
+        ReplicationStatus status = leader().orElseThrow();
+        assertThat(status.voters()).hasSize(3).doesNotContain(new ReplicaId(wiped, FOUNDER));
+        assertThat(Stream.concat(status.voters().stream(), status.learners().stream()))
+                .contains(new ReplicaId(wiped, "new-disk"));
+    }
+
+    private static VmId other(ReplicationStatus leader) {
+        return SEEDS.stream().filter(seed -> !seed.equals(leader.self().vm())).findFirst().get();
+    }
+}
