--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -137,12 +137,7 @@
      */
     public static void run(
             DaemonSettings settings, DaemonExtension extension, Optional<Path> watched) {
-        LogSetup.configure(settings.logLevel());
-        Daemon daemon =
-                new Daemon(
-                        settings,
-                        standardParts(settings.jobOrder(), settings.workflow()),
-                        extension);
+        Daemon daemon = startWith(settings, extension);
         watched.ifPresent(file -> new SettingsWatch(file, daemon::reload).start());
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
         System.out.println(
@@ -157,16 +152,17 @@
 
     /** Runs a process with an extension for as long as some work takes. */
     public static void runFor(DaemonSettings settings, DaemonExtension extension, Runnable work) {
-        LogSetup.configure(settings.logLevel());
-        Daemon daemon =
-                new Daemon(
-                        settings,
-                        standardParts(settings.jobOrder(), settings.workflow()),
-                        extension);
+        Daemon daemon = startWith(settings, extension);
         work.run();
         daemon.stop();
     }
 
+    private static Daemon startWith(DaemonSettings settings, DaemonExtension extension) {
+        LogSetup.configure(settings.logLevel());
+        CellParts parts = standardParts(settings.jobOrder(), settings.workflow());
+        return new Daemon(settings, parts, extension);
+    }
+
     /** Returns the leader's decisions as the product ships them. */
     public static CellParts standardParts() {
         return standardParts(JobSettings.defaults().order(), Optional.empty());
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerLease.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerLease.java
@@ -44,11 +44,6 @@
         }
     }
 
-    /** Tells whether a lease can be granted. */
-    boolean isClockKnown() {
-        return sampled;
-    }
-
     /** Returns the end of a lease from now on, on the worker's clock, and remembers the grant. */
     OptionalLong grant(long nowMilliseconds) {
         if (!sampled) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -92,11 +92,6 @@
         return Optional.ofNullable(configuration);
     }
 
-    /** Returns how many workflows are not forgotten. */
-    public int workflowCount() {
-        return workflows.size();
-    }
-
     Collection<WorkerEntry> workers() {
         return workers.values();
     }
