Answer a resent report of draining only once the first is stored

Cause: found by reading: the second copy of a report counted as old, and was acknowledged while the first was still being committed; a change of leader could then lose a drain that had been acknowledged. Change: a report that is being stored waits with the first. Measured: the new case of WorkflowDutyTest fails without the change and passes with it.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReports.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReports.java
@@ -37,6 +37,10 @@
     void report(
             long nowMilliseconds, RequestHandle handle, ReportWorker report, LeaderOutput output) {
         FleetWorker worker = report.worker();
+        if (enrolling.isAwaited(worker)) {
+            enrolling.add(worker, handle);
+            return;
+        }
         Optional<FleetWorker> known = ledger.worker(worker.id()).map(WorkerEntry::worker);
         long start = worker.incarnation().startedEpochMilliseconds();
         long knownStart =
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowDutyTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowDutyTest.java
@@ -180,6 +180,26 @@
         assertThat(cell.workers.get(new WorkerId("w-1")).live()).isEmpty();
     }
 
+    @Test
+    void resentReportOfDrainingIsAnsweredOnlyOnceItIsStored() {
+        FleetWorker worker = cell.workers.get(new WorkerId("w-1")).worker();
+        FleetWorker draining =
+                new FleetWorker(
+                        worker.incarnation(),
+                        worker.pool(),
+                        worker.address(),
+                        worker.availabilityZone(),
+                        worker.capacity(),
+                        worker.labels(),
+                        true);
+        ReportWorker report = new ReportWorker(draining, cell.now() + 1);
+        RequestHandle first = cell.request(report);
+        RequestHandle second = cell.request(report);
+        assertThat(cell.replies).doesNotContainKeys(first, second);
+        cell.run(100);
+        assertThat(cell.replies).containsKeys(first, second);
+    }
+
     @Test
     void pendingWorkflowsAreCountedByQueue() {
         answer(new SubmitWorkflowRequest(TestFleet.target(ID), TestFleet.draft(1, 9_000)));
