Stop a gang whose member did not start, and place it anew

When one member's start was refused, the members that had started kept their place, and no new placement was tried while they ran, so they waited until the worker ended them as alone. Ruled out: a gang that was committed in part, since the ledger starts all members or none. Change: the end of a member that did not start, or was lost, stops the other members; all are placed together. Measured: the new case of WorkflowDutyTest fails without the change and passes with it.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -29,8 +29,11 @@
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.time.Clock;
 import org.marjoramnotch.model.workflow.RunEnd;
+import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunOutcome;
 import org.marjoramnotch.model.workflow.RunPlacement;
+import org.marjoramnotch.model.workflow.StepId;
+import org.marjoramnotch.model.workflow.WorkflowTaskId;
 
 /** The leader's decisions about workflows, for one term of leadership. */
 public final class WorkflowDuty implements LeaderDuty {
@@ -222,6 +225,31 @@
                                     .map(entry -> entry.state().name())
                                     .orElse("forgotten")));
             stopRunsIfOver(nowMilliseconds, workflow, output);
+            stopBrokenGang(nowMilliseconds, run, output);
+        }
+    }
+
+    /**
+     * Stops the other members of a gang one of which did not start or was lost. They would wait for
+     * it in vain, and all members are placed together again.
+     */
+    private void stopBrokenGang(long nowMilliseconds, RunEnd end, LeaderOutput output) {
+        boolean missing =
+                end.outcome() == RunOutcome.NOT_STARTED || end.outcome() == RunOutcome.LAPSED;
+        StepId id = end.run().task().step();
+        StepTasks step =
+                ledger.workflow(id.workflow()).flatMap(entry -> entry.step(id)).orElse(null);
+        if (!missing || step == null || !step.definition().gang()) {
+            return;
+        }
+        for (int index = 0; index < step.tasks().size(); index++) {
+            TaskState member = step.tasks().get(index);
+            RunId run = new RunId(new WorkflowTaskId(id, index), member.run());
+            if (member.isRunning()) {
+                member.worker()
+                        .flatMap(sessions::of)
+                        .ifPresent(session -> session.stop(nowMilliseconds, run, output));
+            }
         }
     }
 
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedFleetWorker.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedFleetWorker.java
@@ -59,6 +59,7 @@
     private long fence;
     private long leaseUntil;
     private long lastEnd;
+    private int startsToReject;
 
     SimulatedFleetWorker(
             FleetWorker worker,
@@ -75,6 +76,11 @@
         this.failureShare = failureShare;
     }
 
+    /** Refuses some starts for want of a ticket. */
+    void rejectStarts(int count) {
+        startsToReject = count;
+    }
+
     FleetWorker worker() {
         return worker;
     }
@@ -146,6 +152,10 @@
         RunId run = start.run();
         LiveRun there = live.get(run.task());
         extend(now, start.leaseUntil());
+        if (startsToReject > 0) {
+            startsToReject--;
+            return rejected(now, start, RejectionReason.NO_TICKET);
+        }
         if (there != null && there.run.equals(run)) {
             return new CallOutcome.Accepted(start.id(), OptionalLong.of(clock(now)));
         }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowDutyTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowDutyTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
@@ -27,6 +28,8 @@
 import org.marjoramnotch.model.message.SubmitWorkflowRequest;
 import org.marjoramnotch.model.message.WorkflowAnswer;
 import org.marjoramnotch.model.resource.Resources;
+import org.marjoramnotch.model.workflow.StepDefinition;
+import org.marjoramnotch.model.workflow.WorkflowDraft;
 import org.marjoramnotch.model.workflow.WorkflowState;
 
 class WorkflowDutyTest {
@@ -200,6 +203,29 @@
         assertThat(cell.replies).containsKeys(first, second);
     }
 
+    @Test
+    void gangWhoseMemberDoesNotStartIsStoppedAndPlacedAnew() {
+        cell.workers.get(new WorkerId("w-2")).rejectStarts(1);
+        StepDefinition gang =
+                StepDefinition.builder()
+                        .tasks(2)
+                        .demand(new Resources(6_000, 100, 0))
+                        .estimateMilliseconds(9_000)
+                        .gang(true)
+                        .build();
+        answer(
+                new SubmitWorkflowRequest(
+                        TestFleet.target(ID),
+                        new WorkflowDraft("payload", List.of(gang), Optional.empty())));
+        cell.run(1_500);
+        List<Long> runs =
+                cell.workers.values().stream()
+                        .flatMap(worker -> worker.live().stream())
+                        .map(run -> run.run.number())
+                        .toList();
+        assertThat(runs).containsExactly(2L, 2L);
+    }
+
     @Test
     void pendingWorkflowsAreCountedByQueue() {
         answer(new SubmitWorkflowRequest(TestFleet.target(ID), TestFleet.draft(1, 9_000)));
