Read the clock for each input of a duty, not once a batch

A duty took its time once for a batch of inputs. If the process pauses within a batch, what arrives afterwards and is drained in the same batch is handled with a time from before the pause, at which the leader lease still held. Ruled out: the lease itself, which is computed from sending times; the new hook at the end of a batch, which reads no rules. The path was found by reading; the failure was not reproduced. Change: the time is read after each input was taken. Measured: DutyTest fails without the change (second input gets 1000, before the pause) and passes with it.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/Duty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/Duty.java
@@ -99,8 +99,10 @@
             work.tick(now);
             nextTickMilliseconds = now + tickMilliseconds;
         }
-        long batchTime = now;
-        input.drain(value -> work.receive(batchTime, value), LARGEST_BATCH);
+        // A pause of the process may fall into a batch; a time from before it would let a leader
+        // whose
+        // lease ran out meanwhile answer what arrived after it.
+        input.drain(value -> work.receive(clock.nowMilliseconds(), value), LARGEST_BATCH);
         work.flush(now);
     }
 }
