Shorten the start of a process and the first election

Cause: after a power failure of all VMs service is back 3.4 s after the power, most of it the start of a process.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -71,7 +71,13 @@
     private final DaemonStop stop;
     private final CountDownLatch stopped = new CountDownLatch(1);
 
-    private Daemon(DaemonSettings settings, CellParts parts, DaemonExtension extension) {
+    /**
+     * Starts all parts.
+     *
+     * @param begun when the process began, or later
+     */
+    private Daemon(
+            DaemonSettings settings, CellParts parts, DaemonExtension extension, long begun) {
         this.settings = settings;
         this.extension = extension;
         String operatorKey =
@@ -85,7 +91,8 @@
                                                 settings,
                                                 path,
                                                 parts.measured(metrics.leader()),
-                                                clock));
+                                                clock,
+                                                begun));
         system =
                 ActorSystem.create(
                         Behaviors.empty(),
@@ -127,17 +134,21 @@
 
     /** Runs a process until it is told to stop by a signal. */
     public static void run(DaemonSettings settings) {
-        run(settings, DaemonExtension.NONE, Optional.empty());
+        run(settings, DaemonExtension.NONE, Optional.empty(), StartPreparation.begin());
     }
 
     /**
      * Runs a process with an extension until it is told to stop by a signal.
      *
      * @param watched the settings file, if changes of it are to be followed
+     * @param preparation begun with the process
      */
     public static void run(
-            DaemonSettings settings, DaemonExtension extension, Optional<Path> watched) {
-        Daemon daemon = startWith(settings, extension);
+            DaemonSettings settings,
+            DaemonExtension extension,
+            Optional<Path> watched,
+            StartPreparation preparation) {
+        Daemon daemon = startWith(settings, extension, preparation.begunMilliseconds());
         watched.ifPresent(file -> new SettingsWatch(file, daemon::reload).start());
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
         System.out.println(
@@ -152,15 +163,16 @@
 
     /** Runs a process with an extension for as long as some work takes. */
     public static void runFor(DaemonSettings settings, DaemonExtension extension, Runnable work) {
-        Daemon daemon = startWith(settings, extension);
+        Daemon daemon = startWith(settings, extension, new SystemClock().nowMilliseconds());
         work.run();
         daemon.stop();
     }
 
-    private static Daemon startWith(DaemonSettings settings, DaemonExtension extension) {
+    private static Daemon startWith(
+            DaemonSettings settings, DaemonExtension extension, long begun) {
         LogSetup.configure(settings.logLevel());
         CellParts parts = standardParts(settings.jobOrder(), settings.workflow());
-        return new Daemon(settings, parts, extension);
+        return new Daemon(settings, parts, extension, begun);
     }
 
     /** Returns the leader's decisions as the product ships them. */
@@ -185,7 +197,8 @@
      * @param parts makes the leader's decisions
      */
     public static Daemon start(DaemonSettings settings, CellParts parts) {
-        return new Daemon(settings, parts, DaemonExtension.NONE);
+        return new Daemon(
+                settings, parts, DaemonExtension.NONE, new SystemClock().nowMilliseconds());
     }
 
     /** Takes new settings over as far as they can change while the process runs: the replicas. */
--- a/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
@@ -51,13 +51,16 @@
     private final DaemonSettings settings;
     private final CellParts parts;
     private final Clock clock;
+    private final long begun;
     private final FileReplicaStorage storage;
     private final RecoveredState recovered;
     private final ReplicaId self;
     private final DutyInput<CellInput> input;
 
     /** Opens the storage. */
-    ReplicaHost(DaemonSettings settings, Path dataFolder, CellParts parts, Clock clock) {
+    ReplicaHost(
+            DaemonSettings settings, Path dataFolder, CellParts parts, Clock clock, long begun) {
+        this.begun = begun;
         this.settings = settings;
         this.parts = parts;
         this.clock = clock;
@@ -80,6 +83,7 @@
                         replicaSettings(limits),
                         recovered,
                         RandomSource.XO_RO_SHI_RO_128_PP.create(),
+                        begun,
                         clock.nowMilliseconds());
         if (founds(settings) && self.identity().equals(FOUNDER)) {
             replica.found(founders());
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/StartPreparation.java
@@ -0,0 +1,56 @@
+package org.marjoramnotch.daemon;
+
+import com.typesafe.config.ConfigFactory;
+import java.security.GeneralSecurityException;
+import javax.net.ssl.KeyManager;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.TrustManager;
+import org.jboss.logging.Logger;
+import org.marjoramnotch.daemon.duty.SystemClock;
+import org.marjoramnotch.daemon.log.LogEvent;
+
+/**
+ * Does the parts of a start that depend on no settings, beside the reading of the settings. After a
+ * power failure of all VMs, callers wait for the start of the processes.
+ */
+public final class StartPreparation {
+    private static final Logger LOGGER = Logger.getLogger(StartPreparation.class);
+
+    private final long begunMilliseconds = new SystemClock().nowMilliseconds();
+
+    private StartPreparation() {}
+
+    /** Begins; called first in a process. */
+    public static StartPreparation begin() {
+        StartPreparation preparation = new StartPreparation();
+        Thread thread = new Thread(StartPreparation::prepare, "start-preparation");
+        thread.setDaemon(true);
+        thread.start();
+        return preparation;
+    }
+
+    /** Returns when the process began, on the steady clock. */
+    long begunMilliseconds() {
+        return begunMilliseconds;
+    }
+
+    private static void prepare() {
+        ConfigFactory.load();
+        useEmptyTlsContext();
+    }
+
+    /**
+     * Sets a default TLS context without trusted authorities. No link of the daemon uses TLS, yet
+     * Pekko HTTP asks for the default context at its first use, and reading the authorities takes
+     * about a tenth of a start.
+     */
+    private static void useEmptyTlsContext() {
+        try {
+            SSLContext context = SSLContext.getInstance("TLS");
+            context.init(new KeyManager[0], new TrustManager[0], null);
+            SSLContext.setDefault(context);
+        } catch (GeneralSecurityException failure) {
+            LogEvent.of("tls_context_not_set").with("cause", failure.getMessage()).warn(LOGGER);
+        }
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/replication/ElectionTimer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ElectionTimer.java
@@ -14,6 +14,18 @@
         this.random = random;
     }
 
+    /**
+     * Notes that the replica starts. It may have supported a leader until its process began. An
+     * attempt that is too early costs nothing, since pre-votes are refused while a leader is heard,
+     * and after a power failure of all VMs nobody leads.
+     *
+     * @param begun when the process began; nothing that ran before can have been later
+     */
+    void start(long begun, long now) {
+        leaderHeardAt = begun;
+        awaitRetry(now);
+    }
+
     /** Notes that the leader of the current term was heard. */
     void hearLeader(long now) {
         leaderHeardAt = now;
--- a/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
@@ -52,7 +52,26 @@
             RecoveredState recovered,
             UniformRandomProvider random,
             long nowMilliseconds) {
-        state = new ReplicaState(settings, recovered, random, nowMilliseconds);
+        this(settings, recovered, random, nowMilliseconds, nowMilliseconds);
+    }
+
+    /**
+     * Creates a replica of a process that began a while ago.
+     *
+     * @param settings the settings
+     * @param recovered what the storage holds
+     * @param random draws election timeouts
+     * @param begunMilliseconds when the process began, or later; an earlier process of this replica
+     *     ended before
+     * @param nowMilliseconds the time
+     */
+    public Replica(
+            ReplicaSettings settings,
+            RecoveredState recovered,
+            UniformRandomProvider random,
+            long begunMilliseconds,
+            long nowMilliseconds) {
+        state = new ReplicaState(settings, recovered, random, begunMilliseconds, nowMilliseconds);
         election = new Election(state);
         receiver = new LogReceiver(state);
         join = new JoinDuty(state);
--- a/library/src/main/java/org/marjoramnotch/logic/replication/ReplicaState.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ReplicaState.java
@@ -28,6 +28,7 @@
             ReplicaSettings settings,
             RecoveredState recovered,
             UniformRandomProvider random,
+            long begun,
             long now) {
         this.settings = settings;
         this.timer = new ElectionTimer(settings, random);
@@ -39,8 +40,7 @@
         if (membership().exists()) {
             joinGroup(membership().group());
         }
-        // A vote may have been refused, or a lease supported, just before the restart.
-        timer.hearLeader(now);
+        timer.start(begun, now);
     }
 
     /** Moves the time on; a time before the last one is ignored. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/SpeedBook.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/SpeedBook.java
@@ -25,23 +25,33 @@
 
     private record Sample(WorkerId worker, double logarithm) {}
 
-    private final Map<RunId, Long> started = new HashMap<>();
-    private final Map<StepId, List<Sample>> samples = new HashMap<>();
+    /** What is known of the runs of one workflow. */
+    private record Times(Map<RunId, Long> started, Map<StepId, List<Sample>> samples) {
+        Times() {
+            this(new HashMap<>(), new HashMap<>());
+        }
+    }
+
+    private final Map<JobId, Times> workflows = new HashMap<>();
     private final Map<WorkerId, Double> slowness = new HashMap<>();
 
     void onStarted(long nowMilliseconds, RunId run) {
-        started.put(run, nowMilliseconds);
+        workflows
+                .computeIfAbsent(run.task().step().workflow(), workflow -> new Times())
+                .started()
+                .put(run, nowMilliseconds);
     }
 
     /** Takes the end of a run; only runs that did their work tell something. */
     void onEnded(long nowMilliseconds, WorkerId worker, RunEnd end) {
-        Long startedAt = started.remove(end.run());
+        Times times = workflows.get(end.run().task().step().workflow());
+        Long startedAt = times == null ? null : times.started().remove(end.run());
         if (startedAt == null || end.outcome() != RunOutcome.DONE || !end.checkpoint().isEmpty()) {
             return;
         }
         double logarithm = Math.log(Math.max(1, nowMilliseconds - startedAt));
         List<Sample> siblings =
-                samples.computeIfAbsent(end.run().task().step(), step -> new ArrayList<>());
+                times.samples().computeIfAbsent(end.run().task().step(), step -> new ArrayList<>());
         if (!siblings.isEmpty()) {
             learn(worker, logarithm, siblings);
         }
@@ -50,8 +60,7 @@
 
     /** Forgets the steps of a workflow. */
     void forget(JobId workflow) {
-        samples.keySet().removeIf(step -> step.workflow().equals(workflow));
-        started.keySet().removeIf(run -> run.task().step().workflow().equals(workflow));
+        workflows.remove(workflow);
     }
 
     /** Returns how slow a worker is: 0 for usual, 0.7 for twice the time, negative for fast. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/StepTasks.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/StepTasks.java
@@ -1,9 +1,13 @@
 package org.marjoramnotch.logic.workflow;
 
 import java.util.List;
+import java.util.Map;
 import java.util.stream.IntStream;
+import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.StepDefinition;
+import org.marjoramnotch.model.workflow.StepId;
 import org.marjoramnotch.model.workflow.TaskRecord;
+import org.marjoramnotch.model.workflow.WorkflowTaskId;
 
 /** The tasks of one step of one occurrence. */
 final class StepTasks {
@@ -68,6 +72,16 @@
         return gangFailures;
     }
 
+    /** Adds the tasks that run to a map. */
+    void addRunning(StepId id, Map<RunId, TaskState> runs) {
+        for (int index = 0; index < tasks.size(); index++) {
+            TaskState task = tasks.get(index);
+            if (task.isRunning()) {
+                runs.put(new RunId(new WorkflowTaskId(id, index), task.run()), task);
+            }
+        }
+    }
+
     private static boolean isDone(TaskState task) {
         return task.phase() == TaskState.Phase.DONE;
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -1,5 +1,7 @@
 package org.marjoramnotch.logic.workflow;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
 import org.marjoramnotch.logic.leader.DecisionNote;
 import org.marjoramnotch.logic.leader.LeaderDuty;
@@ -33,7 +35,6 @@
 import org.marjoramnotch.model.workflow.RunOutcome;
 import org.marjoramnotch.model.workflow.RunPlacement;
 import org.marjoramnotch.model.workflow.StepId;
-import org.marjoramnotch.model.workflow.WorkflowTaskId;
 
 /** The leader's decisions about workflows, for one term of leadership. */
 public final class WorkflowDuty implements LeaderDuty {
@@ -239,17 +240,10 @@
         StepId id = end.run().task().step();
         StepTasks step =
                 ledger.workflow(id.workflow()).flatMap(entry -> entry.step(id)).orElse(null);
-        if (!missing || step == null || !step.definition().gang()) {
-            return;
-        }
-        for (int index = 0; index < step.tasks().size(); index++) {
-            TaskState member = step.tasks().get(index);
-            RunId run = new RunId(new WorkflowTaskId(id, index), member.run());
-            if (member.isRunning()) {
-                member.worker()
-                        .flatMap(sessions::of)
-                        .ifPresent(session -> session.stop(nowMilliseconds, run, output));
-            }
+        if (missing && step != null && step.definition().gang()) {
+            Map<RunId, TaskState> members = new LinkedHashMap<>();
+            step.addRunning(id, members);
+            stop(nowMilliseconds, members, output);
         }
     }
 
@@ -265,13 +259,15 @@
         advice.forget(workflow);
         speeds.forget(workflow);
         objectives.forget(workflow);
-        for (WorkerEntry worker : ledger.workers()) {
-            for (ActiveRun run : worker.runs()) {
-                if (run.run().task().step().workflow().equals(workflow)) {
-                    sessions.of(worker.worker().incarnation())
-                            .ifPresent(session -> session.stop(nowMilliseconds, run.run(), output));
-                }
-            }
-        }
+        ledger.workflow(workflow)
+                .ifPresent(entry -> stop(nowMilliseconds, entry.running(), output));
+    }
+
+    private void stop(long nowMilliseconds, Map<RunId, TaskState> runs, LeaderOutput output) {
+        runs.forEach(
+                (run, task) ->
+                        task.worker()
+                                .flatMap(sessions::of)
+                                .ifPresent(session -> session.stop(nowMilliseconds, run, output)));
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowEntry.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowEntry.java
@@ -1,12 +1,15 @@
 package org.marjoramnotch.logic.workflow;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.marjoramnotch.model.fleet.QueueDefinition;
 import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.StepId;
 import org.marjoramnotch.model.workflow.TaskRecord;
 import org.marjoramnotch.model.workflow.Workflow;
@@ -118,6 +121,18 @@
                 .map(step -> step.tasks().get(id.index()));
     }
 
+    /** Returns the tasks that run, by the number of their runs. */
+    Map<RunId, TaskState> running() {
+        Map<RunId, TaskState> runs = new LinkedHashMap<>();
+        for (int occurrence = 0; occurrence < occurrences.size(); occurrence++) {
+            for (int step = 0; step < occurrences.get(occurrence).size(); step++) {
+                StepId id = new StepId(id(), occurrence, step);
+                occurrences.get(occurrence).get(step).addRunning(id, runs);
+            }
+        }
+        return runs;
+    }
+
     /** Tells whether all steps that a step follows are done. */
     boolean isReady(int occurrence, int step) {
         List<StepTasks> steps = occurrences.get(occurrence);
--- a/library/src/test/java/org/marjoramnotch/logic/replication/FoundedGroupTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/FoundedGroupTest.java
@@ -27,6 +27,10 @@
     private long now = 1_000;
 
     private void start(VmId vm, String identity, boolean founds) {
+        start(vm, identity, founds, now);
+    }
+
+    private void start(VmId vm, String identity, boolean founds, long begun) {
         ReplicaId self = new ReplicaId(vm, identity);
         ReplicaSettings settings =
                 ReplicaSettings.builder(self, Set.copyOf(SEEDS))
@@ -39,6 +43,7 @@
                         settings,
                         RecoveredState.empty(),
                         RandomSource.XO_RO_SHI_RO_128_PP.create(vm.hashCode()),
+                        begun,
                         now);
         if (founds) {
             replica.found(SEEDS.stream().map(seed -> new ReplicaId(seed, FOUNDER)).toList());
@@ -99,6 +104,22 @@
         assertThat(leader().get().voters()).extracting(ReplicaId::vm).isEqualTo(SEEDS);
     }
 
+    /** All start again after a power failure; their processes took longer than a lease to start. */
+    @Test
+    void groupThatStartsTogetherAwaitsNoFormerLeader() {
+        SEEDS.forEach(seed -> start(seed, FOUNDER, true, now - 600));
+        run(400);
+        assertThat(leader()).isPresent();
+    }
+
+    /** A process that has only begun may follow one that supported a leader a moment ago. */
+    @Test
+    void groupThatHasOnlyBegunOutwaitsLeaseOfFormerLeader() {
+        SEEDS.forEach(seed -> start(seed, FOUNDER, true));
+        run(480);
+        assertThat(leader()).isEmpty();
+    }
+
     @Test
     void groupIsReadyWhileOneSeedIsDown() {
         down.add(SEEDS.get(2));
