Let futures share threads on machines of two cores

With one or two cores the common pool counts as too small and CompletableFuture starts a thread for each asynchronous stage; Pekko HTTP makes all stages of its answers asynchronous. Change: a daemon sets the pool to two threads at its start if the machine has no more cores and nobody set it.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/StartPreparation.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/StartPreparation.java
@@ -16,12 +16,22 @@
 public final class StartPreparation {
     private static final Logger LOGGER = Logger.getLogger(StartPreparation.class);
 
+    /**
+     * With fewer, as on a machine of two cores, the JDK starts a thread for each asynchronous stage
+     * of a future, and Pekko HTTP makes each stage of its answers asynchronous.
+     */
+    private static final int COMMON_POOL_THREADS = 2;
+
+    private static final String COMMON_POOL_PROPERTY =
+            "java.util.concurrent.ForkJoinPool.common.parallelism";
+
     private final long begunMilliseconds = new SystemClock().nowMilliseconds();
 
     private StartPreparation() {}
 
     /** Begins; called first in a process. */
     public static StartPreparation begin() {
+        useCommonPool();
         StartPreparation preparation = new StartPreparation();
         Thread thread = new Thread(StartPreparation::prepare, "start-preparation");
         thread.setDaemon(true);
@@ -34,6 +44,13 @@
         return begunMilliseconds;
     }
 
+    private static void useCommonPool() {
+        if (Runtime.getRuntime().availableProcessors() <= COMMON_POOL_THREADS
+                && System.getProperty(COMMON_POOL_PROPERTY) == null) {
+            System.setProperty(COMMON_POOL_PROPERTY, Integer.toString(COMMON_POOL_THREADS));
+        }
+    }
+
     private static void prepare() {
         ConfigFactory.load();
         useEmptyTlsContext();
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/StartPreparationTest.java
@@ -0,0 +1,17 @@
+package org.marjoramnotch.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ForkJoinWorkerThread;
+import org.junit.jupiter.api.Test;
+
+class StartPreparationTest {
+    /** Fails on a machine of one or two cores if asynchronous stages get a thread each. */
+    @Test
+    void asynchronousStagesShareThreads() {
+        StartPreparation.begin();
+        Thread thread = CompletableFuture.supplyAsync(Thread::currentThread).join();
+        assertThat(thread).isInstanceOf(ForkJoinWorkerThread.class);
+    }
+}
