--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpInterfaceBuilder.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpInterfaceBuilder.java
@@ -63,6 +63,7 @@
                         new EndpointRoutes(cell, bodies, json),
                         new WorkerRoutes(cell, bodies, json),
                         new JobRoutes(cell, bodies, json),
+                        new WorkflowRoutes(cell, bodies, json),
                         new OperatorRoutes(operatorKeySha256, replica, cell, bodies, json)),
                 refusals);
     }
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/WorkflowRoutes.java
@@ -0,0 +1,107 @@
+package org.marjoramnotch.daemon.http;
+
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.marjoramnotch.model.identifier.QueueName;
+import org.marjoramnotch.model.message.CallTarget;
+import org.marjoramnotch.model.message.CancelWorkflowRequest;
+import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.message.QueueAnswer;
+import org.marjoramnotch.model.message.ReadWorkflow;
+import org.marjoramnotch.model.message.SubmitWorkflowRequest;
+import org.marjoramnotch.model.message.WorkflowAnswer;
+
+/** Callers' workflows: submit, ask and withdraw by queue and name. */
+final class WorkflowRoutes implements Routes {
+    private static final int QUEUE_SEGMENT = 2;
+    private static final int WORKFLOW_SEGMENT = 4;
+    private static final int OK = 200;
+    private static final int ACCEPTED = 202;
+    private static final long TIMEOUT_MILLISECONDS = 10_000;
+
+    private final CellCalls cell;
+    private final BodyReader bodies;
+    private final JsonBodies json;
+
+    WorkflowRoutes(CellCalls cell, BodyReader bodies, JsonBodies json) {
+        this.cell = cell;
+        this.bodies = bodies;
+        this.json = json;
+    }
+
+    @Override
+    public Optional<CompletionStage<HttpResponse>> handle(HttpCall call) {
+        if (call.is("GET", "v1", "queues", "*", "workflows")) {
+            return Optional.of(readQueue(call));
+        }
+        if (!call.startsWith("v1", "queues", "*", "workflows", "*")
+                || call.segments().size() > WORKFLOW_SEGMENT + 1) {
+            return Optional.empty();
+        }
+        return switch (call.method()) {
+            case "PUT" -> Optional.of(submit(call));
+            case "GET" -> Optional.of(read(call));
+            case "DELETE" -> Optional.of(cancel(call));
+            default -> Optional.empty();
+        };
+    }
+
+    /** Submits under a name that the caller chose, so that it may send the same again. */
+    private CompletionStage<HttpResponse> submit(HttpCall call) {
+        CallTarget target = targetOf(call, call.segment(WORKFLOW_SEGMENT));
+        return bodies.read(call, TIMEOUT_MILLISECONDS)
+                .thenApply(body -> json.read(WorkflowBody.class, body.getData()).draft())
+                .thenCompose(
+                        draft ->
+                                cell.call(
+                                        new SubmitWorkflowRequest(target, draft),
+                                        TIMEOUT_MILLISECONDS,
+                                        Done.class,
+                                        done -> state(ACCEPTED, call, "accepted")));
+    }
+
+    private CompletionStage<HttpResponse> read(HttpCall call) {
+        call.request().discardEntityBytes(bodies.system());
+        return cell.call(
+                new ReadWorkflow(targetOf(call, call.segment(WORKFLOW_SEGMENT))),
+                TIMEOUT_MILLISECONDS,
+                WorkflowAnswer.class,
+                answer -> state(OK, call, answer.state().name().toLowerCase(Locale.ROOT)));
+    }
+
+    private CompletionStage<HttpResponse> cancel(HttpCall call) {
+        call.request().discardEntityBytes(bodies.system());
+        return cell.call(
+                new CancelWorkflowRequest(targetOf(call, call.segment(WORKFLOW_SEGMENT))),
+                TIMEOUT_MILLISECONDS,
+                Done.class,
+                done -> state(OK, call, "withdrawn"));
+    }
+
+    private CompletionStage<HttpResponse> readQueue(HttpCall call) {
+        call.request().discardEntityBytes(bodies.system());
+        return cell.call(
+                new ReadWorkflow(targetOf(call, "")),
+                TIMEOUT_MILLISECONDS,
+                QueueAnswer.class,
+                answer -> json.answer(OK, new QueueBody(answer.pending())));
+    }
+
+    private static CallTarget targetOf(HttpCall call, String workflow) {
+        QueueName queue = new QueueName(call.segment(QUEUE_SEGMENT));
+        if (workflow.isEmpty() && call.segments().size() > WORKFLOW_SEGMENT) {
+            throw Refusals.invalid("The path names no workflow; add its name.");
+        }
+        return CallTarget.of(queue, workflow, Credentials.token(call));
+    }
+
+    private HttpResponse state(int status, HttpCall call, String state) {
+        return json.answer(status, new StateBody(call.segment(WORKFLOW_SEGMENT), state));
+    }
+
+    private record StateBody(String workflow, String state) {}
+
+    private record QueueBody(int pending) {}
+}
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RouteTable.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RouteTable.java
@@ -13,6 +13,7 @@
 import org.marjoramnotch.model.fleet.QueueDefinition;
 import org.marjoramnotch.model.fleet.TeamDefinition;
 import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.identifier.QueueName;
 import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.message.CallTarget;
 
@@ -29,11 +30,13 @@
      */
     record Route(QueueDefinition queue, Optional<JobId> workflow, Optional<TeamName> team) {}
 
+    private final Map<QueueName, QueueDefinition> byName = new HashMap<>();
     private final Map<String, List<QueueDefinition>> byHost = new HashMap<>();
     private final Map<String, TeamName> byKey = new HashMap<>();
 
     RouteTable(FleetConfiguration configuration) {
         for (QueueDefinition queue : configuration.queues()) {
+            byName.put(queue.name(), queue);
             byHost.computeIfAbsent(queue.host(), host -> new ArrayList<>()).add(queue);
         }
         Comparator<QueueDefinition> longestFirst =
@@ -52,25 +55,34 @@
      */
     Route resolve(CallTarget target) {
         QueueDefinition queue =
-                byHost.getOrDefault(target.host(), List.of()).stream()
-                        .filter(candidate -> target.path().startsWith(candidate.pathPrefix()))
-                        .findFirst()
+                (target.queue().isPresent() ? named(target.queue().get()) : matching(target))
                         .orElseThrow(
                                 () ->
                                         new MarjoramnotchException(
                                                 ErrorCode.UNKNOWN_QUEUE,
-                                                "No queue has this host and path; check both."));
+                                                "No queue has this name, or this host and path;"
+                                                        + " check them."));
         Optional<TeamName> team = target.key().map(byKey::get);
         if (team.isEmpty() && !queue.open()) {
             throw new MarjoramnotchException(
                     ErrorCode.KEY_REFUSED,
                     "No key came with the call, or it is not valid; send a key of the team.");
         }
-        return new Route(queue, workflowOf(target.path(), queue), team);
+        String prefix = target.queue().isPresent() ? "" : queue.pathPrefix();
+        return new Route(queue, workflowOf(target.path().substring(prefix.length())), team);
     }
 
-    private static Optional<JobId> workflowOf(String path, QueueDefinition queue) {
-        String name = path.substring(queue.pathPrefix().length());
+    private Optional<QueueDefinition> named(QueueName name) {
+        return Optional.ofNullable(byName.get(name));
+    }
+
+    private Optional<QueueDefinition> matching(CallTarget target) {
+        return byHost.getOrDefault(target.host(), List.of()).stream()
+                .filter(candidate -> target.path().startsWith(candidate.pathPrefix()))
+                .findFirst();
+    }
+
+    private static Optional<JobId> workflowOf(String name) {
         if (name.isEmpty()) {
             return Optional.empty();
         }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReports.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReports.java
@@ -1,6 +1,8 @@
 package org.marjoramnotch.logic.workflow;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.marjoramnotch.logic.leader.DecisionNote;
@@ -29,6 +31,9 @@
     private final AwaitedReplies<WorkerIncarnation> dismissing = new AwaitedReplies<>();
     private final Set<WorkerIncarnation> forgetting = new HashSet<>();
 
+    /** Highest numbers of the reports that are being taken in; no session knows them yet. */
+    private final Map<WorkerIncarnation, Long> enrollingSequences = new HashMap<>();
+
     WorkerReports(WorkflowLedger ledger, WorkerSessions sessions) {
         this.ledger = ledger;
         this.sessions = sessions;
@@ -58,6 +63,7 @@
                     "Orders to the worker's earlier life are under way; report again.");
         }
         if (enrolling.add(worker, handle)) {
+            enrollingSequences.merge(worker.incarnation(), report.sequence(), Math::max);
             output.propose(new EnrollWorker(worker));
         }
     }
@@ -78,6 +84,11 @@
         if (command instanceof EnrollWorker enroll) {
             FleetWorker worker = enroll.worker();
             sessions.onEnrolled(nowMilliseconds, worker);
+            Long sequence = enrollingSequences.remove(worker.incarnation());
+            if (sequence != null) {
+                sessions.of(worker.incarnation())
+                        .ifPresent(session -> session.isNewReport(sequence, nowMilliseconds));
+            }
             output.note(
                     DecisionNote.of(
                             "worker_enrolled",
@@ -115,7 +126,11 @@
     }
 
     private boolean isNewest(long nowMilliseconds, ReportWorker report) {
-        return sessions.of(report.worker().incarnation())
+        WorkerIncarnation incarnation = report.worker().incarnation();
+        if (report.sequence() <= enrollingSequences.getOrDefault(incarnation, Long.MIN_VALUE)) {
+            return false;
+        }
+        return sessions.of(incarnation)
                 .map(session -> session.isNewReport(report.sequence(), nowMilliseconds))
                 .orElse(true);
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerTrust.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerTrust.java
@@ -48,7 +48,11 @@
     }
 
     void quarantine(long nowMilliseconds, String cause, LeaderOutput output) {
+        boolean already = isQuarantined(nowMilliseconds);
         quarantinedUntil = nowMilliseconds + QUARANTINE_MILLISECONDS;
+        if (already) {
+            return;
+        }
         output.note(
                 DecisionNote.of(
                         "worker_quarantined",
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowDutyTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowDutyTest.java
@@ -12,6 +12,7 @@
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.fleet.FleetWorker;
+import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.message.ApplyConfiguration;
 import org.marjoramnotch.model.message.CallTarget;
@@ -165,18 +166,40 @@
                 .isEqualTo(new ConfigurationAnswer("document 9"));
     }
 
+    private static FleetWorker draining(FleetWorker worker) {
+        return new FleetWorker(
+                worker.incarnation(),
+                worker.pool(),
+                worker.address(),
+                worker.availabilityZone(),
+                worker.capacity(),
+                worker.labels(),
+                true);
+    }
+
+    /** The report that enrolled the worker counts, too; a later one may have overtaken it. */
     @Test
-    void drainingWorkerGetsNoStartOnceItsReportIsAnswered() {
+    void reportThatWasOvertakenByTheFirstOneChangesNothing() {
         FleetWorker worker = cell.workers.get(new WorkerId("w-1")).worker();
-        FleetWorker draining =
+        FleetWorker other =
                 new FleetWorker(
-                        worker.incarnation(),
+                        new WorkerIncarnation(new WorkerId("w-9"), 1),
                         worker.pool(),
-                        worker.address(),
+                        "w-9",
                         worker.availabilityZone(),
                         worker.capacity(),
                         worker.labels(),
-                        true);
+                        false);
+        assertThat(answer(new ReportWorker(other, 5))).isEqualTo(new Done());
+        assertThat(answer(new ReportWorker(draining(other), 4))).isEqualTo(new Done());
+        assertThat(cell.ledger.worker(other.incarnation()).orElseThrow().worker().draining())
+                .isFalse();
+    }
+
+    @Test
+    void drainingWorkerGetsNoStartOnceItsReportIsAnswered() {
+        FleetWorker worker = cell.workers.get(new WorkerId("w-1")).worker();
+        FleetWorker draining = draining(worker);
         assertThat(answer(new ReportWorker(draining, cell.now() + 1))).isEqualTo(new Done());
         answer(new SubmitWorkflowRequest(TestFleet.target(ID), TestFleet.draft(8, 1_000)));
         cell.run(600);
@@ -186,15 +209,7 @@
     @Test
     void resentReportOfDrainingIsAnsweredOnlyOnceItIsStored() {
         FleetWorker worker = cell.workers.get(new WorkerId("w-1")).worker();
-        FleetWorker draining =
-                new FleetWorker(
-                        worker.incarnation(),
-                        worker.pool(),
-                        worker.address(),
-                        worker.availabilityZone(),
-                        worker.capacity(),
-                        worker.labels(),
-                        true);
+        FleetWorker draining = draining(worker);
         ReportWorker report = new ReportWorker(draining, cell.now() + 1);
         RequestHandle first = cell.request(report);
         RequestHandle second = cell.request(report);
