--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -27,6 +27,7 @@
 import org.marjoramnotch.daemon.link.CellLinks;
 import org.marjoramnotch.daemon.link.LinkSettings;
 import org.marjoramnotch.daemon.link.LocalReplica;
+import org.marjoramnotch.daemon.log.DecisionLog;
 import org.marjoramnotch.daemon.log.LogSetup;
 import org.marjoramnotch.daemon.metrics.DaemonMetrics;
 import org.marjoramnotch.daemon.settings.DaemonLimits;
@@ -41,6 +42,7 @@
 import org.marjoramnotch.logic.cell.WorkflowPart;
 import org.marjoramnotch.logic.job.JobSettings;
 import org.marjoramnotch.logic.job.QueueOrder;
+import org.marjoramnotch.logic.leader.DecisionNote;
 import org.marjoramnotch.logic.placement.PlacementSettings;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
@@ -243,7 +245,9 @@
     }
 
     private void startDuties(OrderPort orders) {
-        replica.ifPresent(host -> startDuty("cell", host.behavior(links, orders, failure)));
+        Consumer<DecisionNote> notes =
+                ((Consumer<DecisionNote>) new DecisionLog(clock)::write).andThen(metrics::decided);
+        replica.ifPresent(host -> startDuty("cell", host.behavior(links, orders, notes, failure)));
         links.startDuties(this::startDuty, failure);
         startDuty("entry", entry.behavior(failure));
     }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
@@ -16,7 +16,6 @@
 import org.marjoramnotch.daemon.duty.DutyInput;
 import org.marjoramnotch.daemon.duty.OrderPort;
 import org.marjoramnotch.daemon.link.LocalReplica;
-import org.marjoramnotch.daemon.log.DecisionLog;
 import org.marjoramnotch.daemon.log.LogEvent;
 import org.marjoramnotch.daemon.settings.DaemonLimits;
 import org.marjoramnotch.daemon.settings.DaemonSettings;
@@ -26,6 +25,7 @@
 import org.marjoramnotch.logic.cell.CellCore;
 import org.marjoramnotch.logic.cell.CellParts;
 import org.marjoramnotch.logic.cell.CellSettings;
+import org.marjoramnotch.logic.leader.DecisionNote;
 import org.marjoramnotch.logic.replication.MembershipRule;
 import org.marjoramnotch.logic.replication.RecoveredState;
 import org.marjoramnotch.logic.replication.Replica;
@@ -76,7 +76,11 @@
     }
 
     /** Returns the actor of the replica's duty, which starts from what is stored. */
-    Behavior<Duty.Turn> behavior(CellOutput output, OrderPort orders, Consumer<Throwable> failure) {
+    Behavior<Duty.Turn> behavior(
+            CellOutput output,
+            OrderPort orders,
+            Consumer<DecisionNote> notes,
+            Consumer<Throwable> failure) {
         DaemonLimits limits = settings.limits();
         Replica replica =
                 new Replica(
@@ -102,7 +106,7 @@
                         storage::persist,
                         output,
                         call -> orders.send(call, this::takeOutcome),
-                        new DecisionLog(clock)::write),
+                        notes),
                 clock,
                 CellDuty.TICK_MILLISECONDS,
                 failure);
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClient.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClient.java
@@ -6,22 +6,28 @@
 import org.jboss.logging.Logger;
 import org.marjoramnotch.daemon.duty.DutyInput;
 import org.marjoramnotch.daemon.log.LogEvent;
+import org.marjoramnotch.daemon.metrics.DaemonMetrics;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.Refusal;
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.message.CellReply;
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.Refused;
+import org.marjoramnotch.model.time.Clock;
 
 /** Sends requests to the leader of the cell, wherever it is, until their deadlines. */
 public final class CellClient {
     private static final Logger LOGGER = Logger.getLogger(CellClient.class);
 
     private final DutyInput<ClientInput> input;
+    private final Clock clock;
+    private final DaemonMetrics metrics;
 
     /** Creates a client that hands requests to the duty of the ring. */
-    CellClient(DutyInput<ClientInput> input) {
+    CellClient(DutyInput<ClientInput> input, Clock clock, DaemonMetrics metrics) {
         this.input = input;
+        this.clock = clock;
+        this.metrics = metrics;
     }
 
     /**
@@ -32,7 +38,10 @@
      *     the deadline or {@code OVERLOADED} if too many wait
      */
     public CompletionStage<CellReply> send(CellRequest request, long deadlineMilliseconds) {
+        long sentAt = clock.nowMilliseconds();
         CompletableFuture<CellReply> result = new CompletableFuture<>();
+        result.thenAccept(
+                reply -> metrics.replied(request, reply, clock.nowMilliseconds() - sentAt));
         if (!input.offer(new ClientInput.Submit(request, deadlineMilliseconds, result))) {
             result.complete(overloaded());
         }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/CellLinks.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellLinks.java
@@ -61,7 +61,7 @@
         this.clock = clock;
         this.metrics = metrics;
         this.clientInput = new DutyInput<>(settings.ringCapacity());
-        this.client = new CellClient(clientInput);
+        this.client = new CellClient(clientInput, clock, metrics);
         for (ReplicaAddress replica : settings.replicas()) {
             boolean other = !replica.vm().equals(settings.vm());
             // An entry needs only the leader; it opens links as it looks for it.
--- a/daemon/src/main/java/org/marjoramnotch/daemon/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/metrics/DaemonMetrics.java
@@ -7,12 +7,23 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.marjoramnotch.logic.leader.DecisionNote;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.Refused;
 
 /** What the process counts and measures, for each team and class of work. */
 public final class DaemonMetrics {
     private static final double MILLISECONDS_PER_SECOND = 1000.0;
+
+    /** Fields of decisions with few values; others would make a series for each run. */
+    private static final Set<String> RESULT_FIELDS = Set.of("outcome", "reason", "cause");
+
     private static final double[] SECONDS = {
         0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 600
     };
@@ -47,6 +58,26 @@
                     .labelNames("event")
                     .register(registry);
 
+    private final Histogram replies =
+            Histogram.builder()
+                    .name("marjoramnotch_cell_request_seconds")
+                    .help(
+                            "Time from sending a request to the cell until the reply of the leader"
+                                    + " or the refusal here, by kind of request and by the code of"
+                                    + " the refusal.")
+                    .labelNames("request", "code")
+                    .classicOnly()
+                    .classicUpperBounds(SECONDS)
+                    .register(registry);
+    private final Counter decisions =
+            Counter.builder()
+                    .name("marjoramnotch_decisions")
+                    .help(
+                            "Decisions about workflows, workers and the configuration while this"
+                                    + " process leads, by event and by outcome, reason or cause.")
+                    .labelNames("event", "result")
+                    .register(registry);
+
     private final LeaderMetrics leader = new LeaderMetrics(registry);
 
     /** Returns what is measured while this process leads. */
@@ -75,6 +106,28 @@
         events.labelValues(event.label()).inc();
     }
 
+    /** Records how long a request to the cell took. */
+    public void replied(CellRequest request, CellReply reply, long milliseconds) {
+        String code = reply instanceof Refused refused ? refused.refusal().code().name() : "";
+        replies.labelValues(request.getClass().getSimpleName(), code)
+                .observe(milliseconds / MILLISECONDS_PER_SECOND);
+    }
+
+    /** Counts a decision that is also logged. */
+    public void decided(DecisionNote note) {
+        decisions.labelValues(note.event(), resultOf(note)).inc();
+    }
+
+    private static String resultOf(DecisionNote note) {
+        List<Object> fields = note.fields();
+        for (int position = 0; position + 1 < fields.size(); position += 2) {
+            if (RESULT_FIELDS.contains(String.valueOf(fields.get(position)))) {
+                return String.valueOf(fields.get(position + 1)).toLowerCase(Locale.ROOT);
+            }
+        }
+        return "";
+    }
+
     /** Returns how often an event was counted. */
     public long counted(CountedEvent event) {
         return (long) events.labelValues(event.label()).get();
--- a/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
@@ -13,11 +13,16 @@
 import org.marjoramnotch.logic.cell.CellFigures;
 import org.marjoramnotch.logic.cell.TeamFigures;
 import org.marjoramnotch.logic.job.Packing;
+import org.marjoramnotch.logic.leader.DecisionNote;
 import org.marjoramnotch.logic.replication.ReplicationStatus;
 import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.Refusal;
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.message.ReadConfiguration;
+import org.marjoramnotch.model.message.Refused;
 import org.marjoramnotch.model.resource.Resources;
 import org.marjoramnotch.model.rule.QueuePolicy;
 
@@ -31,6 +36,33 @@
     private final DaemonMetrics metrics = new DaemonMetrics();
     private final LeaderMetrics leader = metrics.leader();
 
+    @Test
+    void decisionsAreCountedByEventAndResult() {
+        metrics.decided(DecisionNote.of("run_ended", "run", "w.0.0.1/1", "outcome", "DONE"));
+        metrics.decided(DecisionNote.of("run_ended", "run", "w.0.0.2/1", "outcome", "DONE"));
+        metrics.decided(DecisionNote.of("worker_dismissed", "worker", "w-1"));
+
+        assertThat(text())
+                .contains(
+                        "marjoramnotch_decisions_total{event=\"run_ended\",result=\"done\"} 2",
+                        "marjoramnotch_decisions_total{event=\"worker_dismissed\",result=\"\"} 1");
+    }
+
+    @Test
+    void requestsToTheCellAreTimedByKindAndCode() {
+        metrics.replied(new ReadConfiguration(), new Done(), 30);
+        metrics.replied(
+                new ReadConfiguration(),
+                new Refused(Refusal.notRun(ErrorCode.NO_LEADER, "none")),
+                900);
+        String name = "marjoramnotch_cell_request_seconds_count";
+
+        assertThat(text())
+                .contains(
+                        name + "{code=\"\",request=\"ReadConfiguration\"} 1",
+                        name + "{code=\"NO_LEADER\",request=\"ReadConfiguration\"} 1");
+    }
+
     @Test
     void timesAreCountedForEachTeamAndClass() {
         leader.onGranted(TEAM, true, 20);
@@ -101,6 +133,8 @@
     @Test
     void pageNamesEveryMetricAndNoOther() throws IOException {
         timesAreCountedForEachTeamAndClass();
+        metrics.decided(DecisionNote.of("worker_dismissed", "worker", "w-1"));
+        metrics.replied(new ReadConfiguration(), new Done(), 30);
         metrics.waited(TEAM, "quick", 1);
         metrics.answered(TEAM, "quick", 1);
         metrics.refused(ErrorCode.OVERLOADED);
