Refuse callers at once while no leader is found, and tell truly what has not run

A reply of a process that had just stopped leading had the same form as one that never looked at the request. Change: NotLeader says whether the process led when the request came. Tries that nobody looked at no longer make a submission uncertain. Once no leader was found for 1.3 s, a caller's new request is refused as not run while those that wait go on looking.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClientDuty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClientDuty.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.marjoramnotch.daemon.duty.DutyWork;
 import org.marjoramnotch.daemon.metrics.CountedEvent;
@@ -13,6 +14,7 @@
 import org.marjoramnotch.model.error.ExecutionOutcome;
 import org.marjoramnotch.model.error.Refusal;
 import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.CancelWorkflowRequest;
 import org.marjoramnotch.model.message.CellReply;
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.EndAttempt;
@@ -33,6 +35,12 @@
     private static final long RETRY_PAUSE_MILLISECONDS = 50;
     private static final long REPLY_TIMEOUT_MILLISECONDS = 2_000;
 
+    /**
+     * An election with its first commit takes less. Once no leader was found for so long, most
+     * replicas are down, and callers of workflows had better come back than wait.
+     */
+    private static final long LEADER_MISSING_MILLISECONDS = 1_300;
+
     private final List<VmId> replicas;
     private final CellTransport transport;
     private final DaemonMetrics metrics;
@@ -42,6 +50,9 @@
     private long nextCorrelation = 1;
     private int leaderGuess;
 
+    /** When requests began to find no leader; empty while one replies. */
+    private OptionalLong leaderMissingSince = OptionalLong.empty();
+
     CellClientDuty(
             List<VmId> replicas,
             CellTransport transport,
@@ -79,6 +90,7 @@
                 finish(request, unanswered(request));
             } else if (nowMilliseconds >= request.nextTryMilliseconds) {
                 if (request.target != null) {
+                    missLeader(nowMilliseconds);
                     guessAfter(request.target);
                 }
                 send(nowMilliseconds, request);
@@ -87,13 +99,20 @@
     }
 
     private void submit(long nowMilliseconds, ClientInput.Submit submit) {
+        PendingRequest request =
+                new PendingRequest(
+                        submit.request(), submit.deadlineMilliseconds(), submit.result());
+        // Requests that wait go on looking for the leader.
+        if (isOfCaller(submit.request())
+                && isLeaderMissing(nowMilliseconds)
+                && !pending.isEmpty()) {
+            submit.result().complete(unanswered(request));
+            return;
+        }
         if (pending.size() >= largestPending) {
             submit.result().complete(CellClient.overloaded());
             return;
         }
-        PendingRequest request =
-                new PendingRequest(
-                        submit.request(), submit.deadlineMilliseconds(), submit.result());
         pending.add(request);
         send(nowMilliseconds, request);
     }
@@ -106,6 +125,7 @@
             if (transport.send(target, correlation, request.request)) {
                 request.target = target;
                 request.correlations.add(correlation);
+                request.tries++;
                 byCorrelation.put(correlation, request);
                 request.nextTryMilliseconds =
                         nowMilliseconds + request.holdMilliseconds() + REPLY_TIMEOUT_MILLISECONDS;
@@ -113,10 +133,28 @@
             }
             guessAfter(target);
         }
+        missLeader(nowMilliseconds);
         request.target = null;
         request.nextTryMilliseconds = nowMilliseconds + RETRY_PAUSE_MILLISECONDS;
     }
 
+    private void missLeader(long nowMilliseconds) {
+        if (leaderMissingSince.isEmpty()) {
+            leaderMissingSince = OptionalLong.of(nowMilliseconds);
+        }
+    }
+
+    private boolean isLeaderMissing(long nowMilliseconds) {
+        return leaderMissingSince.isPresent()
+                && nowMilliseconds - leaderMissingSince.getAsLong() >= LEADER_MISSING_MILLISECONDS;
+    }
+
+    private static boolean isOfCaller(CellRequest request) {
+        return request instanceof SubmitWorkflowRequest
+                || request instanceof ReadWorkflow
+                || request instanceof CancelWorkflowRequest;
+    }
+
     private void onReply(long nowMilliseconds, ClientInput.Reply reply) {
         PendingRequest request = byCorrelation.get(reply.correlation());
         if (request == null) {
@@ -124,9 +162,15 @@
             return;
         }
         if (reply.reply() instanceof NotLeader notLeader) {
+            missLeader(nowMilliseconds);
+            if (!notLeader.mayHaveEffect()) {
+                request.correlations.remove(reply.correlation());
+                byCorrelation.remove(reply.correlation());
+            }
             followHint(nowMilliseconds, request, reply.from(), notLeader);
             return;
         }
+        leaderMissingSince = OptionalLong.empty();
         if (wasNotTaken(reply.reply()) && request.correlations.size() > 1) {
             request.target = null;
             request.nextTryMilliseconds = nowMilliseconds + RETRY_PAUSE_MILLISECONDS;
@@ -166,7 +210,7 @@
         request.target = null;
         if (hinted >= 0 && !replicas.get(hinted).equals(from)) {
             leaderGuess = hinted;
-            boolean firstHint = request.correlations.size() <= 1;
+            boolean firstHint = request.tries <= 1;
             if (firstHint) {
                 send(nowMilliseconds, request);
                 return;
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/PendingRequest.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/PendingRequest.java
@@ -17,7 +17,11 @@
     final CellRequest request;
     final long deadlineMilliseconds;
     final CompletableFuture<CellReply> result;
+
+    /** The tries that may have had or may yet have an effect. */
     final List<Long> correlations = new ArrayList<>();
+
+    int tries;
     @Nullable VmId target;
     long nextTryMilliseconds;
 
--- a/daemon/src/test/java/org/marjoramnotch/daemon/link/CellClientDutyTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/link/CellClientDutyTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.FieldSource;
 import org.marjoramnotch.daemon.metrics.CountedEvent;
 import org.marjoramnotch.daemon.metrics.DaemonMetrics;
@@ -18,7 +19,9 @@
 import org.marjoramnotch.model.error.ExecutionOutcome;
 import org.marjoramnotch.model.error.Refusal;
 import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.identifier.QueueName;
 import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.CallTarget;
 import org.marjoramnotch.model.message.CancelJobRequest;
 import org.marjoramnotch.model.message.CellReply;
 import org.marjoramnotch.model.message.CellRequest;
@@ -26,6 +29,9 @@
 import org.marjoramnotch.model.message.NotLeader;
 import org.marjoramnotch.model.message.ReadRules;
 import org.marjoramnotch.model.message.Refused;
+import org.marjoramnotch.model.message.SubmitWorkflowRequest;
+import org.marjoramnotch.model.workflow.StepDefinition;
+import org.marjoramnotch.model.workflow.WorkflowDraft;
 
 class CellClientDutyTest {
     private static final VmId ONE = new VmId("vm-1");
@@ -33,6 +39,11 @@
     private static final VmId THREE = new VmId("vm-3");
     private static final CellRequest CANCEL =
             new CancelJobRequest(Optional.empty(), new JobId("job-1"));
+    private static final CellRequest SUBMIT =
+            new SubmitWorkflowRequest(
+                    CallTarget.of(new QueueName("quick"), "0123456789abcdef", Optional.empty()),
+                    new WorkflowDraft(
+                            "", List.of(StepDefinition.builder().build()), Optional.empty()));
     private static final CellReply DONE = new Done();
     private static final CellReply BUSY =
             new Refused(Refusal.notRun(ErrorCode.OVERLOADED, "Full."));
@@ -52,7 +63,7 @@
     @Test
     void hintIsFollowedAndTheLeaderIsRemembered() {
         CompletableFuture<CellReply> first = submit(0, CANCEL);
-        reply(1, new NotLeader(Optional.of(THREE)));
+        reply(1, NotLeader.notLookedAt(Optional.of(THREE)));
         reply(2, DONE);
         submit(3, CANCEL);
 
@@ -127,6 +138,40 @@
         assertThat(refusal.outcome()).isEqualTo(outcome);
     }
 
+    /** A submission that only replicas without a lead have seen cannot run later. */
+    @ParameterizedTest
+    @CsvSource({"false, NOT_RUN", "true, UNKNOWN"})
+    void submissionIsUnknownOnlyIfSomeLeaderMayHaveTakenIt(
+            boolean mayHaveEffect, ExecutionOutcome outcome) {
+        CompletableFuture<CellReply> result = submit(0, SUBMIT);
+        for (long now = 10; now < 1_000; now += 100) {
+            reply(now, new NotLeader(Optional.empty(), mayHaveEffect));
+            duty.tick(now + 60);
+        }
+        reply(999, new NotLeader(Optional.empty(), mayHaveEffect));
+        duty.tick(1_000);
+
+        assertThat(((Refused) result.join()).refusal().outcome()).isEqualTo(outcome);
+    }
+
+    /** The load: all replicas are down for seconds while callers go on calling. */
+    @Test
+    void callersAreRefusedAtOnceWhileNoLeaderIsFound() {
+        down.addAll(List.of(ONE, TWO, THREE));
+        submit(0, CANCEL, 10_000);
+        CompletableFuture<CellReply> early = submit(1_299, SUBMIT, 10_000);
+        assertThat(early).isNotDone();
+
+        Refusal refusal = ((Refused) submit(1_300, SUBMIT, 10_000).join()).refusal();
+        assertThat(refusal.code()).isEqualTo(ErrorCode.NO_LEADER);
+        assertThat(refusal.outcome()).isEqualTo(ExecutionOutcome.NOT_RUN);
+
+        down.clear();
+        duty.tick(1_400);
+        reply(1_401, DONE);
+        assertThat(submit(1_402, SUBMIT, 10_000)).isNotDone();
+    }
+
     @Test
     void tooManyRequestsAreRefused() {
         submit(0, CANCEL);
--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -86,7 +86,7 @@
     public void request(long nowMilliseconds, RequestHandle handle, CellRequest request) {
         advance(nowMilliseconds);
         if (duties == null || stopping) {
-            replies.add(new CellReplyTo(handle, new NotLeader(otherLeader())));
+            replies.add(new CellReplyTo(handle, NotLeader.notLookedAt(otherLeader())));
             return;
         }
         if (request instanceof ReadStatus) {
@@ -228,7 +228,7 @@
         calls.clear();
         notes.add(DecisionNote.of("leader_duties_ended", "term", log.status(now).term()));
         proposed.clear();
-        CellReply reply = new NotLeader(otherLeader());
+        CellReply reply = new NotLeader(otherLeader(), true);
         awaited.takeAll().forEach(handle -> replies.add(new CellReplyTo(handle, reply)));
     }
 
--- a/library/src/test/java/org/marjoramnotch/logic/cell/CellCoreTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/CellCoreTest.java
@@ -65,7 +65,8 @@
 
     @Test
     void replicaWithoutGroupNamesNoLeader() {
-        assertThat(ask(new RenewEntry(ENTRY, "a"))).isEqualTo(new NotLeader(Optional.empty()));
+        assertThat(ask(new RenewEntry(ENTRY, "a")))
+                .isEqualTo(NotLeader.notLookedAt(Optional.empty()));
     }
 
     @Test
@@ -119,7 +120,7 @@
     void stoppingReplicaTakesNoRequest() {
         prepare();
         core.prepareStop(now);
-        assertThat(ask(place(1))).isEqualTo(new NotLeader(Optional.empty()));
+        assertThat(ask(place(1))).isEqualTo(NotLeader.notLookedAt(Optional.empty()));
     }
 
     private void prepare() {
--- a/library/src/test/java/org/marjoramnotch/logic/cell/CellLeadershipTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/CellLeadershipTest.java
@@ -22,7 +22,8 @@
             new ApplyRules(new RequestId("r"), 0, "team wards share 1 limit 1 # ward office\n");
     private static final RequestHandle FIRST = new RequestHandle("link", 1);
     private static final RequestHandle SECOND = new RequestHandle("link", 2);
-    private static final CellReply NO_LEADER = new NotLeader(Optional.empty());
+    private static final CellReply LEADER_NO_LONGER = new NotLeader(Optional.empty(), true);
+    private static final CellReply NO_LEADER = NotLeader.notLookedAt(Optional.empty());
 
     private final ScriptedLog log = new ScriptedLog();
     private final CellCore core =
@@ -46,7 +47,7 @@
         log.ready = false;
         log.commitAll();
         core.tick(2);
-        assertThat(replies()).containsExactly(new CellReplyTo(FIRST, NO_LEADER));
+        assertThat(replies()).containsExactly(new CellReplyTo(FIRST, LEADER_NO_LONGER));
         assertThat(core.ledger().configurationVersion()).isEqualTo(1);
     }
 
@@ -54,7 +55,7 @@
     void refusedProposalEndsTheDutiesAndAnswersWhatWaits() {
         log.refusing = true;
         core.request(1, FIRST, CHANGE);
-        assertThat(replies()).containsExactly(new CellReplyTo(FIRST, NO_LEADER));
+        assertThat(replies()).containsExactly(new CellReplyTo(FIRST, LEADER_NO_LONGER));
     }
 
     @Test
@@ -66,7 +67,8 @@
         core.request(3, SECOND, new ReadRules());
         assertThat(replies())
                 .containsExactly(
-                        new CellReplyTo(FIRST, NO_LEADER), new CellReplyTo(SECOND, NO_LEADER));
+                        new CellReplyTo(FIRST, LEADER_NO_LONGER),
+                        new CellReplyTo(SECOND, NO_LEADER));
         log.commitAll();
         core.tick(4);
         core.request(5, SECOND, new ReadRules());
--- a/wire/src/test/java/org/marjoramnotch/wire/MessageExamples.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/MessageExamples.java
@@ -174,8 +174,8 @@
             List.of(
                     DONE,
                     new Refused(Refusal.notRun(ErrorCode.OVERLOADED, "Try later.")),
-                    new NotLeader(Optional.of(VM)),
-                    new NotLeader(Optional.empty()),
+                    NotLeader.notLookedAt(Optional.of(VM)),
+                    new NotLeader(Optional.empty(), true),
                     new Granted(
                             ATTEMPT,
                             TEAM,
