Let voters that start together seek election in turn

All voters start within 0.1 s and repeat their attempts within 125 to 250 ms, while a round of votes of processes that have just started takes about as long, so that votes split. That the votes split is read from the times, not from a log line. Change: pauses before attempts grow with the place of a replica among the voters and differ by more than their random part.

--- a/library/src/main/java/org/marjoramnotch/logic/replication/Election.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Election.java
@@ -20,7 +20,7 @@
     void tick() {
         if (state.role() != Role.LEADER && state.votes() && state.timer().isDue(state.now())) {
             state.askPreVotes();
-            state.timer().awaitRetry(state.now());
+            state.timer().awaitRetry(state.now(), state.turn());
             ask(VoteKind.PRE_VOTE, state.term() + 1);
         }
     }
@@ -79,7 +79,7 @@
 
     private void campaign(VoteKind kind) {
         state.campaign();
-        state.timer().awaitRetry(state.now());
+        state.timer().awaitRetry(state.now(), state.turn());
         ask(kind, state.term());
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/replication/ElectionTimer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ElectionTimer.java
@@ -4,6 +4,9 @@
 
 /** Measures how long the leader has been silent and when to seek election, on the own clock. */
 final class ElectionTimer {
+    /** A pause before an attempt is one such part of the timeout, and the turns are two apart. */
+    private static final int RETRY_PARTS = 8;
+
     private final ReplicaSettings settings;
     private final UniformRandomProvider random;
     private long leaderHeardAt;
@@ -20,10 +23,11 @@
      * and after a power failure of all VMs nobody leads.
      *
      * @param begun when the process began; nothing that ran before can have been later
+     * @param turn the place of this replica among the voters
      */
-    void start(long begun, long now) {
+    void start(long begun, long now, int turn) {
         leaderHeardAt = begun;
-        awaitRetry(now);
+        awaitRetry(now, turn);
     }
 
     /** Notes that the leader of the current term was heard. */
@@ -54,9 +58,16 @@
                                 settings.electionTimeoutMaximumMilliseconds());
     }
 
-    /** Sets the next attempt after one that may fail; no leader is waited for, so it is sooner. */
-    void awaitRetry(long now) {
+    /**
+     * Sets the next attempt after one that may fail; no leader is waited for, so it is sooner.
+     * Voters that start together, or split their votes, make their attempts in turn: right after a
+     * start a round of votes takes longer than random pauses would keep them apart.
+     *
+     * @param turn the place of this replica among the voters
+     */
+    void awaitRetry(long now, int turn) {
         long minimum = settings.electionTimeoutMinimumMilliseconds();
-        deadline = now + random.nextLong(minimum / 4, minimum / 2 + 1);
+        long pause = minimum / RETRY_PARTS + turn * 2 * minimum / RETRY_PARTS;
+        deadline = now + pause + random.nextLong(0, Math.max(1, minimum / RETRY_PARTS));
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/replication/ReplicaState.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ReplicaState.java
@@ -40,7 +40,7 @@
         if (membership().exists()) {
             joinGroup(membership().group());
         }
-        timer.start(begun, now);
+        timer.start(begun, now, turn());
     }
 
     /** Moves the time on; a time before the last one is ignored. */
@@ -104,6 +104,11 @@
         return membership().voters().contains(self());
     }
 
+    /** Returns the place of this replica among the voters; 0 if it is none. */
+    int turn() {
+        return Math.max(0, membership().voters().indexOf(self()));
+    }
+
     ElectionTimer timer() {
         return timer;
     }
