--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -9,9 +9,7 @@
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.ListRuns;
-import org.marjoramnotch.model.order.PaceRun;
 import org.marjoramnotch.model.order.RejectionReason;
-import org.marjoramnotch.model.order.RunningRow;
 import org.marjoramnotch.model.order.StartRun;
 import org.marjoramnotch.model.order.WorkerCall;
 import org.marjoramnotch.model.workflow.RunId;
@@ -122,11 +120,6 @@
         return trust.hasRecentFailures();
     }
 
-    /** Returns the newest row of a run. */
-    Optional<RunningRow> row(RunId run) {
-        return lists.row(run);
-    }
-
     /** Returns how long nothing was heard of the worker. */
     long silenceMilliseconds(long nowMilliseconds) {
         return nowMilliseconds - heardAt;
@@ -149,15 +142,6 @@
         }
     }
 
-    /** Sets the pace of a run. */
-    void pace(long nowMilliseconds, RunId run, int percent, LeaderOutput output) {
-        calls.send(
-                nowMilliseconds,
-                this,
-                new PaceRun(calls.nextId(), worker, fencingToken, run, percent),
-                output);
-    }
-
     /** Sends what is due and gives up runs whose lease is over. */
     void tick(long nowMilliseconds, LeaderOutput output) {
         if (fenced || gone) {
