Name Netty's machine, so that a start walks no network interfaces

Cause: each start warned that no network interface has a usable address, after walking all of them. Change: a daemon draws the name before Netty is used. Measured: the warning is gone (one start by hand).

--- a/daemon/src/main/java/org/marjoramnotch/daemon/StartPreparation.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/StartPreparation.java
@@ -2,6 +2,8 @@
 
 import com.typesafe.config.ConfigFactory;
 import java.security.GeneralSecurityException;
+import java.util.HexFormat;
+import java.util.concurrent.ThreadLocalRandom;
 import javax.net.ssl.KeyManager;
 import javax.net.ssl.SSLContext;
 import javax.net.ssl.TrustManager;
@@ -25,6 +27,11 @@
     private static final String COMMON_POOL_PROPERTY =
             "java.util.concurrent.ForkJoinPool.common.parallelism";
 
+    /** Without it Netty walks all network interfaces, and warns where none has an address. */
+    private static final String NETTY_MACHINE_PROPERTY = "io.grpc.netty.shaded.io.netty.machineId";
+
+    private static final int MACHINE_ID_BYTES = 8;
+
     private final long begunMilliseconds = new SystemClock().nowMilliseconds();
 
     private StartPreparation() {}
@@ -32,6 +39,7 @@
     /** Begins; called first in a process. */
     public static StartPreparation begin() {
         useCommonPool();
+        nameMachine();
         StartPreparation preparation = new StartPreparation();
         Thread thread = new Thread(StartPreparation::prepare, "start-preparation");
         thread.setDaemon(true);
@@ -51,6 +59,15 @@
         }
     }
 
+    /** Draws the name that tells Netty's channels of this process from those of others. */
+    private static void nameMachine() {
+        if (System.getProperty(NETTY_MACHINE_PROPERTY) == null) {
+            byte[] name = new byte[MACHINE_ID_BYTES];
+            ThreadLocalRandom.current().nextBytes(name);
+            System.setProperty(NETTY_MACHINE_PROPERTY, HexFormat.ofDelimiter(":").formatHex(name));
+        }
+    }
+
     private static void prepare() {
         ConfigFactory.load();
         useEmptyTlsContext();
