Share what the platform's listeners do alike, and look things up instead of walking

The restored runs of a workflow were found by a loop that WorkflowEntry.running already has. Work done again and again: teams and queues of the configuration are kept by name in the ledger instead of being collected for each round of decisions, pools once for each check of feasibility, an outcome's session is looked up instead of searched for among all, overdue calls end at the first that is not, and steps with advice are kept by workflow. Behaviour stays as it is; no assertion of a test changed.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -245,8 +245,8 @@
     }
 
     private void startDuties(OrderPort orders) {
-        Consumer<DecisionNote> notes =
-                ((Consumer<DecisionNote>) new DecisionLog(clock)::write).andThen(metrics::decided);
+        Consumer<DecisionNote> log = new DecisionLog(clock)::write;
+        Consumer<DecisionNote> notes = log.andThen(metrics::decided);
         replica.ifPresent(host -> startDuty("cell", host.behavior(links, orders, notes, failure)));
         links.startDuties(this::startDuty, failure);
         startDuty("entry", entry.behavior(failure));
--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/Duty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/Duty.java
@@ -99,9 +99,8 @@
             work.tick(now);
             nextTickMilliseconds = now + tickMilliseconds;
         }
-        // A pause of the process may fall into a batch; a time from before it would let a leader
-        // whose
-        // lease ran out meanwhile answer what arrived after it.
+        // A pause of the process may fall into a batch; with a time from before it, a leader whose
+        // lease ran out meanwhile would answer what arrived after the pause.
         input.drain(value -> work.receive(clock.nowMilliseconds(), value), LARGEST_BATCH);
         work.flush(now);
     }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/BodyReader.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/BodyReader.java
@@ -4,13 +4,15 @@
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
 
 /** Reads the bodies of requests whole, within a bound. */
-final class BodyReader {
+public final class BodyReader {
     private final ActorSystem system;
     private final long longestBodyBytes;
 
-    BodyReader(ActorSystem system, long longestBodyBytes) {
+    /** Creates a reader of bodies up to a length. */
+    public BodyReader(ActorSystem system, long longestBodyBytes) {
         this.system = system;
         this.longestBodyBytes = longestBodyBytes;
     }
@@ -27,8 +29,12 @@
 
     /** Reads the body; fails with {@code INVALID_REQUEST} if it is too long, cut or late. */
     CompletionStage<HttpEntity.Strict> read(HttpCall call, long timeoutMilliseconds) {
-        return call.request()
-                .entity()
+        return read(call.request(), timeoutMilliseconds);
+    }
+
+    /** Reads the body; fails with {@code INVALID_REQUEST} if it is too long, cut or late. */
+    public CompletionStage<HttpEntity.Strict> read(HttpRequest request, long timeoutMilliseconds) {
+        return request.entity()
                 .toStrict(timeoutMilliseconds, longestBodyBytes, system)
                 .exceptionally(
                         failure -> {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/AdviceDesk.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/AdviceDesk.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.marjoramnotch.logic.leader.DecisionNote;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
@@ -66,7 +67,7 @@
         boolean pending;
     }
 
-    private final Map<StepId, Advice> byStep = new HashMap<>();
+    private final Map<JobId, Map<StepId, Advice>> byWorkflow = new HashMap<>();
     private final Map<Long, Question> given = new HashMap<>();
     private final PriorityQueue<Question> waiting =
             new PriorityQueue<>(
@@ -87,19 +88,13 @@
 
     /** Returns the valid tickets of a step by worker; empty if there are none now. */
     Map<WorkerId, String> tickets(StepId step, long nowMilliseconds) {
-        Advice advice = byStep.get(step);
+        Advice advice = adviceOn(step);
         return advice != null && nowMilliseconds < advice.validUntil ? advice.tickets : Map.of();
     }
 
-    /** Tells whether a question about the step is under way. */
-    boolean isPending(StepId step) {
-        Advice advice = byStep.get(step);
-        return advice != null && advice.pending;
-    }
-
     /** Tells whether a worker may run a step, as far as is known. */
     boolean mayRun(StepId step, WorkerId worker) {
-        Advice advice = byStep.get(step);
+        Advice advice = adviceOn(step);
         return advice == null || !advice.asked.contains(worker) || advice.granted.contains(worker);
     }
 
@@ -116,7 +111,10 @@
             AdviceTerms terms,
             long urgency,
             LeaderOutput output) {
-        Advice advice = byStep.computeIfAbsent(step, key -> new Advice());
+        Advice advice =
+                byWorkflow
+                        .computeIfAbsent(step.workflow(), workflow -> new HashMap<>())
+                        .computeIfAbsent(step, key -> new Advice());
         List<WorkerId> named =
                 workers.stream()
                         .filter(worker -> mayRun(step, worker))
@@ -144,7 +142,7 @@
 
     /** Forgets the tickets of a step, for example after one was refused. */
     void invalidate(StepId step) {
-        Advice advice = byStep.get(step);
+        Advice advice = adviceOn(step);
         if (advice != null) {
             advice.validUntil = Long.MIN_VALUE;
         }
@@ -152,8 +150,9 @@
 
     /** Forgets the steps of a workflow. */
     void forget(JobId workflow) {
-        byStep.keySet().removeIf(step -> step.workflow().equals(workflow));
-        waiting.removeIf(question -> question.step.workflow().equals(workflow));
+        if (byWorkflow.remove(workflow) != null) {
+            waiting.removeIf(question -> question.step.workflow().equals(workflow));
+        }
     }
 
     void tick(long nowMilliseconds, LeaderOutput output) {
@@ -173,9 +172,13 @@
         handOut(nowMilliseconds, output);
     }
 
+    private @Nullable Advice adviceOn(StepId step) {
+        return byWorkflow.getOrDefault(step.workflow(), Map.of()).get(step);
+    }
+
     private void onAnswer(long nowMilliseconds, AdviceAnswer answer, LeaderOutput output) {
         Question question = given.remove(answer.question());
-        Advice advice = question == null ? null : byStep.get(question.step);
+        Advice advice = question == null ? null : adviceOn(question.step);
         if (question == null || advice == null) {
             return;
         }
@@ -197,7 +200,7 @@
     }
 
     private void askAgain(Question question) {
-        if (byStep.containsKey(question.step)) {
+        if (adviceOn(question.step) != null) {
             lastQuestion++;
             waiting.add(
                     new Question(
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/CallRegister.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/CallRegister.java
@@ -1,6 +1,6 @@
 package org.marjoramnotch.logic.workflow;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,7 +23,9 @@
      */
     record OpenCall(WorkerCall call, WorkerSession session, long sentAt) {}
 
-    private final Map<Long, OpenCall> open = new HashMap<>();
+    /** In the order of sending, so that the overdue ones come first. */
+    private final Map<Long, OpenCall> open = new LinkedHashMap<>();
+
     private long lastId;
 
     /**
@@ -49,7 +51,7 @@
     /** Returns calls whose outcome was lost on its way; each counts as unanswered. */
     List<Long> overdue(long nowMilliseconds) {
         return open.entrySet().stream()
-                .filter(
+                .takeWhile(
                         entry ->
                                 nowMilliseconds - entry.getValue().sentAt()
                                         >= LONGEST_CALL_MILLISECONDS)
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/Feasibility.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/Feasibility.java
@@ -4,11 +4,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.command.FailWorkflow;
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.fleet.TeamDefinition;
 import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.identifier.ServiceName;
 import org.marjoramnotch.model.resource.Resources;
 import org.marjoramnotch.model.workflow.StepDefinition;
 
@@ -27,8 +29,13 @@
     void check(long nowMilliseconds, LeaderOutput output) {
         Map<JobId, Long> before = Map.copyOf(hopelessSince);
         hopelessSince.clear();
+        Map<ServiceName, List<FleetWorker>> pools =
+                ledger.workers().stream()
+                        .map(WorkerEntry::worker)
+                        .collect(Collectors.groupingBy(FleetWorker::pool));
         for (WorkflowEntry entry : ledger.active()) {
-            Optional<String> reason = obstacle(entry);
+            List<FleetWorker> pool = pools.getOrDefault(entry.queue().pool(), List.of());
+            Optional<String> reason = obstacle(entry, pool);
             if (reason.isEmpty()) {
                 continue;
             }
@@ -40,12 +47,7 @@
         }
     }
 
-    private Optional<String> obstacle(WorkflowEntry entry) {
-        List<FleetWorker> pool =
-                ledger.workers().stream()
-                        .map(WorkerEntry::worker)
-                        .filter(worker -> worker.pool().equals(entry.queue().pool()))
-                        .toList();
+    private Optional<String> obstacle(WorkflowEntry entry, List<FleetWorker> pool) {
         if (pool.isEmpty()) {
             return Optional.empty();
         }
@@ -68,11 +70,7 @@
         if (!fits) {
             return Optional.of("no worker of the pool is large enough or has the label");
         }
-        Optional<TeamDefinition> team =
-                ledger.configuration().stream()
-                        .flatMap(configuration -> configuration.teams().stream())
-                        .filter(known -> Optional.of(known.name()).equals(entry.workflow().team()))
-                        .findFirst();
+        Optional<TeamDefinition> team = entry.workflow().team().flatMap(ledger::team);
         Resources atOnce = step.gang() ? times(step.demand(), step.tasks()) : step.demand();
         return team.isPresent() && !team.get().allows(atOnce)
                 ? Optional.of("the upper limit of the team is smaller")
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunChanges.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunChanges.java
@@ -164,18 +164,12 @@
 
     /** Takes the runs of a restored workflow into account. */
     void restore(WorkflowEntry entry) {
-        for (int occurrence = 0; occurrence < entry.occurrenceCount(); occurrence++) {
-            for (int step = 0; step < entry.steps(occurrence).size(); step++) {
-                StepId id = new StepId(entry.id(), occurrence, step);
-                List<TaskState> tasks = entry.steps(occurrence).get(step).tasks();
-                for (int index = 0; index < tasks.size(); index++) {
-                    TaskState task = tasks.get(index);
-                    RunId run = new RunId(new WorkflowTaskId(id, index), task.run());
-                    if (task.isRunning()) {
-                        hold(ledger.worker(task.worker().orElseThrow()).orElseThrow(), entry, run);
-                    }
-                }
-            }
-        }
+        entry.running()
+                .forEach(
+                        (run, task) ->
+                                hold(
+                                        ledger.worker(task.worker().orElseThrow()).orElseThrow(),
+                                        entry,
+                                        run));
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,7 +12,6 @@
 import org.marjoramnotch.model.fleet.QueueDefinition;
 import org.marjoramnotch.model.fleet.TeamDefinition;
 import org.marjoramnotch.model.identifier.ServiceName;
-import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunPlacement;
@@ -62,20 +60,13 @@
 
     /** Decides what starts now. */
     void schedule(long nowMilliseconds, LeaderOutput output) {
-        Map<TeamName, TeamDefinition> teams = new HashMap<>();
-        ledger.configuration()
-                .ifPresent(
-                        configuration ->
-                                configuration
-                                        .teams()
-                                        .forEach(team -> teams.put(team.name(), team)));
         placer.begin();
         Map<ServiceName, List<WorkerEntry>> usable = usableByPool(nowMilliseconds);
         List<RunPlacement> singles = new ArrayList<>();
         List<ReadyStep> soon = new ArrayList<>();
         for (ReadyStep step : readySteps(nowMilliseconds, soon)) {
             List<WorkerEntry> pool = usable.getOrDefault(step.workflow().queue().pool(), List.of());
-            Optional<TeamDefinition> team = step.workflow().workflow().team().map(teams::get);
+            Optional<TeamDefinition> team = step.workflow().workflow().team().flatMap(ledger::team);
             List<RunPlacement> placed = place(nowMilliseconds, step, pool, team, output);
             if (step.tasks().definition().gang()) {
                 propose(placed, output);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReports.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReports.java
@@ -87,7 +87,7 @@
             Long sequence = enrollingSequences.remove(worker.incarnation());
             if (sequence != null) {
                 sessions.of(worker.incarnation())
-                        .ifPresent(session -> session.isNewReport(sequence, nowMilliseconds));
+                        .ifPresent(session -> session.noteReport(sequence, nowMilliseconds));
             }
             output.note(
                     DecisionNote.of(
@@ -131,7 +131,7 @@
             return false;
         }
         return sessions.of(incarnation)
-                .map(session -> session.isNewReport(report.sequence(), nowMilliseconds))
+                .map(session -> session.noteReport(report.sequence(), nowMilliseconds))
                 .orElse(true);
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -68,8 +68,8 @@
         worker = newCondition;
     }
 
-    /** Returns whether a report is newer than those before it, and remembers it. */
-    boolean isNewReport(long sequence, long nowMilliseconds) {
+    /** Notes a report; returns whether it is newer than those before it. */
+    boolean noteReport(long sequence, long nowMilliseconds) {
         if (sequence <= reportSequence) {
             return false;
         }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
@@ -97,9 +97,9 @@
                                             open.sentAt(),
                                             outcome,
                                             output);
-                            if (sessions.containsValue(open.session())) {
-                                open.session().tick(nowMilliseconds, output);
-                            }
+                            of(open.session().worker().id())
+                                    .filter(present -> present == open.session())
+                                    .ifPresent(session -> session.tick(nowMilliseconds, output));
                         });
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -21,6 +21,7 @@
 import org.marjoramnotch.model.fleet.FleetConfiguration;
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.fleet.QueueDefinition;
+import org.marjoramnotch.model.fleet.TeamDefinition;
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.identifier.QueueName;
@@ -35,6 +36,8 @@
 /** Configuration, workers and workflows, as the replicas agree on them. */
 public final class WorkflowLedger {
     private @Nullable FleetConfiguration configuration;
+    private final Map<QueueName, QueueDefinition> queues = new HashMap<>();
+    private final Map<TeamName, TeamDefinition> teams = new HashMap<>();
     private final Map<WorkerId, WorkerEntry> workers = new TreeMap<>();
     private final Map<JobId, WorkflowEntry> workflows = new LinkedHashMap<>();
     private final Map<JobId, WorkflowEntry> active = new LinkedHashMap<>();
@@ -43,7 +46,7 @@
 
     /** Takes the state of a snapshot over. */
     public void restore(WorkflowSnapshot snapshot) {
-        configuration = snapshot.configuration().orElse(null);
+        snapshot.configuration().ifPresent(this::use);
         snapshot.workers().forEach(worker -> workers.put(worker.id(), new WorkerEntry(worker)));
         for (WorkflowRecord stored : snapshot.workflows()) {
             WorkflowEntry entry = new WorkflowEntry(stored);
@@ -92,6 +95,11 @@
         return Optional.ofNullable(configuration);
     }
 
+    /** Returns a team of the configuration in force. */
+    Optional<TeamDefinition> team(TeamName name) {
+        return Optional.ofNullable(teams.get(name));
+    }
+
     Collection<WorkerEntry> workers() {
         return workers.values();
     }
@@ -140,24 +148,26 @@
         if (configuration != null && proposed.version() <= configuration.version()) {
             return;
         }
-        configuration = proposed;
-        Map<QueueName, QueueDefinition> queues = new HashMap<>();
-        proposed.queues().forEach(queue -> queues.put(queue.name(), queue));
+        use(proposed);
         for (WorkflowEntry entry : active.values()) {
             // A queue that was removed still holds for what it had accepted.
             entry.useTerms(queues.getOrDefault(entry.queue().name(), entry.queue()));
         }
     }
 
+    private void use(FleetConfiguration newConfiguration) {
+        configuration = newConfiguration;
+        queues.clear();
+        teams.clear();
+        newConfiguration.queues().forEach(queue -> queues.put(queue.name(), queue));
+        newConfiguration.teams().forEach(team -> teams.put(team.name(), team));
+    }
+
     private void apply(SubmitWorkflow submit) {
         Workflow workflow = submit.workflow();
-        Optional<QueueDefinition> queue =
-                configuration().stream()
-                        .flatMap(known -> known.queues().stream())
-                        .filter(known -> known.name().equals(workflow.queue()))
-                        .findFirst();
-        if (queue.isPresent() && !workflows.containsKey(workflow.id())) {
-            WorkflowEntry entry = new WorkflowEntry(workflow, queue.get());
+        QueueDefinition queue = queues.get(workflow.queue());
+        if (queue != null && !workflows.containsKey(workflow.id())) {
+            WorkflowEntry entry = new WorkflowEntry(workflow, queue);
             workflows.put(workflow.id(), entry);
             active.put(workflow.id(), entry);
         }
