Keep the leader's duties while only its lease has lapsed

Callers saw: steps that wait for seconds with no_ticket, no start for 3 s after a change of leader, submissions that end as unknown. No other leader can have decided anything until one is elected, and then this one leads no longer. Ruled out: a lost quorum, since the lease came back within 0 to 340 ms in the same term. Change: the duties pause. Nothing that they decided leaves (replies and calls are held, also those taken before a slow sync), requests are refused as not processed, committed entries and outcomes of calls are still followed. They end once leadership is lost, a proposal was refused, or after 2 s. A batch ends in two steps, so that the messages to the followers carry the time at which they are sent and not that from before the scheduling round. Lines leader_lease_lapsed and leader_lease_regained.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
@@ -128,7 +128,8 @@
         if (outage != null) {
             return;
         }
-        CellEffects effects = core.takeEffects();
+        core.endBatch(clock.nowMilliseconds());
+        CellEffects effects = core.takeEffects(clock.nowMilliseconds());
         long before = clock.nowMilliseconds();
         try {
             storage.persist(effects.writes());
@@ -145,7 +146,7 @@
         if (after - before <= TICK_MILLISECONDS || core.mayDecide(after)) {
             effects.replies().forEach(output::reply);
             effects.calls().forEach(orders);
-        } else {
+        } else if (!core.holdBack(effects)) {
             // Another replica may have become leader and decided differently during the slow sync.
             effects.replies().forEach(substituteReplies::sendAsUnknown);
         }
--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -1,12 +1,10 @@
 package org.marjoramnotch.logic.cell;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.LeaderDuty;
-import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.logic.ledger.Ledger;
 import org.marjoramnotch.logic.replication.ReplicatedLog;
@@ -16,12 +14,10 @@
 import org.marjoramnotch.model.command.CommandResult;
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.VmId;
-import org.marjoramnotch.model.message.CellReply;
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.NotLeader;
 import org.marjoramnotch.model.message.ReadStatus;
 import org.marjoramnotch.model.order.CallOutcome;
-import org.marjoramnotch.model.order.WorkerCall;
 import org.marjoramnotch.model.replication.ReplicationMessage;
 
 /**
@@ -30,16 +26,15 @@
  * it from one thread and takes the effects after each batch of calls.
  */
 public final class CellCore {
-    /** Ample, as duties restart within a term only when the leader lease was lost and regained. */
+    /** Ample, as duties restart within a term only after a refused proposal or a long pause. */
     private static final long TOKENS_PER_TERM = 1_024;
 
     private final ReplicatedLog log;
-    private final PayloadCodec codec;
     private final LeaderDutyFactory dutyFactory;
-    private final LeaderOutput output = new Output();
+    private final DutyOutput output;
     private final CellEffectBuffer buffer = new CellEffectBuffer();
-    private final UnansweredRequests unanswered = new UnansweredRequests();
     private final PendingProposals pendingProposals = new PendingProposals();
+    private final LeasePause pause = new LeasePause();
     private final MembershipChangeDetector membershipChanges = new MembershipChangeDetector();
 
     private final LogApplier applier;
@@ -55,8 +50,8 @@
             PayloadCodec codec,
             LeaderDutyFactory factory) {
         this.log = log;
-        this.codec = codec;
         this.dutyFactory = factory;
+        this.output = new DutyOutput(log, codec, pendingProposals, buffer.decisionLog, () -> now);
         this.applier = new LogApplier(codec, new CompactionSchedule(settings), pendingProposals);
     }
 
@@ -64,7 +59,7 @@
     public void tick(long nowMilliseconds) {
         advance(nowMilliseconds);
         membershipChanges.detectChange(log.status(now)).ifPresent(buffer.decisionLog::add);
-        if (duties != null) {
+        if (duties != null && !pause.isActive()) {
             duties.onTick(now, output);
             processLogEffects();
         }
@@ -80,7 +75,7 @@
     /** Processes a request; its reply appears in the effects of this or a later call. */
     public void request(long nowMilliseconds, RequestHandle handle, CellRequest request) {
         advance(nowMilliseconds);
-        if (duties == null || stopping) {
+        if (duties == null || pause.isActive() || stopping) {
             buffer.replies.add(new OutgoingReply(handle, NotLeader.notProcessed(otherLeader())));
             return;
         }
@@ -89,7 +84,7 @@
                     new OutgoingReply(handle, StatusReport.of(log.status(now), ledger())));
             return;
         }
-        unanswered.add(handle);
+        output.expectReply(handle);
         duties.onRequest(now, handle, request, output);
         processLogEffects();
     }
@@ -131,12 +126,25 @@
     }
 
     /**
-     * Returns whether this replica may make decisions, and ends its duties if not. The host calls
-     * this after a long sync: if the lease ended, earlier replies and calls must not be sent.
+     * Returns whether this replica may make decisions. The host calls this after a long sync: if
+     * the lease lapsed, earlier replies and calls must not be sent.
      */
     public boolean mayDecide(long nowMilliseconds) {
         advance(nowMilliseconds);
-        return duties != null;
+        return duties != null && !pause.isActive();
+    }
+
+    /**
+     * Holds the replies and calls of taken effects back until this replica holds the lease again.
+     *
+     * @return false if this replica leads no longer, so that they must not be sent at all
+     */
+    public boolean holdBack(CellEffects taken) {
+        if (duties == null) {
+            return false;
+        }
+        output.holdBack(taken.replies(), taken.calls());
+        return true;
     }
 
     /**
@@ -148,18 +156,30 @@
         now = nowMilliseconds;
         log.resign(now);
         buffer.take();
-        endDutiesUnlessReady();
+        pauseOrEndDuties();
         buffer.messages.addAll(log.takeEffects().messages());
         return buffer.take();
     }
 
-    /** Returns and removes the effects that were added since the last call. */
-    public CellEffects takeEffects() {
-        if (duties != null) {
+    /** Ends a batch of calls. This may take long, so that the effects are taken at a later time. */
+    public void endBatch(long nowMilliseconds) {
+        advance(nowMilliseconds);
+        if (duties != null && !pause.isActive()) {
             duties.onBatchEnd(now, output);
         }
-        processLogEffects();
+    }
+
+    /**
+     * Returns and removes the effects that were added since the last call.
+     *
+     * @param nowMilliseconds the time at which they are sent; the leader lease counts from it
+     */
+    public CellEffects takeEffects(long nowMilliseconds) {
+        advance(nowMilliseconds);
         applier.beginBatch();
+        if (!pause.isActive()) {
+            output.moveHeldTo(buffer);
+        }
         return buffer.take();
     }
 
@@ -194,7 +214,7 @@
         ReplicationEffects effects = log.takeEffects();
         boolean more = true;
         while (more) {
-            endDutiesUnlessReady();
+            pauseOrEndDuties();
             collectEffects(effects);
             startDutiesIfReady();
             effects = log.takeEffects();
@@ -217,29 +237,39 @@
     }
 
     /**
-     * Ends the duties once the lease may have expired or a proposal was refused, before entries of
-     * a later leader are applied, because the replies of the duties rely on the lease.
+     * Ends the duties once this replica leads no longer or a proposal was refused, before entries
+     * of a later leader are applied. While only the lease has lapsed, no other leader can have
+     * decided anything, so the duties pause: what they learned stays, but nothing that they decide
+     * leaves, since another replica may be elected at any moment.
      */
-    private void endDutiesUnlessReady() {
-        boolean ready = log.isReady(now) && !pendingProposals.wasRefused();
-        if (ready || duties == null) {
+    private void pauseOrEndDuties() {
+        if (duties == null) {
             return;
         }
-        duties.onTermEnd();
+        if (!log.isLeading(now) || pendingProposals.wasRefused() || pause.isTooLong(now)) {
+            endDuties(duties);
+        } else if (log.isReady(now)) {
+            pause.end(now).ifPresent(buffer.decisionLog::add);
+        } else if (!pause.isActive()) {
+            buffer.decisionLog.add(pause.begin(now, log.status(now).term()));
+            // They were decided while the lease was held.
+            buffer.replies.addAll(output.takeHeldReplies());
+        }
+    }
+
+    private void endDuties(LeaderDuty ended) {
+        ended.onTermEnd();
         duties = null;
-        buffer.calls.clear();
         buffer.decisionLog.add(
                 DecisionLogEntry.of("leader_duties_ended", "term", log.status(now).term()));
         pendingProposals.clear();
-        CellReply reply = new NotLeader(otherLeader(), true);
-        unanswered
-                .removeAll()
-                .forEach(handle -> buffer.replies.add(new OutgoingReply(handle, reply)));
+        pause.end(now);
+        buffer.replies.addAll(output.replyToAll(new NotLeader(otherLeader(), true)));
     }
 
     /**
-     * Starts new duties once the entries of earlier terms, and proposals from before a lost lease,
-     * are applied: otherwise work would count as waiting that an entry in flight is about to start.
+     * Starts new duties once the entries of earlier terms and of earlier duties are applied:
+     * otherwise work would count as waiting that an entry in flight is about to start.
      */
     private void startDutiesIfReady() {
         if (duties == null
@@ -266,30 +296,4 @@
         ReplicationStatus status = log.status(now);
         return status.leader().filter(leader -> !leader.equals(status.self())).map(ReplicaId::vm);
     }
-
-    /** Passes proposals to the log, and replies to requests that are still unanswered. */
-    private final class Output implements LeaderOutput {
-        @Override
-        public void propose(Command command) {
-            OptionalLong index = log.propose(now, codec.encode(command));
-            pendingProposals.add(index, log.status(now).term(), command);
-        }
-
-        @Override
-        public void reply(RequestHandle handle, CellReply reply) {
-            if (unanswered.remove(handle)) {
-                buffer.replies.add(new OutgoingReply(handle, reply));
-            }
-        }
-
-        @Override
-        public void call(WorkerCall call) {
-            buffer.calls.add(call);
-        }
-
-        @Override
-        public void logDecision(DecisionLogEntry logEntry) {
-            buffer.decisionLog.add(logEntry);
-        }
-    }
 }
--- /dev/null
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/DutyOutput.java
@@ -0,0 +1,101 @@
+package org.marjoramnotch.logic.cell;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.stream.Stream;
+import org.marjoramnotch.logic.leader.DecisionLogEntry;
+import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.logic.replication.ReplicatedLog;
+import org.marjoramnotch.model.command.Command;
+import org.marjoramnotch.model.message.CellReply;
+import org.marjoramnotch.model.order.WorkerCall;
+import org.marjoramnotch.model.time.Clock;
+
+/**
+ * What the leader's duties decide. Proposals go to the log at once. Replies, to requests that are
+ * still unanswered, and calls are held, since they may leave only while the lease is held.
+ */
+final class DutyOutput implements LeaderOutput {
+    private final ReplicatedLog log;
+    private final PayloadCodec codec;
+    private final PendingProposals proposals;
+    private final List<DecisionLogEntry> decisionLog;
+    private final Clock clock;
+    private final UnansweredRequests unanswered = new UnansweredRequests();
+    private List<OutgoingReply> heldReplies = new ArrayList<>();
+    private List<WorkerCall> heldCalls = new ArrayList<>();
+
+    DutyOutput(
+            ReplicatedLog log,
+            PayloadCodec codec,
+            PendingProposals proposals,
+            List<DecisionLogEntry> decisionLog,
+            Clock clock) {
+        this.log = log;
+        this.codec = codec;
+        this.proposals = proposals;
+        this.decisionLog = decisionLog;
+        this.clock = clock;
+    }
+
+    /** Expects a reply to a request. */
+    void expectReply(RequestHandle handle) {
+        unanswered.add(handle);
+    }
+
+    @Override
+    public void propose(Command command) {
+        long now = clock.nowMilliseconds();
+        OptionalLong index = log.propose(now, codec.encode(command));
+        proposals.add(index, log.status(now).term(), command);
+    }
+
+    @Override
+    public void reply(RequestHandle handle, CellReply reply) {
+        if (unanswered.remove(handle)) {
+            heldReplies.add(new OutgoingReply(handle, reply));
+        }
+    }
+
+    @Override
+    public void call(WorkerCall call) {
+        heldCalls.add(call);
+    }
+
+    @Override
+    public void logDecision(DecisionLogEntry logEntry) {
+        decisionLog.add(logEntry);
+    }
+
+    /** Holds decisions that were taken but not sent, before all later ones. */
+    void holdBack(List<OutgoingReply> replies, List<WorkerCall> calls) {
+        heldReplies.addAll(0, replies);
+        heldCalls.addAll(0, calls);
+    }
+
+    /** Returns and removes the held replies. */
+    List<OutgoingReply> takeHeldReplies() {
+        List<OutgoingReply> taken = heldReplies;
+        heldReplies = new ArrayList<>();
+        return taken;
+    }
+
+    /** Moves the held decisions to the effects that are sent next. */
+    void moveHeldTo(CellEffectBuffer buffer) {
+        buffer.replies.addAll(takeHeldReplies());
+        buffer.calls.addAll(heldCalls);
+        heldCalls = new ArrayList<>();
+    }
+
+    /** Discards the held decisions and returns one reply to all requests that have none. */
+    List<OutgoingReply> replyToAll(CellReply reply) {
+        heldCalls.clear();
+        return Stream.concat(
+                        takeHeldReplies().stream().map(OutgoingReply::handle),
+                        unanswered.removeAll().stream())
+                .map(handle -> new OutgoingReply(handle, reply))
+                .toList();
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
@@ -209,6 +209,12 @@
         return leadership != null && isReady(leadership, leadership.holdsLease());
     }
 
+    @Override
+    public boolean isLeading(long nowMilliseconds) {
+        state.advanceClock(nowMilliseconds);
+        return state.leadership().isPresent();
+    }
+
     @Override
     public ReplicationStatus status(long nowMilliseconds) {
         state.advanceClock(nowMilliseconds);
--- a/library/src/main/java/org/marjoramnotch/logic/replication/ReplicatedLog.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ReplicatedLog.java
@@ -71,6 +71,14 @@
         return status(nowMilliseconds).ready();
     }
 
+    /**
+     * Returns whether this replica leads, also while its lease has lapsed. Until it holds the lease
+     * again, another replica may be elected; if it does, none was.
+     */
+    default boolean isLeading(long nowMilliseconds) {
+        return status(nowMilliseconds).leading();
+    }
+
     /** Returns what this replica knows about the group. */
     ReplicationStatus status(long nowMilliseconds);
 }
--- a/library/src/test/java/org/marjoramnotch/logic/cell/CellCompactionTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/CellCompactionTest.java
@@ -47,7 +47,7 @@
         core.tick(0);
         while (core.hasUnappliedEntries()) {
             assertThat(log.compactions).isEmpty();
-            core.takeEffects();
+            core.takeEffects(0);
         }
         assertThat(log.compactions).hasSize(1);
     }
@@ -69,7 +69,7 @@
                     new CommittedEntry(proposed.index(), proposed.term(), new byte[PAYLOAD_BYTES]));
             log.commitAll();
             core.tick(change);
-            core.takeEffects();
+            core.takeEffects(change);
         }
         assertThat(core.ledger().configurationVersion()).isEqualTo(CHANGES);
         assertThat(log.compactions).hasSize(2);
--- a/library/src/test/java/org/marjoramnotch/logic/cell/CellCoreTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/CellCoreTest.java
@@ -154,7 +154,8 @@
     }
 
     private void collect() {
-        replies.addAll(core.takeEffects().replies());
+        core.endBatch(now);
+        replies.addAll(core.takeEffects(now).replies());
     }
 
     private CellCore newCore() {
--- a/library/src/test/java/org/marjoramnotch/logic/cell/LogReplayTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/LogReplayTest.java
@@ -126,7 +126,8 @@
             }
             arrived.forEach(
                     delivery -> core.receive(now, delivery.from(), delivery.message().message()));
-            CellEffects effects = core.takeEffects();
+            core.endBatch(now);
+            CellEffects effects = core.takeEffects(now);
             busyUntil = now + (core.appliedIndex() - appliedBefore) * APPLY_MILLISECONDS;
             effects.messages().forEach(this::send);
             effects.decisionLog().stream()
--- a/library/src/test/java/org/marjoramnotch/logic/cell/ScriptedLog.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/ScriptedLog.java
@@ -20,6 +20,10 @@
     final List<Long> compactions = new ArrayList<>();
     private final List<CommittedEntry> committed = new ArrayList<>();
     boolean ready = true;
+
+    /** Whether the lease of a leader has lapsed. */
+    boolean leaseLapsed;
+
     boolean refusing;
     private long lastIndex;
 
@@ -49,7 +53,24 @@
     @Override
     public ReplicationStatus status(long nowMilliseconds) {
         return new ReplicationStatus(
-                SELF, ready, ready, Optional.of(SELF), 1, 0, 1, List.of(SELF), List.of());
+                SELF,
+                holdsLease(),
+                holdsLease(),
+                Optional.of(SELF),
+                1,
+                0,
+                1,
+                List.of(SELF),
+                List.of());
+    }
+
+    @Override
+    public boolean isLeading(long nowMilliseconds) {
+        return ready;
+    }
+
+    private boolean holdsLease() {
+        return ready && !leaseLapsed;
     }
 
     @Override
--- a/library/src/test/java/org/marjoramnotch/logic/cell/SimulatedHost.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/SimulatedHost.java
@@ -106,7 +106,8 @@
 
     /** Stores the writes, then sends the messages and replies. */
     void processEffects(long time, SimulatedNetwork network, Consumer<OutgoingReply> replies) {
-        CellEffects effects = core().takeEffects();
+        core().endBatch(localTime(time));
+        CellEffects effects = core().takeEffects(localTime(time));
         storage.persist(effects.writes());
         snapshots +=
                 effects.writes().stream()
