Refuse what can't be served any more, and let overdue steps take turns

Cause: late work comes after all work that can still be in time, and the advisor answers fewer questions than a rush asks, so an accepted step that has become late waits until the rush ends. Nothing was ever turned away, so that the backlog grew without bound; Retry-After was constant. Change: package logic.admission, one estimator for each load pattern: RoomWait (wide work fills a pool), AdvisorWait (quick steps that need answers), TeamLimitWait (one team sends more than it may run). A submission whose wait alone makes its result worthless is refused before anything is proposed, with the time at which the backlog is short enough; refused callers return one after the other, higher priorities first. A team below its share of the waiting work, standing and recurring work, known names and anything with room free are admitted. Every eighth round that decides anything begins with an overdue step, the one whose last turn is longest ago.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/AdviceBroker.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/AdviceBroker.java
@@ -1,8 +1,6 @@
 package org.marjoramnotch.logic.workflow;
 
-import java.util.ArrayDeque;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +8,8 @@
 import java.util.PriorityQueue;
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.admission.AdvisorLoad;
+import org.marjoramnotch.logic.admission.WaitingWork;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
@@ -21,7 +21,6 @@
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.message.AdviceAnswer;
 import org.marjoramnotch.model.message.AdviceQuestion;
-import org.marjoramnotch.model.message.Done;
 import org.marjoramnotch.model.message.TakeAdviceQuestion;
 import org.marjoramnotch.model.workflow.StepId;
 
@@ -35,18 +34,11 @@
     /** Allows for the latency of the answer and of the start order that carries the ticket. */
     private static final long TICKET_MARGIN_MILLISECONDS = 150;
 
-    /** Initial delay before another question about a step after two consecutive refusals. */
-    private static final long INITIAL_BACKOFF_MILLISECONDS = 100;
-
-    private static final long MAXIMUM_BACKOFF_MILLISECONDS = 1_600;
-
     /** Minimum time between worker selections for a step; the periodic scheduling interval. */
     private static final long NEXT_SELECTION_MILLISECONDS = 150;
 
     private static final int QUESTION_NUMBER_BITS = 32;
 
-    private record Poll(RequestHandle handle, long endsAt) {}
-
     private final Map<JobId, Map<StepId, StepAdvice>> byWorkflow = new HashMap<>();
     private final GrantRateEstimator grantRates = new GrantRateEstimator();
     private final Map<WorkerId, WorkerIncarnation> incarnations = new HashMap<>();
@@ -55,7 +47,8 @@
             new PriorityQueue<>(
                     Comparator.comparingLong((PendingAdviceQuestion question) -> question.urgency)
                             .thenComparingLong(question -> question.number));
-    private final Deque<Poll> polls = new ArrayDeque<>();
+    private final DaemonPolls polls = new DaemonPolls();
+    private final QuestionMeter meter = new QuestionMeter();
     private long lastQuestion;
     private int stepsWithoutTickets;
 
@@ -74,6 +67,26 @@
         return waitingQuestions.size() + stepsWithoutTickets;
     }
 
+    /** Returns how many questions were sent. */
+    long sentCount() {
+        return meter.sentCount();
+    }
+
+    /**
+     * Returns the load of the advisor.
+     *
+     * @param waiting number of steps about which no question has been asked
+     */
+    AdvisorLoad load(long nowMilliseconds, WaitingWork waiting) {
+        return meter.load(polls.active(nowMilliseconds), polls.idle(), waiting);
+    }
+
+    /** Returns whether no question about a step has been asked. */
+    boolean isUnasked(StepId step) {
+        StepAdvice advice = findAdvice(step);
+        return advice == null || advice.isUnasked();
+    }
+
     /** Returns the currently valid tickets of a step by worker; empty if there are none. */
     Map<WorkerId, String> tickets(StepId step, long nowMilliseconds) {
         StepAdvice advice = findAdvice(step);
@@ -150,7 +163,7 @@
             return;
         }
         waitingQuestions.removeIf(question -> question.step.equals(step));
-        int batchSize = PendingAdviceQuestion.batchSize(toAsk.size(), polls.size(), timing);
+        int batchSize = PendingAdviceQuestion.batchSize(toAsk.size(), polls.idle(), timing);
         for (int from = 0; from < toAsk.size(); from += batchSize) {
             int to = Math.min(toAsk.size(), from + batchSize);
             lastQuestion++;
@@ -173,13 +186,7 @@
             TakeAdviceQuestion poll,
             LeaderOutput output) {
         poll.answer().ifPresent(answer -> onAnswer(nowMilliseconds, answer, output));
-        Poll next = new Poll(handle, nowMilliseconds + poll.waitMilliseconds());
-        // A daemon that can't reach the advisor polls again first and would get every question.
-        if (poll.answer().isPresent() && poll.answer().get().granted().isEmpty()) {
-            polls.addFirst(next);
-        } else {
-            polls.addLast(next);
-        }
+        polls.add(nowMilliseconds, handle, poll);
         sendQuestions(nowMilliseconds, output);
     }
 
@@ -209,12 +216,7 @@
     }
 
     void tick(long nowMilliseconds, LeaderOutput output) {
-        for (Poll poll : List.copyOf(polls)) {
-            if (poll.endsAt() <= nowMilliseconds) {
-                polls.remove(poll);
-                output.reply(poll.handle(), new Done());
-            }
-        }
+        polls.endExpired(nowMilliseconds, output);
         for (PendingAdviceQuestion question : List.copyOf(sentQuestions.values())) {
             if (nowMilliseconds >= question.discardAt()) {
                 sentQuestions.remove(question.number);
@@ -248,6 +250,7 @@
             onRefused(nowMilliseconds, question, advice);
             return;
         }
+        meter.onAnswer(nowMilliseconds, question);
         // The answer may have been delayed, so assume the earliest possible decision time.
         long decidedAt = Math.min(nowMilliseconds, question.expectedAnswerAt());
         advice.onAnswer(
@@ -262,14 +265,11 @@
         if (question.isTimedOut()) {
             return;
         }
-        int refusals = advice.countRefusal();
-        if (refusals == 1) {
+        if (advice.onRefused(nowMilliseconds)) {
             askAgain(question);
-            return;
+        } else {
+            advice.onSettled(question);
         }
-        advice.onSettled(question);
-        long pause = INITIAL_BACKOFF_MILLISECONDS << Math.min(refusals - 2, 4);
-        advice.pauseUntil(nowMilliseconds + Math.min(pause, MAXIMUM_BACKOFF_MILLISECONDS));
     }
 
     private void askAgain(PendingAdviceQuestion question) {
@@ -281,18 +281,19 @@
         }
     }
 
-    /** Sends questions to the most recent polls; an old poll may be from a daemon that has died. */
+    /** Sends questions to the daemons that wait for one. */
     private void sendQuestions(long nowMilliseconds, LeaderOutput output) {
         while (!waitingQuestions.isEmpty() && !polls.isEmpty()) {
             PendingAdviceQuestion question = waitingQuestions.remove();
             question.onSent(nowMilliseconds);
+            meter.onSent(question);
             sentQuestions.put(question.number, question);
             StepAdvice advice = findAdvice(question.step);
             if (advice != null) {
                 advice.onSent(question);
             }
             output.reply(
-                    polls.removeLast().handle(),
+                    polls.takeLatest(),
                     new AdviceQuestion(question.number, question.step, question.workers));
         }
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/LatencyObjectives.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/LatencyObjectives.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.marjoramnotch.model.fleet.QueueDefinition;
 import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.workflow.StepDefinition;
 import org.marjoramnotch.model.workflow.Workflow;
@@ -46,9 +47,17 @@
 
     /** Returns the latency objective of one occurrence of a workflow, in milliseconds. */
     long objective(WorkflowEntry entry) {
-        CriticalPaths paths = criticalPaths(entry);
-        return (long) (paths.longest() * entry.queue().stretch())
-                + entry.queue().slackMilliseconds();
+        return objective(criticalPaths(entry).longest(), entry.queue());
+    }
+
+    /** Returns the latency objective of a workflow with a critical path, in milliseconds. */
+    static long objective(long criticalPath, QueueDefinition queue) {
+        return (long) (criticalPath * queue.stretch()) + queue.slackMilliseconds();
+    }
+
+    /** Returns the length of the critical path of a workflow, in milliseconds. */
+    static long criticalPath(Workflow workflow, QueueDefinition queue) {
+        return computeCriticalPaths(workflow, queue).longest();
     }
 
     /** Returns the length of the critical path that starts with a step, in milliseconds. */
@@ -63,11 +72,11 @@
 
     private CriticalPaths criticalPaths(WorkflowEntry entry) {
         return criticalPathsByWorkflow.computeIfAbsent(
-                entry.id(), id -> computeCriticalPaths(entry));
+                entry.id(), id -> computeCriticalPaths(entry.workflow(), entry.queue()));
     }
 
-    private static CriticalPaths computeCriticalPaths(WorkflowEntry entry) {
-        List<StepDefinition> steps = entry.workflow().steps();
+    private static CriticalPaths computeCriticalPaths(Workflow workflow, QueueDefinition queue) {
+        List<StepDefinition> steps = workflow.steps();
         long[] from = new long[steps.size()];
         long longest = 0;
         for (int step = steps.size() - 1; step >= 0; step--) {
@@ -77,17 +86,16 @@
                     after = Math.max(after, from[later]);
                 }
             }
-            from[step] = after + stepMilliseconds(entry, step);
+            from[step] = after + stepMilliseconds(steps.get(step), queue);
             longest = Math.max(longest, from[step]);
         }
         return new CriticalPaths(from, longest);
     }
 
-    private static long stepMilliseconds(WorkflowEntry entry, int step) {
-        long estimate = entry.workflow().steps().get(step).estimateMilliseconds();
+    private static long stepMilliseconds(StepDefinition step, QueueDefinition queue) {
+        long estimate = step.estimateMilliseconds();
         double advice =
-                entry.queue()
-                        .advice()
+                queue.advice()
                         .map(
                                 timing ->
                                         timing.decisionMilliseconds()
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/PendingAdviceQuestion.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/PendingAdviceQuestion.java
@@ -25,6 +25,7 @@
     /** Workers that have restarted since the question named them. */
     private final Set<WorkerId> restarted = new HashSet<>();
 
+    private long sentAt;
     private long expectedAnswerAt;
     private boolean timedOut;
 
@@ -55,11 +56,17 @@
     }
 
     void onSent(long nowMilliseconds) {
+        sentAt = nowMilliseconds;
         double answerMilliseconds =
                 timing.decisionMilliseconds() + timing.perWorkerMilliseconds() * workers.size();
         expectedAnswerAt = nowMilliseconds + (long) answerMilliseconds;
     }
 
+    /** Returns when the question was given to a daemon. */
+    long sentAt() {
+        return sentAt;
+    }
+
     /** Returns when the advisor answers if it handles the question immediately. */
     long expectedAnswerAt() {
         return expectedAnswerAt;
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/PoolCapacity.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/PoolCapacity.java
@@ -22,6 +22,18 @@
         return workers.size();
     }
 
+    /** Returns the capacity of all workers, in thousandths of a processor. */
+    long totalProcessorMillis() {
+        return workers.stream()
+                .mapToLong(worker -> worker.entry().worker().capacity().processorMillis())
+                .sum();
+    }
+
+    /** Returns the capacity that is not reserved, in thousandths of a processor. */
+    long freeProcessorMillis() {
+        return workers.stream().mapToLong(WorkerCapacity::freeProcessorMillis).sum();
+    }
+
     /** Returns the workers by decreasing free processor capacity, then by name. */
     List<WorkerCapacity> mostFreeFirst() {
         if (!ordered) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -27,6 +27,8 @@
     private final AdviceBroker advice;
     private final TaskPlacer placer;
     private final AdvicePrefetchPolicy prefetchPolicy;
+    private final LoadMeter load;
+    private final OverdueStepTurns overdueTurns = new OverdueStepTurns();
     private final WaitingTaskLog waitingTasks = new WaitingTaskLog();
 
     RunScheduler(
@@ -34,8 +36,10 @@
             WorkerSessions sessions,
             AdviceBroker advice,
             LatencyObjectives objectives,
-            SpeedEstimator speeds) {
+            SpeedEstimator speeds,
+            LoadMeter load) {
         this.ledger = ledger;
+        this.load = load;
         this.sessions = sessions;
         this.speeds = speeds;
         this.capacity = new CapacityView(ledger);
@@ -63,22 +67,31 @@
     void schedule(long nowMilliseconds, LeaderOutput output) {
         placer.beginRound();
         advice.beginRound();
+        load.beginRound();
         List<ReadyStep> upcoming = new ArrayList<>();
         List<ReadyStep> ready = readySteps(nowMilliseconds, upcoming);
         if (ready.isEmpty() && upcoming.isEmpty()) {
+            load.endRound(nowMilliseconds, Map.of());
             return;
         }
+        overdueTurns.apply(nowMilliseconds, ready);
         Map<ServiceName, PoolCapacity> usableWorkers = usableByPool(nowMilliseconds);
         List<RunPlacement> singles = new ArrayList<>();
+        long askedBefore = advice.sentCount();
+        int placedCount = 0;
         int urgency = 0;
         for (ReadyStep step : ready) {
             PoolCapacity pool = pool(usableWorkers, step);
             Optional<TeamDefinition> team = step.workflow().workflow().team().flatMap(ledger::team);
             List<RunPlacement> placed = place(nowMilliseconds, step, pool, team);
-            if (search.isWithinLimit(step, team)) {
-                askAdvice(nowMilliseconds, step, pool, urgency, output);
+            int waiting = placer.countWaiting(step);
+            boolean withinLimit = search.isWithinLimit(step, team);
+            if (withinLimit) {
+                askAdvice(nowMilliseconds, step, pool, waiting, urgency, output);
             }
+            load.addWaiting(step, waiting, withinLimit);
             urgency++;
+            placedCount += placed.size();
             if (step.tasks().definition().gang()) {
                 propose(placed, output);
             } else {
@@ -87,9 +100,15 @@
         }
         propose(singles, output);
         for (ReadyStep step : upcoming) {
-            askAdvice(nowMilliseconds, step, pool(usableWorkers, step), urgency, output);
+            PoolCapacity pool = pool(usableWorkers, step);
+            int waiting = placer.countWaiting(step);
+            askAdvice(nowMilliseconds, step, pool, waiting, urgency, output);
             urgency++;
         }
+        load.endRound(nowMilliseconds, usableWorkers);
+        if (placedCount > 0 || advice.sentCount() > askedBefore) {
+            overdueTurns.onProductiveRound();
+        }
     }
 
     /** Logs tasks that have waited for long; to be called about once a second. */
@@ -135,12 +154,12 @@
             long nowMilliseconds,
             ReadyStep step,
             PoolCapacity pool,
+            int waiting,
             long urgency,
             LeaderOutput output) {
         if (step.workflow().queue().advice().isEmpty()) {
             return;
         }
-        int waiting = placer.countWaiting(step);
         if (waiting > 0 && advice.canAsk(step.id(), nowMilliseconds)) {
             search.enqueueQuestions(nowMilliseconds, step, pool, waiting, urgency, output);
         }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/SpeedEstimator.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/SpeedEstimator.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.workflow.RunEnd;
@@ -42,20 +43,26 @@
                 .put(run, nowMilliseconds);
     }
 
-    /** Handles the end of a run; only runs that completed without a checkpoint are compared. */
-    void onEnded(long nowMilliseconds, WorkerId worker, RunEnd end) {
+    /**
+     * Handles the end of a run; only runs that completed without a checkpoint are compared.
+     *
+     * @return the run time of a run that is compared
+     */
+    OptionalLong onEnded(long nowMilliseconds, WorkerId worker, RunEnd end) {
         WorkflowTimes times = workflows.get(end.run().task().step().workflow());
         Long startedAt = times == null ? null : times.started().remove(end.run());
         if (startedAt == null || end.outcome() != RunOutcome.DONE || !end.checkpoint().isEmpty()) {
-            return;
+            return OptionalLong.empty();
         }
-        double logRunTime = Math.log(Math.max(1, nowMilliseconds - startedAt));
+        long runTime = Math.max(1, nowMilliseconds - startedAt);
+        double logRunTime = Math.log(runTime);
         List<Sample> siblings =
                 times.samples().computeIfAbsent(end.run().task().step(), step -> new ArrayList<>());
         if (!siblings.isEmpty()) {
             learn(worker, logRunTime, siblings);
         }
         siblings.add(new Sample(worker, logRunTime));
+        return OptionalLong.of(runTime);
     }
 
     /** Discards the run times of a workflow. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/StepAdvice.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/StepAdvice.java
@@ -12,6 +12,11 @@
 
 /** Answers of the placement advisor about one step. */
 final class StepAdvice {
+    /** Initial delay before another question about a step after two consecutive refusals. */
+    private static final long INITIAL_BACKOFF_MILLISECONDS = 100;
+
+    private static final long MAXIMUM_BACKOFF_MILLISECONDS = 1_600;
+
     private record Ticket(String text, long validUntil) {}
 
     private final Set<WorkerId> askedWorkers = new HashSet<>();
@@ -22,6 +27,11 @@
     private long pausedUntil;
     private long noQuestionUntil;
 
+    /** Returns whether nothing has been asked about the step. */
+    boolean isUnasked() {
+        return askedWorkers.isEmpty() && openQuestions.isEmpty();
+    }
+
     /** Returns whether a worker may run the step, as far as is known. */
     boolean mayRunOn(WorkerId worker) {
         return !askedWorkers.contains(worker) || grantedWorkers.contains(worker);
@@ -61,14 +71,20 @@
         openQuestions.remove(question);
     }
 
-    /** Counts a refusal and returns the number of consecutive refusals. */
-    int countRefusal() {
+    /**
+     * Handles a refusal of a question. The first is asked again at once; after further consecutive
+     * ones, no question is asked for some time.
+     *
+     * @return whether to ask again at once
+     */
+    boolean onRefused(long nowMilliseconds) {
         refusals++;
-        return refusals;
-    }
-
-    void pauseUntil(long milliseconds) {
-        pausedUntil = milliseconds;
+        if (refusals == 1) {
+            return true;
+        }
+        long pause = INITIAL_BACKOFF_MILLISECONDS << Math.min(refusals - 2, 4);
+        pausedUntil = nowMilliseconds + Math.min(pause, MAXIMUM_BACKOFF_MILLISECONDS);
+        return false;
     }
 
     /** Suppresses questions about this step until the given time unless tickets change. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -1,7 +1,5 @@
 package org.marjoramnotch.logic.workflow;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
 import java.util.Optional;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.LeaderDuty;
@@ -32,10 +30,8 @@
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.time.Clock;
 import org.marjoramnotch.model.workflow.RunEnd;
-import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunOutcome;
 import org.marjoramnotch.model.workflow.RunPlacement;
-import org.marjoramnotch.model.workflow.StepId;
 
 /** Makes the leader's decisions about workflows in one term of leadership. */
 public final class WorkflowDuty implements LeaderDuty {
@@ -56,9 +52,11 @@
     private final AdviceBroker advice;
     private final SpeedEstimator speeds = new SpeedEstimator();
     private final LatencyObjectives objectives;
+    private final LoadMeter load;
     private final RunScheduler scheduler;
     private final FeasibilityCheck feasibility;
     private final EndedWorkflowCleaner endedWorkflows;
+    private final RunStopper stopper;
     private boolean scheduleDue = true;
     private long nextSlowTickAt;
     private long nextScheduleAt;
@@ -82,12 +80,14 @@
         this.sessions = new WorkerSessions(settings, ledger, fencingToken, nowMilliseconds);
         this.advice = new AdviceBroker(fencingToken);
         this.configuration = new ConfigurationRequestHandler(ledger);
-        this.workflows = new WorkflowRequestHandler(ledger, configuration, wallClock);
+        this.load = new LoadMeter(ledger, advice);
+        this.workflows = new WorkflowRequestHandler(ledger, configuration, load, wallClock);
         this.workers = new WorkerReportHandler(ledger, sessions);
         this.objectives = new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
-        this.scheduler = new RunScheduler(ledger, sessions, advice, objectives, speeds);
+        this.scheduler = new RunScheduler(ledger, sessions, advice, objectives, speeds, load);
         this.feasibility = new FeasibilityCheck(ledger, settings.feasibilityDelayMilliseconds());
         this.endedWorkflows = new EndedWorkflowCleaner(ledger, settings.retentionMilliseconds());
+        this.stopper = new RunStopper(ledger, sessions);
     }
 
     @Override
@@ -175,7 +175,7 @@
     private void dispatch(
             long nowMilliseconds, RequestHandle handle, CellRequest request, LeaderOutput output) {
         if (request instanceof SubmitWorkflowRequest submit) {
-            workflows.submit(handle, submit, output);
+            workflows.submit(nowMilliseconds, handle, submit, output);
         } else if (request instanceof ReadWorkflow read) {
             workflows.read(handle, read, output);
         } else if (request instanceof CancelWorkflowRequest cancel) {
@@ -228,7 +228,12 @@
         sessions.of(end.worker()).ifPresent(session -> session.onEndsApplied(nowMilliseconds));
         for (RunEnd run : end.ends()) {
             JobId workflow = run.run().task().step().workflow();
-            speeds.onEnded(nowMilliseconds, end.worker().worker(), run);
+            speeds.onEnded(nowMilliseconds, end.worker().worker(), run)
+                    .ifPresent(
+                            runTime ->
+                                    ledger.workflow(workflow)
+                                            .map(entry -> entry.queue().pool())
+                                            .ifPresent(pool -> load.onRunDone(pool, runTime)));
             if (run.outcome() == RunOutcome.NOT_STARTED) {
                 advice.invalidate(run.run().task().step(), end.worker().worker());
             }
@@ -246,24 +251,7 @@
                                     .map(entry -> entry.state().name())
                                     .orElse("forgotten")));
             stopRunsIfOver(nowMilliseconds, workflow, output);
-            stopBrokenGang(nowMilliseconds, run, output);
-        }
-    }
-
-    /**
-     * Stops the other members of a gang after one did not start or its run lapsed. They cannot make
-     * progress without it, and all members are placed together again.
-     */
-    private void stopBrokenGang(long nowMilliseconds, RunEnd end, LeaderOutput output) {
-        boolean missing =
-                end.outcome() == RunOutcome.NOT_STARTED || end.outcome() == RunOutcome.LAPSED;
-        StepId id = end.run().task().step();
-        StepTasks step =
-                ledger.workflow(id.workflow()).flatMap(entry -> entry.step(id)).orElse(null);
-        if (missing && step != null && step.definition().gang()) {
-            Map<RunId, TaskState> members = new LinkedHashMap<>();
-            step.addRunning(id, members);
-            stop(nowMilliseconds, members, output);
+            stopper.stopBrokenGang(nowMilliseconds, run, output);
         }
     }
 
@@ -280,15 +268,6 @@
         advice.forget(workflow);
         speeds.forget(workflow);
         objectives.forget(workflow);
-        ledger.workflow(workflow)
-                .ifPresent(entry -> stop(nowMilliseconds, entry.running(), output));
-    }
-
-    private void stop(long nowMilliseconds, Map<RunId, TaskState> runs, LeaderOutput output) {
-        runs.forEach(
-                (run, task) ->
-                        task.worker()
-                                .flatMap(sessions::of)
-                                .ifPresent(session -> session.stop(nowMilliseconds, run, output)));
+        stopper.stopAll(nowMilliseconds, workflow, output);
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -106,6 +106,11 @@
         return Optional.ofNullable(teams.get(name));
     }
 
+    /** Returns the teams of the configuration in force. */
+    Collection<TeamDefinition> teams() {
+        return teams.values();
+    }
+
     Collection<WorkerEntry> workers() {
         return workers.values();
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
@@ -1,5 +1,7 @@
 package org.marjoramnotch.logic.workflow;
 
+import org.marjoramnotch.logic.admission.AdmissionPolicy;
+import org.marjoramnotch.logic.admission.Submission;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
@@ -10,6 +12,8 @@
 import org.marjoramnotch.model.command.WorkflowCommand;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.error.Refusal;
+import org.marjoramnotch.model.fleet.QueueDefinition;
 import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.identifier.QueueName;
 import org.marjoramnotch.model.identifier.TeamName;
@@ -21,6 +25,7 @@
 import org.marjoramnotch.model.message.SubmitWorkflowRequest;
 import org.marjoramnotch.model.message.WorkflowAnswer;
 import org.marjoramnotch.model.time.Clock;
+import org.marjoramnotch.model.workflow.StepDefinition;
 import org.marjoramnotch.model.workflow.Workflow;
 import org.marjoramnotch.model.workflow.WorkflowDraft;
 import org.marjoramnotch.model.workflow.WorkflowState;
@@ -29,37 +34,108 @@
 final class WorkflowRequestHandler {
     private final WorkflowLedger ledger;
     private final ConfigurationRequestHandler configuration;
+    private final LoadMeter load;
     private final Clock wallClock;
+    private final AdmissionPolicy admission = new AdmissionPolicy();
     private final PendingReplies<JobId> pendingSubmissions = new PendingReplies<>();
     private final PendingReplies<JobId> pendingCancellations = new PendingReplies<>();
 
     WorkflowRequestHandler(
-            WorkflowLedger ledger, ConfigurationRequestHandler configuration, Clock wallClock) {
+            WorkflowLedger ledger,
+            ConfigurationRequestHandler configuration,
+            LoadMeter load,
+            Clock wallClock) {
         this.ledger = ledger;
         this.configuration = configuration;
+        this.load = load;
         this.wallClock = wallClock;
     }
 
-    void submit(RequestHandle handle, SubmitWorkflowRequest request, LeaderOutput output) {
+    void submit(
+            long nowMilliseconds,
+            RequestHandle handle,
+            SubmitWorkflowRequest request,
+            LeaderOutput output) {
         RouteTable.Route route = configuration.routes().resolve(request.target());
         JobId id = requireWorkflowName(route);
         if (ledger.workflow(id).isPresent()) {
             output.reply(handle, new Done());
             return;
         }
-        if (pendingSubmissions.add(id, handle)) {
-            WorkflowDraft draft = request.draft();
-            Workflow workflow =
-                    new Workflow(
-                            id,
-                            route.queue().name(),
-                            route.team(),
-                            draft.payload(),
-                            draft.steps(),
-                            draft.recurrence(),
-                            wallClock.nowMilliseconds());
-            output.propose(new SubmitWorkflow(workflow));
+        if (pendingSubmissions.isPending(id)) {
+            pendingSubmissions.add(id, handle);
+            return;
+        }
+        WorkflowDraft draft = request.draft();
+        Workflow workflow =
+                new Workflow(
+                        id,
+                        route.queue().name(),
+                        route.team(),
+                        draft.payload(),
+                        draft.steps(),
+                        draft.recurrence(),
+                        wallClock.nowMilliseconds());
+        requireAdmission(nowMilliseconds, workflow, route.queue(), output);
+        pendingSubmissions.add(id, handle);
+        output.propose(new SubmitWorkflow(workflow));
+    }
+
+    /**
+     * Refuses a workflow that can't be served any more. Standing and recurring workflows are always
+     * admitted, since they have a worth at any later time.
+     */
+    private void requireAdmission(
+            long nowMilliseconds, Workflow workflow, QueueDefinition queue, LeaderOutput output) {
+        boolean standing = workflow.steps().stream().anyMatch(StepDefinition::standing);
+        if (standing || workflow.recurrence().isPresent()) {
+            return;
+        }
+        Submission submission = submissionOf(workflow, queue);
+        AdmissionPolicy.Rejection rejection =
+                admission.admit(nowMilliseconds, submission, load.snapshot()).orElse(null);
+        if (rejection == null) {
+            return;
         }
+        output.logDecision(
+                DecisionLogEntry.of(
+                        "workflow_refused",
+                        "workflow",
+                        workflow.id(),
+                        "queue",
+                        queue.name(),
+                        "team",
+                        workflow.team().map(TeamName::value).orElse("none"),
+                        "waits_for",
+                        rejection.cause(),
+                        "wait_ms",
+                        rejection.waitMilliseconds(),
+                        "limit_ms",
+                        rejection.limitMilliseconds(),
+                        "retry_after_ms",
+                        rejection.retryAfterMilliseconds()));
+        throw new MarjoramnotchException(
+                Refusal.notRun(
+                                ErrorCode.OVERLOADED,
+                                "The work before it takes too long; submit it again after the"
+                                        + " pause.")
+                        .withRetryAfter(rejection.retryAfterMilliseconds()));
+    }
+
+    private static Submission submissionOf(Workflow workflow, QueueDefinition queue) {
+        long criticalPath = LatencyObjectives.criticalPath(workflow, queue);
+        return new Submission(
+                workflow.id(),
+                queue.pool(),
+                queue.priority(),
+                workflow.team(),
+                queue.advice().isPresent(),
+                workflow.steps().stream()
+                        .filter(step -> step.after().isEmpty())
+                        .mapToLong(step -> step.tasks() * step.reserved().processorMillis())
+                        .sum(),
+                LatencyObjectives.objective(criticalPath, queue),
+                criticalPath);
     }
 
     void read(RequestHandle handle, ReadWorkflow request, LeaderOutput output) {
@@ -90,9 +166,11 @@
         if (command instanceof SubmitWorkflow submit
                 && result instanceof CommandResult.Rejected rejected) {
             JobId id = submit.workflow().id();
+            admission.onSettled(id);
             pendingSubmissions.answer(id, new Refused(rejected.refusal()), output);
         } else if (command instanceof SubmitWorkflow submit) {
             Workflow workflow = submit.workflow();
+            admission.onSettled(workflow.id());
             output.logDecision(
                     DecisionLogEntry.of(
                             "workflow_accepted",
