Give questions to the daemon that passes answers on fastest

Cause: of the daemons that wait for a question the latest one got it. An entry on a slow processor passes a question and its answer on more slowly than a replica does. Change: the leader learns how much longer than the advisor itself each daemon takes, and prefers the fastest that waits.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/AdviceBroker.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/AdviceBroker.java
@@ -18,6 +18,7 @@
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.identifier.QueueName;
+import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.message.AdviceAnswer;
 import org.marjoramnotch.model.message.AdviceQuestion;
@@ -67,7 +68,6 @@
         return waitingQuestions.size() + stepsWithoutTickets;
     }
 
-    /** Returns how many questions were sent. */
     long sentCount() {
         return meter.sentCount();
     }
@@ -167,14 +167,10 @@
         for (int from = 0; from < toAsk.size(); from += batchSize) {
             int to = Math.min(toAsk.size(), from + batchSize);
             lastQuestion++;
+            List<WorkerId> named = toAsk.subList(from, to);
             waitingQuestions.add(
                     new PendingAdviceQuestion(
-                            lastQuestion,
-                            step,
-                            toAsk.subList(from, to),
-                            queue.name(),
-                            timing,
-                            urgency));
+                            lastQuestion, step, named, queue.name(), timing, urgency));
         }
         sendQuestions(nowMilliseconds, output);
     }
@@ -185,7 +181,7 @@
             RequestHandle handle,
             TakeAdviceQuestion poll,
             LeaderOutput output) {
-        poll.answer().ifPresent(answer -> onAnswer(nowMilliseconds, answer, output));
+        poll.answer().ifPresent(answer -> onAnswer(nowMilliseconds, poll.vm(), answer, output));
         polls.add(nowMilliseconds, handle, poll);
         sendQuestions(nowMilliseconds, output);
     }
@@ -239,7 +235,7 @@
         return byWorkflow.getOrDefault(step.workflow(), Map.of()).get(step);
     }
 
-    private void onAnswer(long nowMilliseconds, AdviceAnswer answer, LeaderOutput output) {
+    private void onAnswer(long nowMilliseconds, VmId vm, AdviceAnswer answer, LeaderOutput output) {
         PendingAdviceQuestion question = sentQuestions.remove(answer.question());
         StepAdvice advice = question == null ? null : findAdvice(question.step);
         if (question == null || advice == null) {
@@ -251,6 +247,7 @@
             return;
         }
         meter.onAnswer(nowMilliseconds, question);
+        polls.onAnswer(vm, nowMilliseconds - question.expectedAnswerAt());
         // The answer may have been delayed, so assume the earliest possible decision time.
         long decidedAt = Math.min(nowMilliseconds, question.expectedAnswerAt());
         advice.onAnswer(
@@ -293,7 +290,7 @@
                 advice.onSent(question);
             }
             output.reply(
-                    polls.takeLatest(),
+                    polls.takeFastest(),
                     new AdviceQuestion(question.number, question.step, question.workers));
         }
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/DaemonPolls.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/DaemonPolls.java
@@ -1,7 +1,7 @@
 package org.marjoramnotch.logic.workflow;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,20 +16,40 @@
     /** Longer than a daemon takes for a question or a poll without one. */
     private static final long ACTIVE_MILLISECONDS = 3_000;
 
-    private record Poll(RequestHandle handle, long endsAt) {}
+    /** Weight of one answer; a few answers outweigh those before. */
+    private static final double LEARNING_RATE = 0.3;
+
+    /**
+     * A poll.
+     *
+     * @param failed whether the daemon could not reach the advisor with its last question
+     */
+    private record Poll(VmId vm, RequestHandle handle, long endsAt, boolean failed) {}
+
+    private record Rank(boolean failed, double delay) {}
+
+    private static final Comparator<Rank> ORDER =
+            Comparator.comparing(Rank::failed).thenComparingDouble(Rank::delay);
+
+    /** In the order of their arrival. */
+    private final List<Poll> waiting = new ArrayList<>();
 
-    private final Deque<Poll> waiting = new ArrayDeque<>();
     private final Map<VmId, Long> lastPolls = new HashMap<>();
+    private final Map<VmId, Double> delays = new HashMap<>();
 
     void add(long nowMilliseconds, RequestHandle handle, TakeAdviceQuestion poll) {
         lastPolls.put(poll.vm(), nowMilliseconds);
-        Poll next = new Poll(handle, nowMilliseconds + poll.waitMilliseconds());
-        // A daemon that can't reach the advisor polls again first and would get every question.
-        if (poll.answer().isPresent() && poll.answer().get().granted().isEmpty()) {
-            waiting.addFirst(next);
-        } else {
-            waiting.addLast(next);
-        }
+        boolean failed = poll.answer().isPresent() && poll.answer().get().granted().isEmpty();
+        long endsAt = nowMilliseconds + poll.waitMilliseconds();
+        waiting.add(new Poll(poll.vm(), handle, endsAt, failed));
+    }
+
+    /** Learns how much longer an answer took than the advisor itself needs for it. */
+    void onAnswer(VmId vm, long delayMilliseconds) {
+        delays.merge(
+                vm,
+                (double) delayMilliseconds,
+                (mean, delay) -> mean + LEARNING_RATE * (delay - mean));
     }
 
     boolean isEmpty() {
@@ -44,12 +64,29 @@
     /** Returns how many daemons have polled lately. */
     int active(long nowMilliseconds) {
         lastPolls.values().removeIf(at -> nowMilliseconds - at > ACTIVE_MILLISECONDS);
+        delays.keySet().retainAll(lastPolls.keySet());
         return lastPolls.size();
     }
 
-    /** Removes and returns the latest poll; an old one may be from a daemon that has died. */
-    RequestHandle takeLatest() {
-        return waiting.removeLast().handle();
+    /**
+     * Removes and returns the poll of the daemon that passes answers on fastest. Of equal ones it
+     * is the latest, since an old poll may be from a daemon that has died. A daemon that can't
+     * reach the advisor comes last; it polls again first and would get every question.
+     */
+    RequestHandle takeFastest() {
+        Poll best = waiting.get(waiting.size() - 1);
+        for (int index = waiting.size() - 2; index >= 0; index--) {
+            Poll other = waiting.get(index);
+            if (ORDER.compare(rank(other), rank(best)) < 0) {
+                best = other;
+            }
+        }
+        waiting.remove(best);
+        return best.handle();
+    }
+
+    private Rank rank(Poll poll) {
+        return new Rank(poll.failed(), delays.getOrDefault(poll.vm(), 0.0));
     }
 
     /** Answers the polls that have waited long enough. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/LoadMeter.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/LoadMeter.java
@@ -13,7 +13,7 @@
 
 /** Measures the load on pools, teams and the placement advisor in each scheduling round. */
 final class LoadMeter {
-    /** Weight of one run that is as large as the mean; about a hundred runs are remembered. */
+    /** Weight of one run; about a hundred runs are remembered. */
     private static final double LEARNING_RATE = 0.01;
 
     private final WorkflowLedger ledger;
