--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
-import org.apache.commons.rng.simple.RandomSource;
 import org.marjoramnotch.daemon.duty.Duty;
 import org.marjoramnotch.daemon.duty.FatalErrorHandler;
 import org.marjoramnotch.daemon.duty.OrderPort;
@@ -137,7 +136,7 @@
         return new StandardLeaderDutyFactory(
                 PlacementSettings.defaults(),
                 JobSettings.builder().order(jobOrder).build(),
-                RandomSource.XO_RO_SHI_RO_128_PP.create(),
+                RandomSources.create(),
                 workflow.map(
                         workers ->
                                 new WorkflowDutySettings(
--- a/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
-import org.apache.commons.rng.simple.RandomSource;
 import org.jboss.logging.Logger;
 import org.marjoramnotch.daemon.duty.CellDuty;
 import org.marjoramnotch.daemon.duty.CellInput;
@@ -120,7 +119,7 @@
                 new Replica(
                         replicaSettings(limits),
                         stored,
-                        RandomSource.XO_RO_SHI_RO_128_PP.create(),
+                        RandomSources.create(),
                         coreStartedMilliseconds,
                         now);
         if (isFounder(settings) && self.identity().equals(FOUNDER_IDENTITY)) {
--- a/daemon/src/main/java/org/marjoramnotch/daemon/log/LogEvent.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/log/LogEvent.java
@@ -47,6 +47,11 @@
         logger.error(line);
     }
 
+    /** Returns the pairs that describe an exception, each with a blank before it. */
+    static String fieldsOf(Throwable cause) {
+        return " cause=" + quoted(String.valueOf(cause)) + " at=" + quoted(traceOf(cause));
+    }
+
     @Override
     public String toString() {
         return line.toString();
