Weigh run times by size in the estimate of the wait for room

Cause: the mean run time counted each run alike, so that many small runs hid how long the wide ones hold the pool, and the estimated wait was half of the real one. Change: RunTimeMean weighs runs by what they reserve.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/LoadMeter.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/LoadMeter.java
@@ -13,12 +13,9 @@
 
 /** Measures the load on pools, teams and the placement advisor in each scheduling round. */
 final class LoadMeter {
-    /** Weight of one run; about a hundred runs are remembered. */
-    private static final double LEARNING_RATE = 0.01;
-
     private final WorkflowLedger ledger;
     private final AdviceBroker advice;
-    private final Map<ServiceName, Double> meanRunMilliseconds = new HashMap<>();
+    private final Map<ServiceName, RunTimeMean> runTimes = new HashMap<>();
     private final Map<ServiceName, WaitingWork> waitingByPool = new HashMap<>();
     private final Map<TeamName, Long> waitingByTeam = new HashMap<>();
     private WaitingWork waitingForAdvice = new WaitingWork();
@@ -74,7 +71,7 @@
                                 new PoolLoad(
                                         pool.totalProcessorMillis(),
                                         pool.freeProcessorMillis(),
-                                        meanRunMilliseconds.getOrDefault(name, 0.0),
+                                        meanRunOf(name),
                                         waiting));
                     }
                 });
@@ -83,10 +80,19 @@
         snapshot = new LoadSnapshot(pools, advice.load(nowMilliseconds, waitingForAdvice), teams);
     }
 
-    /** Handles the successful end of a run. */
-    void onRunDone(ServiceName pool, long runMilliseconds) {
-        meanRunMilliseconds.merge(
-                pool, (double) runMilliseconds, (mean, run) -> mean + LEARNING_RATE * (run - mean));
+    /**
+     * Handles the successful end of a run.
+     *
+     * @param processorMillis what the run had reserved
+     */
+    void onRunDone(ServiceName pool, long processorMillis, long runMilliseconds) {
+        runTimes.computeIfAbsent(pool, name -> new RunTimeMean())
+                .add(processorMillis, runMilliseconds);
+    }
+
+    private double meanRunOf(ServiceName pool) {
+        RunTimeMean mean = runTimes.get(pool);
+        return mean == null ? 0 : mean.milliseconds();
     }
 
     private TeamLoad loadOf(TeamDefinition team) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -32,6 +32,7 @@
 import org.marjoramnotch.model.workflow.RunEnd;
 import org.marjoramnotch.model.workflow.RunOutcome;
 import org.marjoramnotch.model.workflow.RunPlacement;
+import org.marjoramnotch.model.workflow.StepId;
 
 /** Makes the leader's decisions about workflows in one term of leadership. */
 public final class WorkflowDuty implements LeaderDuty {
@@ -229,11 +230,7 @@
         for (RunEnd run : end.ends()) {
             JobId workflow = run.run().task().step().workflow();
             speeds.onEnded(nowMilliseconds, end.worker().worker(), run)
-                    .ifPresent(
-                            runTime ->
-                                    ledger.workflow(workflow)
-                                            .map(entry -> entry.queue().pool())
-                                            .ifPresent(pool -> load.onRunDone(pool, runTime)));
+                    .ifPresent(runTime -> recordRunTime(run, runTime));
             if (run.outcome() == RunOutcome.NOT_STARTED) {
                 advice.invalidate(run.run().task().step(), end.worker().worker());
             }
@@ -255,6 +252,16 @@
         }
     }
 
+    private void recordRunTime(RunEnd end, long milliseconds) {
+        StepId step = end.run().task().step();
+        WorkflowEntry entry = ledger.workflow(step.workflow()).orElse(null);
+        StepTasks tasks = entry == null ? null : entry.step(step).orElse(null);
+        if (tasks != null) {
+            long processorMillis = tasks.definition().reserved().processorMillis();
+            load.onRunDone(entry.queue().pool(), processorMillis, milliseconds);
+        }
+    }
+
     private void stopRunsIfOver(long nowMilliseconds, JobId workflow, LeaderOutput output) {
         boolean hasEnded =
                 ledger.workflow(workflow).map(entry -> entry.state().isFinal()).orElse(true);
