--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -30,7 +30,7 @@
     system.start()
     await system.until_ready()
     await system.configure(change(7, 200000))
-    executors = [Executor(fleet, f"i-{number:08x}", f"127.0.{system.network}.200:{21000 + number}", "pool1", f"zone-{number % 4}",
+    executors = [Executor(fleet, f"i-{number:08x}", f"127.0.{system.network}.200:{system.others + number}", "pool1", f"zone-{number % 4}",
                           ["a", f"r1-{number // 6}"], 16000, system.controls(), lambda task, body: None) for number in range(1, EXECUTORS + 1)]
     for executor in executors:
         await executor.start()
--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -30,7 +30,7 @@
         # The first step of one submission takes 1 s; all else 25 s.
         return 1000 if task.startswith(f"{DONE_FIRST}.0.0.") else 25000
 
-    executors = [Executor(fleet, f"i-{number:08x}", f"127.0.{system.network}.200:{21000 + number}", "pool1" if number <= 4 else "pool2",
+    executors = [Executor(fleet, f"i-{number:08x}", f"127.0.{system.network}.200:{system.others + number}", "pool1" if number <= 4 else "pool2",
                           f"zone-{number % 4}", ["a", f"r1-{number // 6}"], 64000 if number <= 4 else 16000, system.controls(), duration)
                  for number in range(1, 9)]
     for executor in executors:
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,3 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")" && exec python3 -B scenario.py
+# Writes record.txt in this folder. With TROUBLE=0 the same is done without the disruption.
+cd "$(dirname "$0")" && TROUBLE="${TROUBLE:-1}" exec python3 -B scenario.py
--- a/review/3/scenario.py
+++ b/review/3/scenario.py
@@ -93,10 +93,10 @@
     await system.configure(configuration(7, HOST, PREFIX))
     relays = []
     for number, control in enumerate(system.controls()):
-        relay = Relay(f"127.0.{system.network}.210:{22000 + number}", control)
+        relay = Relay(f"127.0.{system.network}.210:{system.others + 50 + number}", control)
         await relay.start()
         relays.append(relay)
-    executors = [LeavingExecutor(fleet, f"i-{number:08x}", f"127.0.{system.network}.200:{21000 + number}", "pool1", f"zone-{number % 4}",
+    executors = [LeavingExecutor(fleet, f"i-{number:08x}", f"127.0.{system.network}.200:{system.others + number}", "pool1", f"zone-{number % 4}",
                                  ["a", f"r1-{number // 6}"], 16000, system.controls(), lambda task, body: None)
                  for number in range(1, EXECUTORS + 1)]
     for executor in executors:
--- a/review/5/scenario.py
+++ b/review/5/scenario.py
@@ -48,7 +48,7 @@
     def duration(task, body):
         return None if task.startswith(FEED) else 320
 
-    executors = [ReturningExecutor(fleet, f"i-{number:08x}", f"127.0.{system.network}.{200 + number // 12}:{21000 + number}", "pool1",
+    executors = [ReturningExecutor(fleet, f"i-{number:08x}", f"127.0.{system.network}.{200 + number // 12}:{system.others + number}", "pool1",
                                    f"zone-{number % 4}", ["a", f"r1-{number // 6}"], 16000, system.controls(), duration)
                  for number in range(1, EXECUTORS + 1)]
     for executor in executors:
--- a/review/standins.py
+++ b/review/standins.py
@@ -6,7 +6,9 @@
 import json
 import os
 import pathlib
+import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -38,6 +40,20 @@
         self.file.flush()
 
 
+def free_ports(addresses, count):
+    """Returns the first of some ports in a row that are free on all addresses, below those that systems use for outgoing connections."""
+    for first in random.sample(range(20000, 30000, count), 50):
+        try:
+            for address in addresses:
+                for port in range(first, first + count):
+                    with socket.socket() as probe:
+                        probe.bind((address, port))
+            return first
+        except OSError:
+            continue
+    raise CannotRun("no free ports")
+
+
 class CannotRun(Exception):
     """The case could not run; exit code 2."""
 
@@ -416,7 +432,9 @@
         self.process = None
         self.settings = system.folder / f"{self.name}.json"
         self.data = system.folder / f"data-{self.name}"
-        self.front, self.ready, self.control = f"{self.ip}:18183", f"{self.ip}:18184", f"{self.ip}:18180"
+        first = system.ports
+        self.http_port, self.link_port = first, first + 1
+        self.front, self.ready, self.control = f"{self.ip}:{first + 2}", f"{self.ip}:{first + 3}", f"{self.ip}:{first + 4}"
         self.first_start = True
 
     def write_settings(self):
@@ -427,7 +445,7 @@
             adapter |= {"control": self.control}
         settings = {
             "vm": self.ip, "availabilityZone": f"zone-{self.name}", "roles": ["entry"] + (["replica"] if self.kind == "replica" else []),
-            "httpHost": self.ip, "httpPort": 19464, "linkHost": self.ip, "linkPort": 17420,
+            "httpHost": self.ip, "httpPort": self.http_port, "linkHost": self.ip, "linkPort": self.link_port,
             "formation": {"seeds": [daemon.control for daemon in self.system.replicas[:3]], "foundsGroup": self.first_start, "tolerableLosses": 1},
             "workflow": {"longestLeaseMilliseconds": HOLD_MAX_MS, "reportIntervalMilliseconds": HEARTBEAT_MS, "retentionMilliseconds": 120000},
             "adapter": adapter,
@@ -462,7 +480,10 @@
         self.record, self.network = record, network
         self.temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = pathlib.Path(self.temporary.name)
-        self.replicas, self.entries = [], []
+        addresses = [f"127.0.{network}.{number + 1}" for number in range(replicas)] + [f"127.0.{network}.{number + 101}" for number in range(entries)]
+        self.ports = free_ports(addresses, 5)
+        # The first port of the executors and of relays.
+        self.others = free_ports([f"127.0.{network}.{number}" for number in (200, 201, 202, 210)], 60)
         self.replicas = [Daemon(self, "replica", number + 1) for number in range(replicas)]
         self.entries = [Daemon(self, "entry", number + 101) for number in range(entries)]
 
