--- a/review/1/scenario.py
+++ b/review/1/scenario.py
@@ -9,7 +9,7 @@
 from standins import Consumer, Executor, Fleet, configuration, main, until  # noqa: E402
 
 EXECUTORS = 8          # one of 8 crashes, a share of 0.125; the site's is 0.14
-DOWN_SECONDS = 0.3     # the site's crash has for_s = 4.5
+DOWN_SECONDS = 2.1     # the site's crash has for_s = 4.5, and reuse_after_s is 2
 FINISH_SECONDS = 14    # `finish_s`
 HOST, PREFIX = "ficu95.example", "/pufi791/"
 BEFORE, AFTER = "5c0e7a21d94b36f8", "5c0e7a21d94b36f9"
@@ -40,12 +40,14 @@
     await asyncio.sleep(2)
     if trouble:
         first = executors[0]
+        seen = first.beats_acknowledged
+        await until(lambda: first.beats_acknowledged > seen, 5, "a report")
         first.crash()
         await asyncio.sleep(DOWN_SECONDS)
         first.name = f"i-{EXECUTORS + 1:08x}"
         await first.start()
-        await until(lambda: first.beats_acknowledged > 1, 5, "the new executor is known")
-        await asyncio.sleep(0.2)
+        seen = first.beats_acknowledged
+        await until(lambda: first.beats_acknowledged > seen, 5, "the new executor is known")
     assert await consumer.submit(AFTER, steps)
     shown = None
     idle_since = None
--- a/review/2/scenario.py
+++ b/review/2/scenario.py
@@ -49,6 +49,7 @@
             raise CannotRun("no snapshot was taken")
         await system.configure(change(version, 5000, ROUTES))
         version += 1
+        await asyncio.sleep(0.08)  # the gap of a config_storm on a day of lsbca-ops
     await asyncio.sleep(1)
     record(f"configuration {version - 1} is in force: the cap is 5 cores, the tasks at work have 10 each")
     if trouble:
