Settle an order that another worker at the address refuses

Callers saw submissions that stayed running with nothing at work and all workers idle, from the crash of a worker until the next change of leader.

Cause: an order answered with 421 or fenced off stayed in flight for good. A replaced worker is dismissed only without orders in flight, and nothing is ticked for it, so that its runs neither ended nor lapsed. A stop stayed in flight in the same way and kept its room. Ruled out: a lost answer, since the log has order_rejected reason=OTHER_INCARNATION.

Change: such an answer settles its order. Tasks are no longer blocked for a lease after a refusal by a worker with another name, which refuses every order to the old one; a next life under the same name is waited for as before.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunOrderTracker.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunOrderTracker.java
@@ -166,7 +166,8 @@
         }
     }
 
-    void onAccepted(long nowMilliseconds, WorkerCall call) {
+    /** Handles an answer after which the order is not sent again. */
+    void onAnswered(long nowMilliseconds, WorkerCall call) {
         if (call instanceof StartRun start) {
             findOrder(start.run()).ifPresent(order -> order.onStartAnswered(nowMilliseconds));
         } else if (call instanceof StopRun stop) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -40,6 +40,7 @@
     private FleetWorker worker;
     private boolean fenced;
     private boolean replaced;
+    private boolean mayHaveNamesake;
     private boolean successorExpected;
     private long lastHeardAt;
     private boolean listRejected;
@@ -125,9 +126,14 @@
         return orders.hasOrdersInFlight();
     }
 
-    /** Returns tasks whose start may have been executed by another incarnation of the worker. */
+    /**
+     * Returns tasks whose start may have been executed by another incarnation of the worker. A
+     * worker with another name at the address refuses all orders to this one.
+     */
     Set<WorkflowTaskId> possiblyStartedTasks() {
-        return orders.possiblyStartedTasks(run -> lists.status(run).isPresent());
+        return replaced && !mayHaveNamesake
+                ? Set.of()
+                : orders.possiblyStartedTasks(run -> lists.status(run).isPresent());
     }
 
     /** Adds the tasks of runs that the worker lists but the ledger does not have on it. */
@@ -198,7 +204,7 @@
             onList(nowMilliseconds, (ListRuns) call, sentAt, list, output);
         } else if (outcome instanceof CallOutcome.Accepted accepted) {
             learnClock(sentAt, nowMilliseconds, accepted.workerClockMilliseconds());
-            orders.onAccepted(nowMilliseconds, call);
+            orders.onAnswered(nowMilliseconds, call);
         } else if (outcome instanceof CallOutcome.Rejected rejected) {
             learnClock(sentAt, nowMilliseconds, rejected.workerClockMilliseconds());
             onRejected(nowMilliseconds, call, rejected.reason(), output);
@@ -253,12 +259,10 @@
                         call instanceof StartRun start ? start.run() : "none",
                         "reason",
                         reason));
-        if (reason == RejectionReason.FENCED) {
-            fenced = true;
-            return;
-        }
-        if (reason == RejectionReason.OTHER_INCARNATION) {
-            replaced = true;
+        if (reason == RejectionReason.FENCED || reason == RejectionReason.OTHER_INCARNATION) {
+            fenced |= reason == RejectionReason.FENCED;
+            replaced |= reason == RejectionReason.OTHER_INCARNATION;
+            orders.onAnswered(nowMilliseconds, call);
             return;
         }
         if (reason == RejectionReason.UNHEALTHY) {
@@ -282,6 +286,7 @@
         if (started.isPresent()
                 && started.getAsLong() != worker.incarnation().startedEpochMilliseconds()) {
             replaced = true;
+            mayHaveNamesake = true;
             return;
         }
         listRejected = false;
--- a/library/src/main/java/org/marjoramnotch/model/order/RejectionReason.java
+++ b/library/src/main/java/org/marjoramnotch/model/order/RejectionReason.java
@@ -12,7 +12,7 @@
     NO_ROOM,
     /** The ticket is missing, foreign or no longer valid. */
     NO_TICKET,
-    /** Another incarnation of the worker answered. */
+    /** A worker with another name answered at the address. */
     OTHER_INCARNATION,
     /** The worker is temporarily overloaded or unhealthy. */
     UNHEALTHY,
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedWorkerNetwork.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedWorkerNetwork.java
@@ -3,10 +3,12 @@
 import java.util.HashSet;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.ListRuns;
+import org.marjoramnotch.model.order.RejectionReason;
 import org.marjoramnotch.model.order.WorkerCall;
 
 /**
@@ -23,6 +25,7 @@
     private final Set<WorkerId> cutOff = new HashSet<>();
     private final Set<WorkerId> hanging = new HashSet<>();
     private final Set<WorkerId> ignoringOrders = new HashSet<>();
+    private final Set<WorkerId> renamed = new HashSet<>();
     private double lossShare;
     private boolean promptLists;
 
@@ -54,6 +57,10 @@
         include(ignoringOrders, worker, ignores);
     }
 
+    void rename(WorkerId worker) {
+        renamed.add(worker);
+    }
+
     private static void include(Set<WorkerId> set, WorkerId worker, boolean member) {
         if (member) {
             set.add(worker);
@@ -121,7 +128,13 @@
     private Optional<CallOutcome> deliver(WorkerCall call) {
         SimulatedFleetWorker worker = cell.workers.get(call.worker().id());
         if (worker == null) {
-            return Optional.of(new CallOutcome.Unanswered(call.id()));
+            return Optional.of(
+                    renamed.contains(call.worker().id())
+                            ? new CallOutcome.Rejected(
+                                    call.id(),
+                                    OptionalLong.empty(),
+                                    RejectionReason.OTHER_INCARNATION)
+                            : new CallOutcome.Unanswered(call.id()));
         }
         return Optional.of(worker.handle(cell.now(), call));
     }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTest.java
@@ -9,8 +9,12 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.model.command.Command;
@@ -30,6 +34,7 @@
 import org.marjoramnotch.model.order.ListRuns;
 import org.marjoramnotch.model.order.RejectionReason;
 import org.marjoramnotch.model.order.RunStatus;
+import org.marjoramnotch.model.order.StartRun;
 import org.marjoramnotch.model.order.StopRun;
 import org.marjoramnotch.model.order.WorkerCall;
 import org.marjoramnotch.model.resource.Resources;
@@ -179,4 +184,80 @@
                 30, start, 20, new CallOutcome.Accepted(start.id(), OptionalLong.of(30)), output);
         assertThat(session.possiblyStartedTasks()).containsExactly(TASK);
     }
+
+    private WorkerCall sendOrder(Class<? extends WorkerCall> kind) {
+        answerList(List.of());
+        RunPlacement placement = new RunPlacement(new RunId(TASK, 1), worker.incarnation(), "");
+        startWorkflow(placement);
+        session.start(20, placement, Optional.empty(), output);
+        if (kind == StopRun.class) {
+            WorkerCall start = calls.remove(0);
+            session.onOutcome(
+                    25,
+                    start,
+                    20,
+                    new CallOutcome.Accepted(start.id(), OptionalLong.of(25)),
+                    output);
+            session.stop(30, placement.run(), output);
+        }
+        return calls.stream().filter(kind::isInstance).findFirst().orElseThrow();
+    }
+
+    /** Guards against an order that stays in flight, so that its worker is never dismissed. */
+    @ParameterizedTest
+    @MethodSource("refusedOrders")
+    void refusedOrderIsNotInFlight(Class<? extends WorkerCall> kind, RejectionReason reason) {
+        WorkerCall order = sendOrder(kind);
+        assertThat(session.hasOrdersInFlight()).isTrue();
+        session.onOutcome(
+                40,
+                order,
+                30,
+                new CallOutcome.Rejected(order.id(), OptionalLong.empty(), reason),
+                output);
+        assertThat(session.hasOrdersInFlight()).isFalse();
+    }
+
+    static Stream<Arguments> refusedOrders() {
+        return Stream.of(StartRun.class, StopRun.class)
+                .flatMap(
+                        kind ->
+                                Stream.of(RejectionReason.OTHER_INCARNATION, RejectionReason.FENCED)
+                                        .map(reason -> Arguments.of(kind, reason)));
+    }
+
+    @Test
+    void refusalByWorkerWithAnotherNameShowsThatNothingWasStarted() {
+        WorkerCall order = sendOrder(StartRun.class);
+        session.onOutcome(
+                40,
+                order,
+                30,
+                new CallOutcome.Rejected(
+                        order.id(), OptionalLong.empty(), RejectionReason.OTHER_INCARNATION),
+                output);
+        assertThat(session.isReplaced()).isTrue();
+        assertThat(session.possiblyStartedTasks()).isEmpty();
+    }
+
+    /** The next incarnation under the same name may have received the start. */
+    @Test
+    void listOfNextIncarnationDoesNotShowThatNothingWasStarted() {
+        sendOrder(StartRun.class);
+        session.tick(40, output);
+        ListRuns list =
+                calls.stream()
+                        .filter(ListRuns.class::isInstance)
+                        .map(ListRuns.class::cast)
+                        .findFirst()
+                        .orElseThrow();
+        session.onOutcome(
+                50,
+                list,
+                40,
+                new CallOutcome.Listed(list.id(), 0, OptionalLong.of(2), List.of(), List.of()),
+                output);
+        assertThat(session.isReplaced()).isTrue();
+        assertThat(session.possiblyStartedTasks()).containsExactly(TASK);
+    }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
@@ -112,6 +112,12 @@
         workers.remove(worker);
     }
 
+    /** Ends a worker with all runs on it; one with another name answers at its address. */
+    void rename(WorkerId worker) {
+        crash(worker);
+        network.rename(worker);
+    }
+
     void delayCommits(long maximumMilliseconds) {
         maximumExtraCommitDelay = maximumMilliseconds;
     }
