Don't take a worker's release for the end of its runs

Callers saw tasks run twice for seconds: a worker that deregistered without getting the confirmation continued them while they had started elsewhere.

Cause: a release dismissed the worker at once and made its tasks startable.

Change: a release stops the runs; the worker is dismissed once lists show their ends or its lease, which is renewed no more, is over. The request is answered then, or after 750 ms. Late reports of a released worker are ignored.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
@@ -187,6 +187,11 @@
         }
     }
 
+    /** Stops all runs that the ledger has on the worker. */
+    void stopAll(long nowMilliseconds, LeaderOutput output) {
+        ledgerRuns().forEach(run -> orders.stopOnce(nowMilliseconds, run.run(), output));
+    }
+
     void proposeEnds(List<RunEnd> ends, LeaderOutput output) {
         endsInFlight++;
         output.propose(new EndRuns(worker, ends));
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReportHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReportHandler.java
@@ -27,10 +27,20 @@
     /** Time without contact after which an idle worker is dismissed; ten missed reports. */
     private static final long DISMISS_IDLE_MILLISECONDS = 15_000;
 
+    /**
+     * Time after which a release is answered even if runs of the worker are not over; a worker
+     * waits one second for the answer, and ends some seconds later without one.
+     */
+    private static final long RELEASE_ANSWER_MILLISECONDS = 750;
+
+    /** Time for which late reports of a released worker are ignored; outlasts its end by far. */
+    private static final long IGNORE_RELEASED_MILLISECONDS = 60_000;
+
     private final WorkflowLedger ledger;
     private final WorkerSessions sessions;
     private final PendingReplies<FleetWorker> pendingEnrollments = new PendingReplies<>();
-    private final PendingReplies<WorkerIncarnation> pendingDismissals = new PendingReplies<>();
+    private final PendingReplies<WorkerIncarnation> pendingReleases = new PendingReplies<>();
+    private final Map<WorkerIncarnation, Long> releasedAt = new HashMap<>();
     private final Set<WorkerIncarnation> proposedDismissals = new HashSet<>();
 
     /**
@@ -46,6 +56,10 @@
     void report(
             long nowMilliseconds, RequestHandle handle, ReportWorker report, LeaderOutput output) {
         FleetWorker worker = report.worker();
+        if (releasedAt.containsKey(worker.incarnation())) {
+            output.reply(handle, new Done());
+            return;
+        }
         if (pendingEnrollments.isPending(worker)) {
             pendingEnrollments.add(worker, handle);
             return;
@@ -76,22 +90,51 @@
         }
     }
 
-    void release(RequestHandle handle, ReleaseWorker release, LeaderOutput output) {
-        Optional<WorkerIncarnation> known =
-                ledger.worker(release.worker())
-                        .map(entry -> entry.worker().incarnation())
-                        .filter(incarnation -> refersTo(release, incarnation));
-        if (known.isEmpty()) {
+    /**
+     * Releases a worker. The request does not show that its runs are over, since the worker
+     * continues them until it gets the answer, which may be lost.
+     */
+    void release(
+            long nowMilliseconds,
+            RequestHandle handle,
+            ReleaseWorker release,
+            LeaderOutput output) {
+        WorkerSession session =
+                sessions.of(release.worker())
+                        .filter(known -> refersTo(release, known.worker().incarnation()))
+                        .orElse(null);
+        if (session == null) {
             output.reply(handle, new Done());
-        } else if (pendingDismissals.add(known.get(), handle)) {
-            output.propose(new DismissWorker(known.get()));
+            return;
         }
+        WorkerIncarnation incarnation = session.worker().incarnation();
+        pendingReleases.add(incarnation, handle);
+        if (!session.isReleased()) {
+            releasedAt.put(incarnation, nowMilliseconds);
+            session.release(nowMilliseconds, output);
+            output.logDecision(
+                    DecisionLogEntry.of(
+                            "worker_released",
+                            "worker",
+                            incarnation.worker(),
+                            "runs",
+                            ledger.worker(incarnation)
+                                    .map(known -> known.runs().size())
+                                    .orElse(0)));
+        }
+        settle(nowMilliseconds, session, output);
     }
 
     void onApplied(long nowMilliseconds, WorkflowCommand command, LeaderOutput output) {
         if (command instanceof EnrollWorker enroll) {
             FleetWorker worker = enroll.worker();
+            Optional<WorkerIncarnation> earlier =
+                    sessions.of(worker.id())
+                            .map(session -> session.worker().incarnation())
+                            .filter(incarnation -> !incarnation.equals(worker.incarnation()));
             sessions.onEnrolled(nowMilliseconds, worker);
+            earlier.ifPresent(
+                    incarnation -> pendingReleases.answer(incarnation, new Done(), output));
             Long sequence = pendingSequences.remove(worker.incarnation());
             if (sequence != null) {
                 sessions.of(worker.incarnation())
@@ -114,26 +157,36 @@
             proposedDismissals.remove(dismiss.worker());
             output.logDecision(
                     DecisionLogEntry.of("worker_dismissed", "worker", dismiss.worker().worker()));
-            pendingDismissals.answer(dismiss.worker(), new Done(), output);
+            pendingReleases.answer(dismiss.worker(), new Done(), output);
         }
     }
 
     /**
-     * Dismisses workers whose incarnation has ended, and idle workers without contact for a long
-     * time.
+     * Dismisses workers whose incarnation has ended or was released and runs nothing any more, and
+     * idle workers without contact for a long time.
      */
     void tick(long nowMilliseconds, LeaderOutput output) {
         for (WorkerSession session : sessions.all()) {
-            WorkerIncarnation incarnation = session.worker().incarnation();
-            boolean ended = session.isReplaced() && !session.hasOrdersInFlight();
-            boolean silent =
-                    session.silenceMilliseconds(nowMilliseconds) >= DISMISS_IDLE_MILLISECONDS
-                            && ledger.worker(incarnation)
-                                    .map(entry -> entry.runs().isEmpty())
-                                    .orElse(false);
-            if ((ended || silent) && proposedDismissals.add(incarnation)) {
-                output.propose(new DismissWorker(incarnation));
-            }
+            settle(nowMilliseconds, session, output);
+        }
+        releasedAt.values().removeIf(at -> nowMilliseconds - at >= IGNORE_RELEASED_MILLISECONDS);
+    }
+
+    private void settle(long nowMilliseconds, WorkerSession session, LeaderOutput output) {
+        WorkerIncarnation incarnation = session.worker().incarnation();
+        boolean ended = session.isReplaced() && !session.hasOrdersInFlight();
+        boolean silent =
+                session.silenceMilliseconds(nowMilliseconds) >= DISMISS_IDLE_MILLISECONDS
+                        && ledger.worker(incarnation)
+                                .map(entry -> entry.runs().isEmpty())
+                                .orElse(false);
+        boolean dismissible = ended || silent || session.isVacated(nowMilliseconds);
+        if (dismissible && proposedDismissals.add(incarnation)) {
+            output.propose(new DismissWorker(incarnation));
+        }
+        Long since = releasedAt.get(incarnation);
+        if (since != null && nowMilliseconds - since >= RELEASE_ANSWER_MILLISECONDS) {
+            pendingReleases.answer(incarnation, new Done(), output);
         }
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -42,6 +42,7 @@
     private boolean replaced;
     private boolean mayHaveNamesake;
     private boolean successorExpected;
+    private boolean released;
     private long lastHeardAt;
     private boolean listRejected;
     private long reportSequence = -1;
@@ -93,6 +94,7 @@
                 && !fenced
                 && !replaced
                 && !successorExpected
+                && !released
                 && !worker.draining()
                 && lists.unknownRuns().isEmpty()
                 && answers.consecutiveUnanswered() < UNUSABLE_AFTER_UNANSWERED_CALLS
@@ -121,6 +123,31 @@
         orders.endStarts();
     }
 
+    /**
+     * Stops all runs of a worker that is about to end, starts none and renews its lease no more, so
+     * that they end in a list or with the lease whether or not the worker learns that it may end.
+     */
+    void release(long nowMilliseconds, LeaderOutput output) {
+        released = true;
+        orders.endStarts();
+        if (!fenced && !replaced) {
+            lists.stopAll(nowMilliseconds, output);
+        }
+    }
+
+    boolean isReleased() {
+        return released;
+    }
+
+    /** Returns whether certainly nothing runs on a released worker or can still start there. */
+    boolean isVacated(long nowMilliseconds) {
+        return released
+                && isSettled(nowMilliseconds)
+                && lists.runCount() == 0
+                && lists.unknownRuns().isEmpty()
+                && !orders.hasOrdersInFlight();
+    }
+
     /** Returns whether any order is in flight. */
     boolean hasOrdersInFlight() {
         return orders.hasOrdersInFlight();
@@ -224,7 +251,8 @@
         boolean longPoll = lists.mayLongPoll() && isReporting();
         // Don't renew the lease of a worker that leaves calls unanswered or rejects list calls, so
         // that the lease can expire.
-        OptionalLong until = isReporting() ? lease.grant(nowMilliseconds) : OptionalLong.empty();
+        OptionalLong until =
+                isReporting() && !released ? lease.grant(nowMilliseconds) : OptionalLong.empty();
         long wait = longPoll ? settings.listWaitMilliseconds() : 0;
         lists.onSent();
         if (!hasList()) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -188,7 +188,7 @@
         } else if (request instanceof ReportWorker report) {
             workers.report(nowMilliseconds, handle, report, output);
         } else if (request instanceof ReleaseWorker release) {
-            workers.release(handle, release, output);
+            workers.release(nowMilliseconds, handle, release, output);
         } else if (request instanceof TakeAdviceQuestion poll) {
             advice.onPoll(nowMilliseconds, handle, poll, output);
             scheduleDue = true;
