Grant no lease that is longer than the next leader waits

Callers saw tasks run twice for up to about 1 s after a planned change of leader while their workers were cut off.

Cause: a grant was counted from the sending of the last answered call, but the worker reads its clock up to 2 s later, at the end of a list call that waits. The next leader knows the lease and a margin of 250 ms only. Ruled out: grants of the old leader after the beginning of the next term.

Change: a grant is counted from a lower bound of the worker's clock.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
@@ -94,8 +94,13 @@
         return listed && unknownRuns.isEmpty() && hasRuns();
     }
 
+    /** Returns whether no list is awaited, nor the result of one. */
+    boolean mayAsk(long nowMilliseconds) {
+        return !listInFlight && endsInFlight == 0 && nowMilliseconds >= nextListAt;
+    }
+
     boolean isDue(long nowMilliseconds) {
-        if (listInFlight || endsInFlight > 0 || nowMilliseconds < nextListAt) {
+        if (!mayAsk(nowMilliseconds)) {
             return false;
         }
         boolean acknowledgementDue =
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -204,12 +204,21 @@
                 nowMilliseconds,
                 answers.consecutiveUnanswered() < UNUSABLE_AFTER_UNANSWERED_CALLS,
                 output);
-        if (lists.isDue(nowMilliseconds) && (hasList() || firstLists.mayAsk(nowMilliseconds))) {
+        if (isListDue(nowMilliseconds) && (hasList() || firstLists.mayAsk(nowMilliseconds))) {
             sendList(nowMilliseconds, output);
         }
         lapseIfExpired(nowMilliseconds, output);
     }
 
+    /** Returns whether to ask for a list, from an idle worker for a reading of its clock. */
+    private boolean isListDue(long nowMilliseconds) {
+        boolean readingDue =
+                lease.isReadingOld(nowMilliseconds)
+                        && silenceMilliseconds(nowMilliseconds)
+                                < settings.reportTimeoutMilliseconds();
+        return lists.isDue(nowMilliseconds) || (readingDue && lists.mayAsk(nowMilliseconds));
+    }
+
     /** Handles the outcome of a call. */
     void onOutcome(
             long nowMilliseconds,
@@ -248,7 +257,8 @@
     }
 
     private void sendList(long nowMilliseconds, LeaderOutput output) {
-        boolean longPoll = lists.mayLongPoll() && isReporting();
+        boolean longPoll =
+                lists.mayLongPoll() && isReporting() && lease.isReadingRecent(nowMilliseconds);
         // Don't renew the lease of a worker that leaves calls unanswered or rejects list calls, so
         // that the lease can expire.
         OptionalLong until =
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerLeaseTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerLeaseTest.java
@@ -2,8 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class WorkerLeaseTest {
@@ -34,4 +39,69 @@
     void nothingIsGrantedWithUnknownClock() {
         assertThat(new WorkerLease(SETTINGS, 0).grant(5)).isEmpty();
     }
+
+    /**
+     * Guards against a lease that outlasts the time for which the next leader waits: a worker reads
+     * its clock at any moment between a call and its answer.
+     */
+    @ParameterizedTest
+    @MethodSource("answers")
+    void grantIsNeverLongerThanTheLease(double rate, long readAfter, long receivedAfter, long age) {
+        WorkerLease lease = new WorkerLease(SETTINGS, 0);
+        long sentAt = 1_000;
+        lease.onAnswer(sentAt, sentAt + receivedAfter, clock(rate, sentAt + readAfter));
+        long now = sentAt + receivedAfter + age;
+        long granted = lease.grant(now).orElseThrow() - clock(rate, now);
+        assertThat(granted).isLessThanOrEqualTo(SETTINGS.leaseMilliseconds());
+    }
+
+    @ParameterizedTest
+    @MethodSource("answers")
+    void nextLeaderWaitsUntilTheGrantOfTheEarlierOneIsOver(
+            double rate, long readAfter, long receivedAfter, long age) {
+        WorkerLease earlier = new WorkerLease(SETTINGS, 0);
+        earlier.onAnswer(1_000, 1_000 + receivedAfter, clock(rate, 1_000 + readAfter));
+        long begin = 1_000 + receivedAfter + age;
+        long until = earlier.grant(begin).orElseThrow();
+        WorkerLease unheard = new WorkerLease(SETTINGS, begin);
+        WorkerLease heard = new WorkerLease(SETTINGS, begin);
+        heard.onAnswer(begin + 5, begin + 900, clock(rate, begin + 10));
+        for (WorkerLease lease : List.of(unheard, heard)) {
+            long now = begin + 900;
+            while (!lease.isOver(now)) {
+                now++;
+            }
+            assertThat(clock(rate, now)).isGreaterThanOrEqualTo(until);
+        }
+    }
+
+    /** A worker that is not asked for long gets a shorter lease, which is enough for a call. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.98, 1.0, 1.02})
+    void grantAfterRecentReadingLastsAlmostTheLease(double rate) {
+        WorkerLease lease = new WorkerLease(SETTINGS, 0);
+        lease.onAnswer(1_000, 3_010, clock(rate, 3_005));
+        assertThat(lease.grant(5_000).orElseThrow() - clock(rate, 5_000)).isBetween(2_900L, 3_000L);
+        long latest = 3_010 + WorkerLease.OLD_READING_MILLISECONDS;
+        assertThat(lease.isReadingOld(latest - 1)).isFalse();
+        assertThat(lease.isReadingOld(latest)).isTrue();
+    }
+
+    private static long clock(double rate, long time) {
+        return 500_000 + (long) (time * rate);
+    }
+
+    static Stream<Arguments> answers() {
+        List<Arguments> answers = new ArrayList<>();
+        for (double rate : new double[] {0.98, 1.0, 1.02}) {
+            for (long receivedAfter : new long[] {4, 400, 2_010, 2_600}) {
+                for (long readAfter : new long[] {0, receivedAfter / 2, receivedAfter}) {
+                    for (long age : new long[] {0, 300, 2_000, 20_000}) {
+                        answers.add(Arguments.of(rate, readAfter, receivedAfter, age));
+                    }
+                }
+            }
+        }
+        return answers.stream();
+    }
 }
