--- a/library/src/main/java/org/marjoramnotch/logic/workflow/FeasibilityCheck.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/FeasibilityCheck.java
@@ -1,6 +1,7 @@
 package org.marjoramnotch.logic.workflow;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.marjoramnotch.logic.leader.LeaderOutput;
@@ -10,8 +11,8 @@
 import org.marjoramnotch.model.workflow.StepDefinition;
 
 /**
- * Finds workflows that could not have run on any worker, or within any limit of their team, seen so
- * far.
+ * Finds workflows that could not have run on any worker, or within any limit of their team, that
+ * the fleet has had. A step that was placed once has shown that it can run.
  */
 final class FeasibilityCheck {
     private final WorkflowLedger ledger;
@@ -41,10 +42,14 @@
     }
 
     private Optional<String> findObstacle(WorkflowEntry entry) {
-        return entry.workflow().steps().stream()
-                .map(step -> findObstacle(entry, step))
-                .flatMap(Optional::stream)
-                .findFirst();
+        List<StepDefinition> steps = entry.workflow().steps();
+        for (int number = 0; number < steps.size(); number++) {
+            Optional<String> obstacle = findObstacle(entry, steps.get(number));
+            if (obstacle.isPresent() && !entry.wasPlaced(number)) {
+                return obstacle;
+            }
+        }
+        return Optional.empty();
     }
 
     private Optional<String> findObstacle(WorkflowEntry entry, StepDefinition step) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/StepTasks.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/StepTasks.java
@@ -56,6 +56,11 @@
         return false;
     }
 
+    /** Returns whether a task of the step has ever been placed on a worker. */
+    boolean wasPlaced() {
+        return tasks.stream().anyMatch(task -> task.run() > 0);
+    }
+
     int doneCount() {
         return done;
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowEntry.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowEntry.java
@@ -105,6 +105,11 @@
         return occurrences.get(occurrence);
     }
 
+    /** Returns whether a task of a step has ever been placed on a worker, in any occurrence. */
+    boolean wasPlaced(int step) {
+        return occurrences.stream().anyMatch(steps -> steps.get(step).wasPlaced());
+    }
+
     Optional<StepTasks> step(StepId id) {
         boolean known =
                 id.occurrence() >= 0
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -2,9 +2,11 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import org.marjoramnotch.model.command.CancelWorkflow;
@@ -27,6 +29,7 @@
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.identifier.QueueName;
+import org.marjoramnotch.model.identifier.ServiceName;
 import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.resource.Resources;
@@ -49,6 +52,7 @@
 
     /** Restores the state from a snapshot. */
     public void restore(WorkflowSnapshot snapshot) {
+        history.restore(snapshot.history());
         snapshot.configuration().ifPresent(this::activate);
         for (FleetWorker worker : snapshot.workers()) {
             history.record(worker);
@@ -69,7 +73,8 @@
         return new WorkflowSnapshot(
                 Optional.ofNullable(configuration),
                 workers.values().stream().map(WorkerEntry::worker).toList(),
-                workflows.values().stream().map(WorkflowEntry::snapshot).toList());
+                workflows.values().stream().map(WorkflowEntry::snapshot).toList(),
+                history.snapshot());
     }
 
     /** Applies a command, with the same result on every replica. */
@@ -150,7 +155,7 @@
         }
     }
 
-    /** Returns the kinds of workers and the team limits that this replica has seen. */
+    /** Returns the kinds of workers and the team limits that the fleet has had. */
     FleetHistory history() {
         return history;
     }
@@ -169,6 +174,21 @@
             // A removed queue still applies to the workflows that it had accepted.
             entry.updateQueue(queues.getOrDefault(entry.queue().name(), entry.queue()));
         }
+        history.retain(poolsInUse(proposed), teamsInUse());
+    }
+
+    private Set<ServiceName> poolsInUse(FleetConfiguration inForce) {
+        Set<ServiceName> pools = new HashSet<>();
+        inForce.pools().forEach(pool -> pools.add(pool.name()));
+        workers.values().forEach(entry -> pools.add(entry.worker().pool()));
+        active.values().forEach(entry -> pools.add(entry.queue().pool()));
+        return pools;
+    }
+
+    private Set<TeamName> teamsInUse() {
+        Set<TeamName> names = new HashSet<>(teams.keySet());
+        active.values().forEach(entry -> entry.workflow().team().ifPresent(names::add));
+        return names;
     }
 
     private void activate(FleetConfiguration newConfiguration) {
--- a/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowSnapshot.java
+++ b/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowSnapshot.java
@@ -1,8 +1,10 @@
 package org.marjoramnotch.model.workflow;
 
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import org.marjoramnotch.model.fleet.FleetConfiguration;
+import org.marjoramnotch.model.fleet.FleetHistoryRecord;
 import org.marjoramnotch.model.fleet.FleetWorker;
 
 /**
@@ -11,12 +13,19 @@
  * @param configuration the configuration in force, if there is one
  * @param workers the workers
  * @param workflows the workflows
+ * @param history what the fleet could run at some time; absent in snapshots of earlier releases
  */
 public record WorkflowSnapshot(
         Optional<FleetConfiguration> configuration,
         List<FleetWorker> workers,
-        List<WorkflowRecord> workflows) {
+        List<WorkflowRecord> workflows,
+        FleetHistoryRecord history) {
     /** The state before the first command. */
     public static final WorkflowSnapshot EMPTY =
-            new WorkflowSnapshot(Optional.empty(), List.of(), List.of());
+            new WorkflowSnapshot(Optional.empty(), List.of(), List.of(), FleetHistoryRecord.EMPTY);
+
+    /** Replaces the absent history in a snapshot of an earlier release by an empty one. */
+    public WorkflowSnapshot {
+        history = Objects.requireNonNullElse(history, FleetHistoryRecord.EMPTY);
+    }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/TestFleet.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/TestFleet.java
@@ -8,6 +8,7 @@
 import org.marjoramnotch.model.fleet.QueueDefinition;
 import org.marjoramnotch.model.fleet.TeamDefinition;
 import org.marjoramnotch.model.identifier.QueueName;
+import org.marjoramnotch.model.identifier.ServiceName;
 import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.message.CallTarget;
 import org.marjoramnotch.model.resource.Resources;
@@ -17,6 +18,7 @@
 /** A configuration of two queues and two teams. */
 final class TestFleet {
     static final String KEY = "key-of-team-one";
+    static final ServiceName OTHER_POOL = new ServiceName("other-pool");
 
     private TestFleet() {}
 
@@ -55,6 +57,30 @@
                 advice);
     }
 
+    /** Returns a configuration that sends the quick queue to another pool. */
+    static FleetConfiguration movedQueue(long version) {
+        FleetConfiguration usual = configuration(version);
+        QueueDefinition quick = usual.queues().get(0);
+        QueueDefinition moved =
+                new QueueDefinition(
+                        quick.name(),
+                        quick.host(),
+                        quick.pathPrefix(),
+                        OTHER_POOL,
+                        quick.priority(),
+                        quick.mostFailures(),
+                        quick.stretch(),
+                        quick.slackMilliseconds(),
+                        quick.open(),
+                        quick.advice());
+        return new FleetConfiguration(
+                version,
+                usual.document(),
+                List.of(moved, usual.queues().get(1)),
+                List.of(usual.pools().get(0), new PoolDefinition(OTHER_POOL, false, false)),
+                usual.teams());
+    }
+
     static CallTarget target(String workflow) {
         return new CallTarget("callers.example", "/quick/" + workflow, Optional.of(KEY));
     }
