Take a refused connection as the end of a released worker

Callers waited for a lease after a planned departure since releases are no longer taken for the end of runs: workers stop serving before they deregister.

Cause: lists and leases were the only evidence. A closed port refuses connections, while a worker that is cut off does not answer.

Change: an outcome of its own for a refused connection, which ends the runs of a worker if it was released.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/metrics/ReplicaMetrics.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/metrics/ReplicaMetrics.java
@@ -46,8 +46,11 @@
     }
 
     private static String labelOf(CallOutcome outcome) {
-        return outcome instanceof CallOutcome.Rejected rejected
-                ? rejected.reason().name().toLowerCase(Locale.ROOT)
-                : outcome instanceof CallOutcome.Unanswered ? "unanswered" : "accepted";
+        if (outcome instanceof CallOutcome.Rejected rejected) {
+            return rejected.reason().name().toLowerCase(Locale.ROOT);
+        }
+        boolean answered =
+                outcome instanceof CallOutcome.Accepted || outcome instanceof CallOutcome.Listed;
+        return answered ? "accepted" : "unanswered";
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/ResponseTracker.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/ResponseTracker.java
@@ -3,12 +3,14 @@
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.identifier.WorkerId;
+import org.marjoramnotch.model.order.RejectionReason;
+import org.marjoramnotch.model.order.StartRun;
 import org.marjoramnotch.model.order.WorkerCall;
 
 /**
- * Counts consecutive calls that a worker left unanswered. Logs once when the worker stops answering
- * and once when it answers again, so that a run end that was reported late can be distinguished
- * from a run that ended late.
+ * Counts consecutive calls that a worker left unanswered, and logs rejected ones. Logs once when
+ * the worker stops answering and once when it answers again, so that a run end that was reported
+ * late can be distinguished from a run that ended late.
  */
 final class ResponseTracker {
     private final WorkerId worker;
@@ -43,6 +45,20 @@
         answeredAt = nowMilliseconds;
     }
 
+    void onRejected(WorkerCall call, RejectionReason reason, LeaderOutput output) {
+        output.logDecision(
+                DecisionLogEntry.of(
+                        "order_rejected",
+                        "worker",
+                        worker,
+                        "call",
+                        call.getClass().getSimpleName(),
+                        "run",
+                        call instanceof StartRun start ? start.run() : "none",
+                        "reason",
+                        reason));
+    }
+
     private DecisionLogEntry logEntry(
             String event, long nowMilliseconds, WorkerCall call, int runs) {
         return DecisionLogEntry.of(
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -4,13 +4,11 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.ListRuns;
 import org.marjoramnotch.model.order.RejectionReason;
-import org.marjoramnotch.model.order.StartRun;
 import org.marjoramnotch.model.order.WorkerCall;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunPlacement;
@@ -29,22 +27,15 @@
     private static final int UNUSABLE_AFTER_UNANSWERED_CALLS = 2;
 
     private final WorkflowSettings settings;
-    private final CallRegistry calls;
-    private final FirstListLimiter firstLists;
-    private final long fencingToken;
     private final WorkerLease lease;
+    private final IncarnationState incarnation;
     private final RunOrderTracker orders;
     private final WorkerHealth health;
     private final RunListPoller lists;
     private final ResponseTracker answers;
+    private final RunListCalls listCalls;
     private FleetWorker worker;
-    private boolean fenced;
-    private boolean replaced;
-    private boolean mayHaveNamesake;
-    private boolean successorExpected;
-    private boolean released;
     private long lastHeardAt;
-    private boolean listRejected;
     private long reportSequence = -1;
 
     WorkerSession(
@@ -56,17 +47,18 @@
             FleetWorker worker,
             long nowMilliseconds) {
         this.settings = settings;
-        this.calls = calls;
-        this.firstLists = firstLists;
-        this.fencingToken = fencingToken;
         this.worker = worker;
         this.lease = new WorkerLease(settings, nowMilliseconds);
+        this.incarnation = new IncarnationState(lease);
         this.health = new WorkerHealth(worker.id());
         this.orders =
                 new RunOrderTracker(settings, ledger, calls, fencingToken, this, lease, health);
         this.lists =
                 new RunListPoller(ledger, worker.incarnation(), orders, health, nowMilliseconds);
         this.answers = new ResponseTracker(worker.id(), nowMilliseconds);
+        this.listCalls =
+                new RunListCalls(
+                        settings, calls, firstLists, fencingToken, this, lists, lease, answers);
         this.lastHeardAt = nowMilliseconds;
     }
 
@@ -91,10 +83,7 @@
     /** Returns whether runs may be started on this worker. */
     boolean isUsable(long nowMilliseconds) {
         return lists.hasList()
-                && !fenced
-                && !replaced
-                && !successorExpected
-                && !released
+                && incarnation.acceptsStarts()
                 && !worker.draining()
                 && lists.unknownRuns().isEmpty()
                 && answers.consecutiveUnanswered() < UNUSABLE_AFTER_UNANSWERED_CALLS
@@ -104,7 +93,7 @@
 
     /** Returns whether the runs on this worker are known, or none can be running there. */
     boolean isSettled(long nowMilliseconds) {
-        return lists.hasList() || lease.isOver(nowMilliseconds);
+        return lists.hasList() || incarnation.isLeaseOver(nowMilliseconds);
     }
 
     /** Returns whether the worker has sent a list in this term since its lease last expired. */
@@ -114,12 +103,12 @@
 
     /** Returns whether an answer from another incarnation shows that this one has ended. */
     boolean isReplaced() {
-        return replaced;
+        return incarnation.isReplaced();
     }
 
     /** Sends no more starts, since the next incarnation is about to enroll and would get them. */
     void expectSuccessor() {
-        successorExpected = true;
+        incarnation.onSuccessorReported();
         orders.endStarts();
     }
 
@@ -128,20 +117,20 @@
      * that they end in a list or with the lease whether or not the worker learns that it may end.
      */
     void release(long nowMilliseconds, LeaderOutput output) {
-        released = true;
+        incarnation.onReleased();
         orders.endStarts();
-        if (!fenced && !replaced) {
+        if (incarnation.acceptsOrders()) {
             lists.stopAll(nowMilliseconds, output);
         }
     }
 
     boolean isReleased() {
-        return released;
+        return incarnation.isReleased();
     }
 
     /** Returns whether certainly nothing runs on a released worker or can still start there. */
     boolean isVacated(long nowMilliseconds) {
-        return released
+        return isReleased()
                 && isSettled(nowMilliseconds)
                 && lists.runCount() == 0
                 && lists.unknownRuns().isEmpty()
@@ -158,9 +147,9 @@
      * worker with another name at the address refuses all orders to this one.
      */
     Set<WorkflowTaskId> possiblyStartedTasks() {
-        return replaced && !mayHaveNamesake
-                ? Set.of()
-                : orders.possiblyStartedTasks(run -> lists.status(run).isPresent());
+        return incarnation.mayHaveNamesake()
+                ? orders.possiblyStartedTasks(run -> lists.status(run).isPresent())
+                : Set.of();
     }
 
     /** Adds the tasks of runs that the worker lists but the ledger does not have on it. */
@@ -190,33 +179,22 @@
 
     /** Stops a run; a later list shows its end. */
     void stop(long nowMilliseconds, RunId run, LeaderOutput output) {
-        if (!fenced && !replaced) {
+        if (incarnation.acceptsOrders()) {
             orders.stop(nowMilliseconds, run, output);
         }
     }
 
     /** Sends due orders and list calls, and ends the runs if the lease of the worker is over. */
     void tick(long nowMilliseconds, LeaderOutput output) {
-        if (fenced || replaced) {
+        if (!incarnation.acceptsOrders()) {
             return;
         }
         orders.sendDue(
                 nowMilliseconds,
                 answers.consecutiveUnanswered() < UNUSABLE_AFTER_UNANSWERED_CALLS,
                 output);
-        if (isListDue(nowMilliseconds) && (hasList() || firstLists.mayAsk(nowMilliseconds))) {
-            sendList(nowMilliseconds, output);
-        }
-        lapseIfExpired(nowMilliseconds, output);
-    }
-
-    /** Returns whether to ask for a list, from an idle worker for a reading of its clock. */
-    private boolean isListDue(long nowMilliseconds) {
-        boolean readingDue =
-                lease.isReadingOld(nowMilliseconds)
-                        && silenceMilliseconds(nowMilliseconds)
-                                < settings.reportTimeoutMilliseconds();
-        return lists.isDue(nowMilliseconds) || (readingDue && lists.mayAsk(nowMilliseconds));
+        listCalls.sendIfDue(nowMilliseconds, output);
+        lapseIfOver(nowMilliseconds, output);
     }
 
     /** Handles the outcome of a call. */
@@ -229,6 +207,11 @@
         if (call instanceof ListRuns) {
             lists.onOutcome();
         }
+        if (outcome instanceof CallOutcome.ConnectionRefused) {
+            incarnation.onConnectionRefused();
+            onUnanswered(nowMilliseconds, call, output);
+            return;
+        }
         if (outcome instanceof CallOutcome.Unanswered) {
             onUnanswered(nowMilliseconds, call, output);
             return;
@@ -256,26 +239,6 @@
         workerClock.ifPresent(clock -> lease.onAnswer(sentAt, nowMilliseconds, clock));
     }
 
-    private void sendList(long nowMilliseconds, LeaderOutput output) {
-        boolean longPoll =
-                lists.mayLongPoll() && isReporting() && lease.isReadingRecent(nowMilliseconds);
-        // Don't renew the lease of a worker that leaves calls unanswered or rejects list calls, so
-        // that the lease can expire.
-        OptionalLong until =
-                isReporting() && !released ? lease.grant(nowMilliseconds) : OptionalLong.empty();
-        long wait = longPoll ? settings.listWaitMilliseconds() : 0;
-        lists.onSent();
-        if (!hasList()) {
-            firstLists.onSent(this, nowMilliseconds);
-        }
-        calls.send(
-                nowMilliseconds,
-                this,
-                new ListRuns(
-                        calls.nextId(), worker, fencingToken, lists.acknowledged(), until, wait),
-                output);
-    }
-
     private void onUnanswered(long nowMilliseconds, WorkerCall call, LeaderOutput output) {
         answers.onUnanswered(nowMilliseconds, call, lists.runCount(), output);
         orders.onUnanswered(nowMilliseconds, call);
@@ -286,20 +249,9 @@
 
     private void onRejected(
             long nowMilliseconds, WorkerCall call, RejectionReason reason, LeaderOutput output) {
-        output.logDecision(
-                DecisionLogEntry.of(
-                        "order_rejected",
-                        "worker",
-                        worker.id(),
-                        "call",
-                        call.getClass().getSimpleName(),
-                        "run",
-                        call instanceof StartRun start ? start.run() : "none",
-                        "reason",
-                        reason));
+        answers.onRejected(call, reason, output);
         if (reason == RejectionReason.FENCED || reason == RejectionReason.OTHER_INCARNATION) {
-            fenced |= reason == RejectionReason.FENCED;
-            replaced |= reason == RejectionReason.OTHER_INCARNATION;
+            onOrdersRefused(reason);
             orders.onAnswered(nowMilliseconds, call);
             return;
         }
@@ -307,13 +259,21 @@
             health.quarantine(nowMilliseconds, "refuses_calls", output);
         }
         if (call instanceof ListRuns) {
-            listRejected = true;
+            listCalls.onRejected();
             lists.onRejected(nowMilliseconds);
         }
         orders.onRejected(nowMilliseconds, call, reason, output)
                 .ifPresent(end -> lists.proposeEnds(List.of(end), output));
     }
 
+    private void onOrdersRefused(RejectionReason reason) {
+        if (reason == RejectionReason.FENCED) {
+            incarnation.onFenced();
+        } else {
+            incarnation.onOtherNameAnswered();
+        }
+    }
+
     private void onList(
             long nowMilliseconds,
             ListRuns call,
@@ -323,21 +283,17 @@
         OptionalLong started = list.startedEpochMilliseconds();
         if (started.isPresent()
                 && started.getAsLong() != worker.incarnation().startedEpochMilliseconds()) {
-            replaced = true;
-            mayHaveNamesake = true;
+            incarnation.onNamesakeAnswered();
             return;
         }
-        listRejected = false;
+        listCalls.onAnswered();
         lists.onList(nowMilliseconds, call, sentAt, list, output);
     }
 
-    private void lapseIfExpired(long nowMilliseconds, LeaderOutput output) {
-        if (!isReporting() && !lists.isAwaitingCommit() && lease.isOver(nowMilliseconds)) {
+    private void lapseIfOver(long nowMilliseconds, LeaderOutput output) {
+        if (incarnation.areRunsOver(nowMilliseconds, listCalls.isReporting())
+                && !lists.isAwaitingCommit()) {
             lists.lapseAll(output);
         }
     }
-
-    private boolean isReporting() {
-        return answers.isResponsive() && !listRejected;
-    }
 }
--- a/library/src/main/java/org/marjoramnotch/model/order/CallOutcome.java
+++ b/library/src/main/java/org/marjoramnotch/model/order/CallOutcome.java
@@ -50,4 +50,12 @@
      * @param id the number of the call
      */
     record Unanswered(long id) implements CallOutcome {}
+
+    /**
+     * Nothing accepts connections at the worker's address, so that the call was not delivered. A
+     * worker that cannot be reached, in contrast, does not answer at all.
+     *
+     * @param id the number of the call
+     */
+    record ConnectionRefused(long id) implements CallOutcome {}
 }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/RenamedWorkerTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/RenamedWorkerTest.java
@@ -58,7 +58,8 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void taskWhoseStartWasRefusedRunsElsewhere(boolean firstCopyUnanswered) {
-        cell.rename(RENAMED);
+        cell.crash(RENAMED);
+        cell.network.rename(RENAMED);
         cell.hang(RENAMED, firstCopyUnanswered);
         submitStanding();
         cell.run(100);
@@ -76,7 +77,8 @@
     void cancelledRunWhoseStopWasRefusedIsReleased() {
         submitStanding();
         cell.run(500);
-        cell.rename(RENAMED);
+        cell.crash(RENAMED);
+        cell.network.rename(RENAMED);
         cell.request(new CancelWorkflowRequest(TestFleet.target(ID)));
         cell.run(BOUND_MILLISECONDS);
         assertThat(cell.ledger.worker(RENAMED)).isEmpty();
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedWorkerNetwork.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedWorkerNetwork.java
@@ -26,6 +26,7 @@
     private final Set<WorkerId> hanging = new HashSet<>();
     private final Set<WorkerId> ignoringOrders = new HashSet<>();
     private final Set<WorkerId> renamed = new HashSet<>();
+    private final Set<WorkerId> refusing = new HashSet<>();
     private double lossShare;
     private boolean promptLists;
 
@@ -53,14 +54,21 @@
         include(hanging, worker, hangs);
     }
 
+    /** Sets whether a worker leaves orders unanswered while it answers list calls. */
     void ignoreOrders(WorkerId worker, boolean ignores) {
         include(ignoringOrders, worker, ignores);
     }
 
+    /** Makes a worker with another name answer at the address of one that has ended. */
     void rename(WorkerId worker) {
         renamed.add(worker);
     }
 
+    /** Makes a worker refuse connections while it continues its runs. */
+    void refuseConnections(WorkerId worker) {
+        refusing.add(worker);
+    }
+
     private static void include(Set<WorkerId> set, WorkerId worker, boolean member) {
         if (member) {
             set.add(worker);
@@ -78,6 +86,11 @@
                     cell.outcome(call, new CallOutcome.Unanswered(call.id())));
             return;
         }
+        if (refusing.contains(call.worker().id())) {
+            cell.schedule(
+                    2, true, cell.outcome(call, new CallOutcome.ConnectionRefused(call.id())));
+            return;
+        }
         boolean cut = cutOff.contains(call.worker().id());
         boolean hangs = hanging.contains(call.worker().id());
         boolean lost = cell.random().nextDouble() < lossShare;
@@ -118,7 +131,9 @@
 
     private void listOnceEnded(ListRuns list, long until) {
         SimulatedFleetWorker worker = cell.workers.get(list.worker().id());
-        if (cell.now() < until && !worker.hasEndsAfter(list.acknowledgedEnds())) {
+        if (worker == null) {
+            cell.schedule(2, true, cell.outcome(list, new CallOutcome.Unanswered(list.id())));
+        } else if (cell.now() < until && !worker.hasEndsAfter(list.acknowledgedEnds())) {
             cell.schedule(POLL_INTERVAL_MILLISECONDS, false, () -> listOnceEnded(list, until));
         } else {
             cell.schedule(2, true, cell.outcome(list, worker.handle(cell.now(), list)));
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/UnansweredStartTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/UnansweredStartTest.java
@@ -31,7 +31,7 @@
             cell.addWorker(name, new Resources(8_000, 16_000, 0));
         }
         cell.run(2_000);
-        cell.ignoreOrders(new WorkerId("w-1"), true);
+        cell.network.ignoreOrders(new WorkerId("w-1"), true);
         StepDefinition step =
                 StepDefinition.builder()
                         .tasks(2)
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerReleaseTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerReleaseTest.java
@@ -107,6 +107,30 @@
         assertThat(running()).isEqualTo(TASKS);
     }
 
+    /** Guards against work that waits for a lease though its worker has exited as announced. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void tasksOfReleasedWorkerThatHasExitedRunElsewhereAtOnce(long seed) {
+        start(seed);
+        RequestHandle release = release();
+        cell.crash(LEAVING);
+        cell.network.refuseConnections(LEAVING);
+        cell.run(REPLY_BOUND_MILLISECONDS);
+        assertThat(cell.replies).containsEntry(release, new Done());
+        assertThat(cell.ledger.worker(LEAVING)).isEmpty();
+        assertThat(running()).isEqualTo(TASKS);
+    }
+
+    /** A refused connection alone does not show that a worker has ended. */
+    @ParameterizedTest
+    @MethodSource("seeds")
+    void noTaskRunsElsewhereWhileWorkerThatWasNotReleasedRunsIt(long seed) {
+        start(seed);
+        cell.network.refuseConnections(LEAVING);
+        cell.run(LEASE_BOUND_MILLISECONDS);
+        assertThat(running()).isEqualTo(TASKS);
+    }
+
     @ParameterizedTest
     @MethodSource("seeds")
     void nextLeaderStartsNoSecondRunEither(long seed) {
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
@@ -53,7 +53,7 @@
     /** Workers that have sent a list to the current leader. */
     final Set<WorkerId> listedWorkers = new HashSet<>();
 
-    private final SimulatedWorkerNetwork network = new SimulatedWorkerNetwork(this);
+    final SimulatedWorkerNetwork network = new SimulatedWorkerNetwork(this);
     private final Timeline timeline = new Timeline();
     private final UniformRandomProvider random;
     final RunInvariants invariants = new RunInvariants();
@@ -102,22 +102,11 @@
         network.hang(worker, hangs);
     }
 
-    /** Sets whether a worker leaves orders unanswered while it answers list calls. */
-    void ignoreOrders(WorkerId worker, boolean ignores) {
-        network.ignoreOrders(worker, ignores);
-    }
-
     /** Removes a worker with all runs on it. */
     void crash(WorkerId worker) {
         workers.remove(worker);
     }
 
-    /** Ends a worker with all runs on it; one with another name answers at its address. */
-    void rename(WorkerId worker) {
-        crash(worker);
-        network.rename(worker);
-    }
-
     void delayCommits(long maximumMilliseconds) {
         maximumExtraCommitDelay = maximumMilliseconds;
     }
@@ -141,10 +130,7 @@
         checkMilliseconds = milliseconds;
     }
 
-    /**
-     * Returns how many workers the current leader has examined, counting a worker once for each
-     * step.
-     */
+    /** Returns how many workers the current leader has examined for steps. */
     long examinedWorkers() {
         return Objects.requireNonNull(duty).examinedWorkers();
     }
