Acknowledge ends only to a worker that has not restarted

Callers saw work that was done run again: a worker was cut off, restarted under its name, ran starts meant for its earlier life and ended them. The next list call acknowledged ends by the numbers of the earlier life, so that the worker discarded ends that the leader had not seen.

Cause: the number goes with every list call, and a call names the worker but not its incarnation.

Change: after a call without an answer, or 1.5 s without a list, a list is asked for first; the number goes with the next call if the same incarnation has sent it.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/IncarnationState.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/IncarnationState.java
@@ -1,5 +1,7 @@
 package org.marjoramnotch.logic.workflow;
 
+import org.marjoramnotch.model.order.RejectionReason;
+
 /**
  * What a leader knows about the end of a worker incarnation, and the only place that decides
  * whether its runs are certainly over:
@@ -13,7 +15,13 @@
  * </ul>
  */
 final class IncarnationState {
+    /** Shorter than a restart of a worker and the shortest run on it. */
+    private static final long CONFIRMED_MILLISECONDS = 1_500;
+
+    private static final long UNCONFIRMED = Long.MIN_VALUE / 2;
+
     private final WorkerLease lease;
+    private long confirmedAt = UNCONFIRMED;
     private boolean fenced;
     private boolean replaced;
     private boolean mayHaveNamesake;
@@ -25,14 +33,33 @@
         this.lease = lease;
     }
 
-    /** Handles an answer which shows that the worker has seen a higher fencing token. */
-    void onFenced() {
-        fenced = true;
+    /** Handles a list of this incarnation. */
+    void onListed(long nowMilliseconds) {
+        confirmedAt = nowMilliseconds;
     }
 
-    /** Handles an answer of a worker with another name, which refuses all calls to this one. */
-    void onOtherNameAnswered() {
-        replaced = true;
+    /** Handles a call without an answer; the worker may be restarting. */
+    void onUnanswered() {
+        confirmedAt = UNCONFIRMED;
+    }
+
+    /**
+     * Returns whether a list was sent by this incarnation so recently that no later one can have
+     * ended a run yet. Only then may ends be acknowledged: a later incarnation numbers its ends
+     * anew and would discard those that no list has shown.
+     */
+    boolean isConfirmed(long nowMilliseconds) {
+        return nowMilliseconds - confirmedAt < CONFIRMED_MILLISECONDS;
+    }
+
+    /**
+     * Handles a rejection; returns whether the worker rejects all orders from now on, since it has
+     * seen a higher fencing token or has another name.
+     */
+    boolean onRejected(RejectionReason reason) {
+        fenced |= reason == RejectionReason.FENCED;
+        replaced |= reason == RejectionReason.OTHER_INCARNATION;
+        return !acceptsOrders();
     }
 
     /** Handles a list of a later incarnation, which may also have received orders to this one. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListCalls.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListCalls.java
@@ -11,6 +11,7 @@
     private final FirstListLimiter firstLists;
     private final long fencingToken;
     private final WorkerSession session;
+    private final IncarnationState incarnation;
     private final RunListPoller lists;
     private final WorkerLease lease;
     private final ResponseTracker answers;
@@ -22,6 +23,7 @@
             FirstListLimiter firstLists,
             long fencingToken,
             WorkerSession session,
+            IncarnationState incarnation,
             RunListPoller lists,
             WorkerLease lease,
             ResponseTracker answers) {
@@ -30,6 +32,7 @@
         this.firstLists = firstLists;
         this.fencingToken = fencingToken;
         this.session = session;
+        this.incarnation = incarnation;
         this.lists = lists;
         this.lease = lease;
         this.answers = answers;
@@ -72,10 +75,11 @@
         // Don't renew the lease of a worker that leaves calls unanswered or rejects list calls, so
         // that the lease can expire.
         OptionalLong until =
-                isReporting() && !session.isReleased()
+                isReporting() && !incarnation.isReleased()
                         ? lease.grant(nowMilliseconds)
                         : OptionalLong.empty();
         long wait = longPoll ? settings.listWaitMilliseconds() : 0;
+        long acknowledged = incarnation.isConfirmed(nowMilliseconds) ? lists.acknowledged() : 0;
         lists.onSent();
         if (!lists.hasList()) {
             firstLists.onSent(session, nowMilliseconds);
@@ -84,12 +88,7 @@
                 nowMilliseconds,
                 session,
                 new ListRuns(
-                        calls.nextId(),
-                        session.worker(),
-                        fencingToken,
-                        lists.acknowledged(),
-                        until,
-                        wait),
+                        calls.nextId(), session.worker(), fencingToken, acknowledged, until, wait),
                 output);
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -58,7 +58,15 @@
         this.answers = new ResponseTracker(worker.id(), nowMilliseconds);
         this.listCalls =
                 new RunListCalls(
-                        settings, calls, firstLists, fencingToken, this, lists, lease, answers);
+                        settings,
+                        calls,
+                        firstLists,
+                        fencingToken,
+                        this,
+                        incarnation,
+                        lists,
+                        lease,
+                        answers);
         this.lastHeardAt = nowMilliseconds;
     }
 
@@ -240,6 +248,7 @@
     }
 
     private void onUnanswered(long nowMilliseconds, WorkerCall call, LeaderOutput output) {
+        incarnation.onUnanswered();
         answers.onUnanswered(nowMilliseconds, call, lists.runCount(), output);
         orders.onUnanswered(nowMilliseconds, call);
         if (call instanceof ListRuns) {
@@ -250,8 +259,7 @@
     private void onRejected(
             long nowMilliseconds, WorkerCall call, RejectionReason reason, LeaderOutput output) {
         answers.onRejected(call, reason, output);
-        if (reason == RejectionReason.FENCED || reason == RejectionReason.OTHER_INCARNATION) {
-            onOrdersRefused(reason);
+        if (incarnation.onRejected(reason)) {
             orders.onAnswered(nowMilliseconds, call);
             return;
         }
@@ -266,14 +274,6 @@
                 .ifPresent(end -> lists.proposeEnds(List.of(end), output));
     }
 
-    private void onOrdersRefused(RejectionReason reason) {
-        if (reason == RejectionReason.FENCED) {
-            incarnation.onFenced();
-        } else {
-            incarnation.onOtherNameAnswered();
-        }
-    }
-
     private void onList(
             long nowMilliseconds,
             ListRuns call,
@@ -286,6 +286,7 @@
             incarnation.onNamesakeAnswered();
             return;
         }
+        incarnation.onListed(nowMilliseconds);
         listCalls.onAnswered();
         lists.onList(nowMilliseconds, call, sentAt, list, output);
     }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.model.command.Command;
@@ -33,6 +34,7 @@
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.ListRuns;
 import org.marjoramnotch.model.order.RejectionReason;
+import org.marjoramnotch.model.order.RunEndReport;
 import org.marjoramnotch.model.order.RunStatus;
 import org.marjoramnotch.model.order.StartRun;
 import org.marjoramnotch.model.order.StopRun;
@@ -260,4 +262,62 @@
         assertThat(session.isReplaced()).isTrue();
         assertThat(session.possiblyStartedTasks()).containsExactly(TASK);
     }
+
+    private ListRuns nextList(long now) {
+        session.tick(now, output);
+        ListRuns list = (ListRuns) calls.get(calls.size() - 1);
+        calls.clear();
+        return list;
+    }
+
+    /**
+     * Guards against ends that the next incarnation forgets, since they are acknowledged by a
+     * number of the earlier one: a worker that left a call unanswered may have restarted.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void endsAreAcknowledgedOnlyToWorkerThatHasNotRestarted(boolean refused) {
+        ListRuns first = (ListRuns) calls.remove(0);
+        RunEndReport end = new RunEndReport(5, new RunEnd(new RunId(TASK, 1), RunOutcome.DONE, ""));
+        session.onOutcome(
+                10,
+                first,
+                0,
+                new CallOutcome.Listed(first.id(), 0, OptionalLong.of(1), List.of(), List.of(end)),
+                output);
+        ListRuns acknowledging = nextList(1_100);
+        assertThat(acknowledging.acknowledgedEnds()).isEqualTo(5);
+        session.onOutcome(
+                1_500,
+                acknowledging,
+                1_100,
+                refused
+                        ? new CallOutcome.ConnectionRefused(acknowledging.id())
+                        : new CallOutcome.Unanswered(acknowledging.id()),
+                output);
+        ListRuns confirming = nextList(2_600);
+        assertThat(confirming.acknowledgedEnds()).isZero();
+        assertThat(confirming.waitMilliseconds()).isZero();
+        session.onOutcome(
+                2_610,
+                confirming,
+                2_600,
+                new CallOutcome.Listed(
+                        confirming.id(), 2_600, OptionalLong.of(1), List.of(), List.of(end)),
+                output);
+        assertThat(nextList(2_620).acknowledgedEnds()).isEqualTo(5);
+    }
+
+    @Test
+    void endsOfWorkerThatWasNotAskedForLongAreNotAcknowledgedAtOnce() {
+        ListRuns first = (ListRuns) calls.remove(0);
+        RunEndReport end = new RunEndReport(5, new RunEnd(new RunId(TASK, 1), RunOutcome.DONE, ""));
+        session.onOutcome(
+                10,
+                first,
+                0,
+                new CallOutcome.Listed(first.id(), 0, OptionalLong.of(1), List.of(), List.of(end)),
+                output);
+        assertThat(nextList(3_000).acknowledgedEnds()).isZero();
+    }
 }
