--- a/library/src/main/java/org/marjoramnotch/logic/workflow/IncarnationState.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/IncarnationState.java
@@ -15,7 +15,10 @@
  * </ul>
  */
 final class IncarnationState {
-    /** Shorter than a restart of a worker and the shortest run on it. */
+    /**
+     * Longer than the delay after which an idle worker's ends are acknowledged. In between, a
+     * worker without runs would have to crash, restart, get a start and end it.
+     */
     private static final long CONFIRMED_MILLISECONDS = 1_500;
 
     private static final long UNCONFIRMED = Long.MIN_VALUE / 2;
@@ -44,9 +47,9 @@
     }
 
     /**
-     * Returns whether a list was sent by this incarnation so recently that no later one can have
-     * ended a run yet. Only then may ends be acknowledged: a later incarnation numbers its ends
-     * anew and would discard those that no list has shown.
+     * Returns whether this incarnation has sent a list recently and answered all calls since. Only
+     * then are ends acknowledged: a later incarnation numbers its ends anew and would discard those
+     * that no list has shown.
      */
     boolean isConfirmed(long nowMilliseconds) {
         return nowMilliseconds - confirmedAt < CONFIRMED_MILLISECONDS;
