--- a/library/src/main/java/org/marjoramnotch/logic/workflow/IncarnationState.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/IncarnationState.java
@@ -27,7 +27,7 @@
     private long confirmedAt = UNCONFIRMED;
     private boolean fenced;
     private boolean replaced;
-    private boolean mayHaveNamesake;
+    private boolean namesakeAnswered;
     private boolean successorExpected;
     private boolean released;
     private boolean connectionRefused;
@@ -68,7 +68,7 @@
     /** Handles a list of a later incarnation, which may also have received orders to this one. */
     void onNamesakeAnswered() {
         replaced = true;
-        mayHaveNamesake = true;
+        namesakeAnswered = true;
     }
 
     /** Handles a report of a later incarnation that is not enrolled yet. */
@@ -104,8 +104,8 @@
     }
 
     /** Returns whether another incarnation may have executed an order to this one. */
-    boolean mayHaveNamesake() {
-        return !replaced || mayHaveNamesake;
+    boolean mayNextHaveReceivedOrders() {
+        return !replaced || namesakeAnswered;
     }
 
     /** Returns whether the worker was released and has exited. */
@@ -122,8 +122,8 @@
         return hasExited() || (!leaseRenewed && lease.isOver(nowMilliseconds));
     }
 
-    /** Returns whether nothing can run on the worker that no list has shown. */
-    boolean isLeaseOver(long nowMilliseconds) {
+    /** Returns whether the worker can run nothing any more, unless its lease is renewed. */
+    boolean canRunNothing(long nowMilliseconds) {
         return hasExited() || lease.isOver(nowMilliseconds);
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListCalls.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListCalls.java
@@ -44,7 +44,7 @@
     }
 
     /** Handles a list. */
-    void onAnswered() {
+    void onListed() {
         rejected = false;
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -101,7 +101,7 @@
 
     /** Returns whether the runs on this worker are known, or none can be running there. */
     boolean isSettled(long nowMilliseconds) {
-        return lists.hasList() || incarnation.isLeaseOver(nowMilliseconds);
+        return lists.hasList() || incarnation.canRunNothing(nowMilliseconds);
     }
 
     /** Returns whether the worker has sent a list in this term since its lease last expired. */
@@ -155,7 +155,7 @@
      * worker with another name at the address refuses all orders to this one.
      */
     Set<WorkflowTaskId> possiblyStartedTasks() {
-        return incarnation.mayHaveNamesake()
+        return incarnation.mayNextHaveReceivedOrders()
                 ? orders.possiblyStartedTasks(run -> lists.status(run).isPresent())
                 : Set.of();
     }
@@ -287,7 +287,7 @@
             return;
         }
         incarnation.onListed(nowMilliseconds);
-        listCalls.onAnswered();
+        listCalls.onListed();
         lists.onList(nowMilliseconds, call, sentAt, list, output);
     }
 
