Answer a call that is being refused with its refusal

Cause: a call counts as open before its handler runs. The end of a stop answers open calls as unknown, also one that the handler is about to refuse.

Change: a call whose handler has not returned is answered after it has, and as unknown only if the handler has no answer by then.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpListener.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -37,10 +38,16 @@
     private final Function<HttpRequest, CompletionStage<HttpResponse>> handler;
     private final Supplier<HttpResponse> answerWithoutOutcome;
     private final Set<CompletableFuture<HttpResponse>> openCalls = ConcurrentHashMap.newKeySet();
+
+    /** Open calls whose handler has returned, with its answer. */
+    private final Map<CompletableFuture<HttpResponse>, CompletableFuture<HttpResponse>> handled =
+            new ConcurrentHashMap<>();
+
     private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
     private final Channel acceptor;
     private final InetSocketAddress address;
     private volatile boolean closesAfterAnswers;
+    private volatile boolean answersOpenCalls;
     private volatile boolean closed;
 
     private HttpListener(
@@ -107,9 +114,20 @@
         closesAfterAnswers = true;
     }
 
-    /** Answers all open calls; their outcomes are not known. */
+    /**
+     * Answers all open calls; their outcomes are not known. A call whose handler has not returned
+     * yet is answered once it has, since it may be refusing the call.
+     */
     public void answerOpenCalls() {
-        openCalls.forEach(call -> call.complete(answerWithoutOutcome.get()));
+        answersOpenCalls = true;
+        handled.forEach(this::answerIfOpen);
+    }
+
+    private void answerIfOpen(
+            CompletableFuture<HttpResponse> call, CompletableFuture<HttpResponse> answer) {
+        if (!answer.isDone()) {
+            call.complete(answerWithoutOutcome.get());
+        }
     }
 
     /**
@@ -150,16 +168,24 @@
         CompletableFuture<HttpResponse> call = new CompletableFuture<>();
         openCalls.add(call);
         CompletableFuture<HttpResponse> answer =
-                call.whenComplete((response, failure) -> openCalls.remove(call));
-        applyHandler(request)
-                .whenComplete(
+                call.whenComplete(
                         (response, failure) -> {
-                            if (failure == null) {
-                                call.complete(response);
-                            } else {
-                                call.completeExceptionally(failure);
-                            }
+                            openCalls.remove(call);
+                            handled.remove(call);
                         });
+        CompletableFuture<HttpResponse> result = applyHandler(request).toCompletableFuture();
+        handled.put(call, result);
+        result.whenComplete(
+                (response, failure) -> {
+                    if (failure == null) {
+                        call.complete(response);
+                    } else {
+                        call.completeExceptionally(failure);
+                    }
+                });
+        if (answersOpenCalls) {
+            answerIfOpen(call, result);
+        }
         return answer;
     }
 
--- a/daemon/src/test/java/org/marjoramnotch/daemon/http/HttpListenerTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/http/HttpListenerTest.java
@@ -11,10 +11,13 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.marjoramnotch.daemon.transport.NetworkThreads;
 
 class HttpListenerTest {
@@ -117,6 +120,46 @@
         }
     }
 
+    /** Guards against an unknown outcome for a request that a stopping process is refusing. */
+    @ParameterizedTest
+    @CsvSource({"true, 503", "false, 504"})
+    void callThatIsBeingHandledWhenTheTimeIsUpGetsTheAnswerOfItsHandler(boolean refuses, int status)
+            throws Exception {
+        CountDownLatch entered = new CountDownLatch(1);
+        CountDownLatch answered = new CountDownLatch(1);
+        HttpListener refusing =
+                HttpListener.bind(
+                        threads,
+                        new InetSocketAddress("127.0.0.1", 0),
+                        request -> {
+                            entered.countDown();
+                            awaitUninterruptibly(answered);
+                            return refuses
+                                    ? CompletableFuture.completedFuture(HttpResponse.of(503))
+                                    : new CompletableFuture<>();
+                        },
+                        () -> HttpResponse.of(504));
+        try (Socket caller = new Socket("127.0.0.1", refusing.address().getPort())) {
+            caller.getOutputStream()
+                    .write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            assertThat(entered.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+            refusing.closeAfterAnswers();
+            refusing.answerOpenCalls();
+            answered.countDown();
+
+            assertThat(readToEnd(caller)).startsWith("HTTP/1.1 " + status);
+            assertThat(refusing.openCalls()).isZero();
+        }
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     void idleConnectionIsClosedWithoutReset() throws Exception {
         try (Socket caller = request()) {
@@ -172,6 +215,10 @@
         try {
             Call call = calls.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
             assertThat(call).isNotNull();
+            while (call.answer().getNumberOfDependents() == 0) {
+                // The handler has not returned yet.
+                Thread.onSpinWait();
+            }
             return call;
         } catch (InterruptedException interrupted) {
             throw new IllegalStateException(interrupted);
