Keep accepted work whose queue is sent to another pool

Callers saw accepted work as failed 3 s after its queue was sent to a pool of smaller workers, though no run had failed, and though the queue came back or the pool of its acceptance was still there.

Cause: FeasibilityCheck compared a step that had not been placed with the queue's present pool alone. The ledger did not keep the pools that the queue had been sent to since the acceptance, and dropped the kinds of their workers with the pool.

A step that the present pool cannot hold runs in the newest former pool that is still configured, else it waits. Work accepted after a move has 15 s, in which workers of the new pool may start; work that was accepted before it has 3 s as before.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/WorkflowRoutes.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/WorkflowRoutes.java
@@ -1,5 +1,6 @@
 package org.marjoramnotch.daemon.http;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
@@ -67,7 +68,7 @@
                 new ReadWorkflow(targetOf(call, call.segment(WORKFLOW_SEGMENT))),
                 TIMEOUT_MILLISECONDS,
                 WorkflowAnswer.class,
-                answer -> state(OK, call, answer.state().name().toLowerCase(Locale.ROOT)));
+                answer -> json.answer(OK, StateBody.of(call.segment(WORKFLOW_SEGMENT), answer)));
     }
 
     private CompletionStage<HttpResponse> cancel(HttpCall call) {
@@ -97,10 +98,19 @@
     }
 
     private HttpResponse state(int status, HttpCall call, String state) {
-        return json.answer(status, new StateBody(call.segment(WORKFLOW_SEGMENT), state));
+        return json.answer(
+                status, new StateBody(call.segment(WORKFLOW_SEGMENT), state, Optional.empty()));
     }
 
-    private record StateBody(String workflow, String state) {}
+    private record StateBody(
+            String workflow,
+            String state,
+            @JsonInclude(JsonInclude.Include.NON_ABSENT) Optional<String> reason) {
+        static StateBody of(String workflow, WorkflowAnswer answer) {
+            String state = answer.state().name().toLowerCase(Locale.ROOT);
+            return new StateBody(workflow, state, answer.reason());
+        }
+    }
 
     private record QueueBody(int pending) {}
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/ConfigurationRequestHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/ConfigurationRequestHandler.java
@@ -11,16 +11,19 @@
 import org.marjoramnotch.model.message.ApplyConfiguration;
 import org.marjoramnotch.model.message.ConfigurationAnswer;
 import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.time.Clock;
 
 /** Handles requests to apply and read the configuration. The highest version is in force. */
 final class ConfigurationRequestHandler {
     private final WorkflowLedger ledger;
+    private final Clock wallClock;
     private final PendingReplies<Long> pendingReplies = new PendingReplies<>();
     private @Nullable RouteTable routes;
     private long routesVersion;
 
-    ConfigurationRequestHandler(WorkflowLedger ledger) {
+    ConfigurationRequestHandler(WorkflowLedger ledger, Clock wallClock) {
         this.ledger = ledger;
+        this.wallClock = wallClock;
     }
 
     void apply(RequestHandle handle, ApplyConfiguration request, LeaderOutput output) {
@@ -34,7 +37,7 @@
             return;
         }
         if (pendingReplies.add(configuration.version(), handle)) {
-            output.propose(new ReplaceConfiguration(configuration));
+            output.propose(new ReplaceConfiguration(configuration, wallClock.nowMilliseconds()));
         }
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/FeasibilityCheck.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/FeasibilityCheck.java
@@ -1,69 +1,104 @@
 package org.marjoramnotch.logic.workflow;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.command.FailWorkflow;
+import org.marjoramnotch.model.fleet.QueueMove;
 import org.marjoramnotch.model.identifier.JobId;
-import org.marjoramnotch.model.resource.Resources;
-import org.marjoramnotch.model.workflow.StepDefinition;
+import org.marjoramnotch.model.time.Clock;
 
-/**
- * Finds workflows that could not have run on any worker, or within any limit of their team, that
- * the fleet has had. A step that was placed once has shown that it can run.
- */
+/** Gives up workflows that have been infeasible, for the same reason, for a delay. */
 final class FeasibilityCheck {
+    /** Workers of the pool that a queue was sent to may still be starting. */
+    private static final long MOVED_QUEUE_DELAY_MILLISECONDS = 15_000;
+
+    /**
+     * An infeasible workflow.
+     *
+     * @param obstacle what keeps it from being done
+     * @param sinceMilliseconds when it was found, in the leader's time
+     * @param giveUpAtMilliseconds when it is given up unless the obstacle has changed by then
+     */
+    private record Finding(Obstacle obstacle, long sinceMilliseconds, long giveUpAtMilliseconds) {}
+
     private final WorkflowLedger ledger;
+    private final Feasibility feasibility;
+    private final Clock wallClock;
     private final long delayMilliseconds;
-    private final Map<JobId, Long> infeasibleSince = new HashMap<>();
+    private Map<JobId, Finding> findings = new HashMap<>();
 
-    FeasibilityCheck(WorkflowLedger ledger, long delayMilliseconds) {
+    FeasibilityCheck(
+            WorkflowLedger ledger,
+            Feasibility feasibility,
+            Clock wallClock,
+            long delayMilliseconds) {
         this.ledger = ledger;
+        this.feasibility = feasibility;
+        this.wallClock = wallClock;
         this.delayMilliseconds = delayMilliseconds;
     }
 
     /** Proposes to fail workflows that have been infeasible for the whole delay. */
     void check(long nowMilliseconds, LeaderOutput output) {
-        Map<JobId, Long> before = Map.copyOf(infeasibleSince);
-        infeasibleSince.clear();
+        Map<JobId, Finding> found = new HashMap<>();
         for (WorkflowEntry entry : ledger.active()) {
-            Optional<String> reason = findObstacle(entry);
-            if (reason.isEmpty()) {
+            Optional<Obstacle> obstacle = feasibility.findObstacle(entry);
+            if (obstacle.isEmpty()) {
                 continue;
             }
-            long since = before.getOrDefault(entry.id(), nowMilliseconds);
-            infeasibleSince.put(entry.id(), since);
-            if (nowMilliseconds - since >= delayMilliseconds) {
-                output.propose(new FailWorkflow(entry.id(), reason.get()));
+            Finding finding = findings.get(entry.id());
+            if (finding == null || obstacle.get().isNewsAfter(finding.obstacle())) {
+                finding =
+                        new Finding(
+                                obstacle.get(), nowMilliseconds, nowMilliseconds + delayOf(entry));
+            }
+            found.put(entry.id(), finding);
+            if (nowMilliseconds >= finding.giveUpAtMilliseconds()) {
+                output.propose(
+                        new FailWorkflow(entry.id(), describe(nowMilliseconds, entry, finding)));
             }
         }
+        findings = found;
     }
 
-    private Optional<String> findObstacle(WorkflowEntry entry) {
-        List<StepDefinition> steps = entry.workflow().steps();
-        for (int number = 0; number < steps.size(); number++) {
-            Optional<String> obstacle = findObstacle(entry, steps.get(number));
-            if (obstacle.isPresent() && !entry.wasPlaced(number)) {
-                return obstacle;
-            }
-        }
-        return Optional.empty();
+    /** Returns why a workflow is about to be given up, if it is. */
+    Optional<String> findObstacle(JobId workflow) {
+        return Optional.ofNullable(findings.get(workflow))
+                .map(finding -> finding.obstacle().describe());
     }
 
-    private Optional<String> findObstacle(WorkflowEntry entry, StepDefinition step) {
-        FleetHistory history = ledger.history();
-        if (!history.mayFitWorker(entry.queue().pool(), step)) {
-            return Optional.of("no worker of the pool is large enough or has the label");
+    private long delayOf(WorkflowEntry entry) {
+        boolean acceptedBeforeMove = !entry.formerPools().isEmpty();
+        if (acceptedBeforeMove) {
+            return delayMilliseconds;
         }
-        Resources atOnce = step.gang() ? step.demand().times(step.tasks()) : step.demand();
-        boolean allowed =
-                entry.workflow()
-                        .team()
-                        .flatMap(ledger::team)
-                        .map(team -> history.mayAllowTeam(team.name(), atOnce))
-                        .orElse(true);
-        return allowed ? Optional.empty() : Optional.of("the upper limit of the team is smaller");
+        long sinceMove =
+                feasibility
+                        .lastMove(entry.queue())
+                        .map(move -> wallClock.nowMilliseconds() - move.sinceEpochMilliseconds())
+                        .orElse(MOVED_QUEUE_DELAY_MILLISECONDS);
+        // The wall clock may have been set back since the move.
+        long remaining = MOVED_QUEUE_DELAY_MILLISECONDS - Math.max(0, sinceMove);
+        return Math.max(delayMilliseconds, remaining);
+    }
+
+    private String describe(long nowMilliseconds, WorkflowEntry entry, Finding finding) {
+        return finding.obstacle().describe()
+                + "; configuration "
+                + feasibility.configurationVersion()
+                + ", queue "
+                + entry.queue().name()
+                + feasibility
+                        .lastMove(entry.queue())
+                        .map(QueueMove::version)
+                        .map(version -> " sent to pool " + entry.queue().pool() + " by " + version)
+                        .orElse("")
+                + ", former pools "
+                + entry.formerPools()
+                + ", for "
+                + (nowMilliseconds - finding.sinceMilliseconds())
+                + " ms";
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/LoadMeter.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/LoadMeter.java
@@ -40,9 +40,10 @@
     /**
      * Adds the tasks of a step that have not been placed.
      *
+     * @param pool the pool in which the step runs
      * @param withinLimit whether the limit of its team lets another of them start
      */
-    void addWaiting(ReadyStep step, int tasks, boolean withinLimit) {
+    void addWaiting(ReadyStep step, ServiceName pool, int tasks, boolean withinLimit) {
         QueueDefinition queue = step.workflow().queue();
         long processorMillis = tasks * step.tasks().definition().reserved().processorMillis();
         step.workflow()
@@ -53,7 +54,7 @@
             return;
         }
         waitingByPool
-                .computeIfAbsent(queue.pool(), pool -> new WaitingWork())
+                .computeIfAbsent(pool, name -> new WaitingWork())
                 .add(queue.priority(), processorMillis);
         if (queue.advice().isPresent() && advice.isUnasked(step.id())) {
             waitingForAdvice.add(queue.priority(), 1);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -28,6 +28,7 @@
     private final TaskPlacer placer;
     private final AdvicePrefetchPolicy prefetchPolicy;
     private final LoadMeter load;
+    private final Feasibility feasibility;
     private final OverdueStepTurns overdueTurns = new OverdueStepTurns();
     private final WaitingTaskLog waitingTasks = new WaitingTaskLog();
 
@@ -37,9 +38,11 @@
             AdviceBroker advice,
             LatencyObjectives objectives,
             SpeedEstimator speeds,
-            LoadMeter load) {
+            LoadMeter load,
+            Feasibility feasibility) {
         this.ledger = ledger;
         this.load = load;
+        this.feasibility = feasibility;
         this.sessions = sessions;
         this.speeds = speeds;
         this.capacity = new CapacityView(ledger);
@@ -81,7 +84,8 @@
         int placedCount = 0;
         int urgency = 0;
         for (ReadyStep step : ready) {
-            PoolCapacity pool = pool(usableWorkers, step);
+            ServiceName poolName = poolOf(step);
+            PoolCapacity pool = pool(usableWorkers, poolName);
             Optional<TeamDefinition> team = step.workflow().workflow().team().flatMap(ledger::team);
             List<RunPlacement> placed = place(nowMilliseconds, step, pool, team);
             int waiting = placer.countWaiting(step);
@@ -89,7 +93,7 @@
             if (withinLimit) {
                 askAdvice(nowMilliseconds, step, pool, waiting, urgency, output);
             }
-            load.addWaiting(step, waiting, withinLimit);
+            load.addWaiting(step, poolName, waiting, withinLimit);
             urgency++;
             placedCount += placed.size();
             if (step.tasks().definition().gang()) {
@@ -100,7 +104,7 @@
         }
         propose(singles, output);
         for (ReadyStep step : upcoming) {
-            PoolCapacity pool = pool(usableWorkers, step);
+            PoolCapacity pool = pool(usableWorkers, poolOf(step));
             int waiting = placer.countWaiting(step);
             askAdvice(nowMilliseconds, step, pool, waiting, urgency, output);
             urgency++;
@@ -125,7 +129,7 @@
                                                     nowMilliseconds,
                                                     step,
                                                     task,
-                                                    pool(usableWorkers, step))));
+                                                    pool(usableWorkers, poolOf(step)))));
         }
         waitingTasks.update(nowMilliseconds, waiting, output);
     }
@@ -170,9 +174,13 @@
         return search.examinedWorkers();
     }
 
-    private static PoolCapacity pool(Map<ServiceName, PoolCapacity> usableWorkers, ReadyStep step) {
-        return usableWorkers.computeIfAbsent(
-                step.workflow().queue().pool(), name -> new PoolCapacity());
+    private ServiceName poolOf(ReadyStep step) {
+        return feasibility.poolOf(step.workflow(), step.tasks().definition());
+    }
+
+    private static PoolCapacity pool(
+            Map<ServiceName, PoolCapacity> usableWorkers, ServiceName pool) {
+        return usableWorkers.computeIfAbsent(pool, name -> new PoolCapacity());
     }
 
     private static void propose(List<RunPlacement> placements, LeaderOutput output) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -16,7 +16,9 @@
 import org.marjoramnotch.model.command.WorkflowCommand;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.identifier.ServiceName;
 import org.marjoramnotch.model.message.ApplyConfiguration;
 import org.marjoramnotch.model.message.CancelWorkflowRequest;
 import org.marjoramnotch.model.message.CellRequest;
@@ -80,13 +82,19 @@
         this.ledger = ledger;
         this.sessions = new WorkerSessions(settings, ledger, fencingToken, nowMilliseconds);
         this.advice = new AdviceBroker(fencingToken);
-        this.configuration = new ConfigurationRequestHandler(ledger);
+        this.configuration = new ConfigurationRequestHandler(ledger, wallClock);
         this.load = new LoadMeter(ledger, advice);
-        this.workflows = new WorkflowRequestHandler(ledger, configuration, load, wallClock);
+        Feasibility possible = new Feasibility(ledger);
+        this.feasibility =
+                new FeasibilityCheck(
+                        ledger, possible, wallClock, settings.feasibilityDelayMilliseconds());
+        this.workflows =
+                new WorkflowRequestHandler(
+                        ledger, configuration, load, possible, feasibility, wallClock);
         this.workers = new WorkerReportHandler(ledger, sessions);
         this.objectives = new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
-        this.scheduler = new RunScheduler(ledger, sessions, advice, objectives, speeds, load);
-        this.feasibility = new FeasibilityCheck(ledger, settings.feasibilityDelayMilliseconds());
+        this.scheduler =
+                new RunScheduler(ledger, sessions, advice, objectives, speeds, load, possible);
         this.endedWorkflows = new EndedWorkflowCleaner(ledger, settings.retentionMilliseconds());
         this.stopper = new RunStopper(ledger, sessions);
     }
@@ -230,7 +238,7 @@
         for (RunEnd run : end.ends()) {
             JobId workflow = run.run().task().step().workflow();
             speeds.onEnded(nowMilliseconds, end.worker().worker(), run)
-                    .ifPresent(runTime -> recordRunTime(run, runTime));
+                    .ifPresent(runTime -> recordRunTime(end.worker(), run, runTime));
             if (run.outcome() == RunOutcome.NOT_STARTED) {
                 advice.invalidate(run.run().task().step(), end.worker().worker());
             }
@@ -252,13 +260,17 @@
         }
     }
 
-    private void recordRunTime(RunEnd end, long milliseconds) {
+    private void recordRunTime(WorkerIncarnation worker, RunEnd end, long milliseconds) {
         StepId step = end.run().task().step();
         WorkflowEntry entry = ledger.workflow(step.workflow()).orElse(null);
         StepTasks tasks = entry == null ? null : entry.step(step).orElse(null);
         if (tasks != null) {
             long processorMillis = tasks.definition().reserved().processorMillis();
-            load.onRunDone(entry.queue().pool(), processorMillis, milliseconds);
+            ServiceName pool =
+                    ledger.worker(worker)
+                            .map(known -> known.worker().pool())
+                            .orElse(entry.queue().pool());
+            load.onRunDone(pool, processorMillis, milliseconds);
         }
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowEntry.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowEntry.java
@@ -1,14 +1,17 @@
 package org.marjoramnotch.logic.workflow;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
 import org.marjoramnotch.model.fleet.QueueDefinition;
 import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.identifier.ServiceName;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.StepId;
@@ -24,6 +27,8 @@
     private QueueDefinition queue;
     private WorkflowState state;
     private List<List<StepTasks>> occurrences;
+    private final List<ServiceName> formerPools = new ArrayList<>();
+    private @Nullable String failure;
     private int running;
 
     WorkflowEntry(Workflow workflow, QueueDefinition queue) {
@@ -42,6 +47,8 @@
         workflow = stored.workflow();
         queue = stored.queue();
         state = stored.state();
+        formerPools.addAll(stored.formerPools());
+        failure = stored.failure().orElse(null);
         occurrences = new ArrayList<>();
         for (List<List<TaskRecord>> steps : stored.tasks()) {
             List<StepTasks> tasks = new ArrayList<>();
@@ -73,7 +80,9 @@
                                                                         .map(TaskState::snapshot)
                                                                         .toList())
                                                 .toList())
-                        .toList());
+                        .toList(),
+                List.copyOf(formerPools),
+                Optional.ofNullable(failure));
     }
 
     Workflow workflow() {
@@ -88,10 +97,33 @@
         return queue;
     }
 
+    /** Replaces the definition of the queue, and keeps the pool that it was sent to before. */
     void updateQueue(QueueDefinition newQueue) {
+        if (!newQueue.pool().equals(queue.pool())) {
+            formerPools.remove(newQueue.pool());
+            formerPools.add(queue.pool());
+        }
         queue = newQueue;
     }
 
+    /** Returns the other pools that the queue was sent to since the acceptance, oldest first. */
+    List<ServiceName> formerPools() {
+        return Collections.unmodifiableList(formerPools);
+    }
+
+    /** Ends the workflow, which can never be done. */
+    void giveUp(String reason) {
+        if (!state.isFinal()) {
+            failure = reason;
+            end(WorkflowState.FAILED);
+        }
+    }
+
+    /** Returns why the workflow was given up, if it was. */
+    Optional<String> failure() {
+        return Optional.ofNullable(failure);
+    }
+
     WorkflowState state() {
         return state;
     }
@@ -196,6 +228,7 @@
     private void dropTasksIfOver() {
         if (state.isFinal() && running == 0) {
             occurrences = List.of();
+            formerPools.clear();
             workflow =
                     new Workflow(
                             workflow.id(),
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.marjoramnotch.model.command.CancelWorkflow;
 import org.marjoramnotch.model.command.CommandResult;
@@ -43,6 +44,7 @@
     private @Nullable FleetConfiguration configuration;
     private final Map<QueueName, QueueDefinition> queues = new HashMap<>();
     private final Map<TeamName, TeamDefinition> teams = new HashMap<>();
+    private final Set<ServiceName> pools = new HashSet<>();
     private final Map<WorkerId, WorkerEntry> workers = new TreeMap<>();
     private final Map<JobId, WorkflowEntry> workflows = new LinkedHashMap<>();
     private final Map<JobId, WorkflowEntry> active = new LinkedHashMap<>();
@@ -86,9 +88,9 @@
         } else if (command instanceof SubmitWorkflow submit) {
             return apply(submit);
         } else if (command instanceof CancelWorkflow cancel) {
-            endWorkflow(cancel.workflow(), WorkflowState.CANCELLED);
+            endWorkflow(cancel.workflow(), entry -> entry.end(WorkflowState.CANCELLED));
         } else if (command instanceof FailWorkflow fail) {
-            endWorkflow(fail.workflow(), WorkflowState.FAILED);
+            endWorkflow(fail.workflow(), entry -> entry.giveUp(fail.reason()));
         } else if (command instanceof EnrollWorker enroll) {
             apply(enroll);
         } else if (command instanceof DismissWorker dismiss) {
@@ -116,6 +118,11 @@
         return teams.values();
     }
 
+    /** Returns whether the configuration in force has a pool. */
+    boolean hasPool(ServiceName name) {
+        return pools.contains(name);
+    }
+
     Collection<WorkerEntry> workers() {
         return workers.values();
     }
@@ -169,20 +176,27 @@
         if (configuration != null && proposed.version() <= configuration.version()) {
             return;
         }
+        if (configuration != null) {
+            history.recordMoves(queues, proposed, replace.proposedEpochMilliseconds());
+        }
         activate(proposed);
         for (WorkflowEntry entry : active.values()) {
             // A removed queue still applies to the workflows that it had accepted.
             entry.updateQueue(queues.getOrDefault(entry.queue().name(), entry.queue()));
         }
-        history.retain(poolsInUse(proposed), teamsInUse());
+        history.retain(poolsInUse(), teamsInUse());
     }
 
-    private Set<ServiceName> poolsInUse(FleetConfiguration inForce) {
-        Set<ServiceName> pools = new HashSet<>();
-        inForce.pools().forEach(pool -> pools.add(pool.name()));
-        workers.values().forEach(entry -> pools.add(entry.worker().pool()));
-        active.values().forEach(entry -> pools.add(entry.queue().pool()));
-        return pools;
+    private Set<ServiceName> poolsInUse() {
+        Set<ServiceName> inUse = new HashSet<>(pools);
+        workers.values().forEach(entry -> inUse.add(entry.worker().pool()));
+        active.values()
+                .forEach(
+                        entry -> {
+                            inUse.add(entry.queue().pool());
+                            inUse.addAll(entry.formerPools());
+                        });
+        return inUse;
     }
 
     private Set<TeamName> teamsInUse() {
@@ -196,8 +210,10 @@
         history.record(newConfiguration);
         queues.clear();
         teams.clear();
+        pools.clear();
         newConfiguration.queues().forEach(queue -> queues.put(queue.name(), queue));
         newConfiguration.teams().forEach(team -> teams.put(team.name(), team));
+        newConfiguration.pools().forEach(pool -> pools.add(pool.name()));
     }
 
     private CommandResult apply(SubmitWorkflow submit) {
@@ -218,10 +234,10 @@
         return new CommandResult.Accepted();
     }
 
-    private void endWorkflow(JobId id, WorkflowState state) {
+    private void endWorkflow(JobId id, Consumer<WorkflowEntry> end) {
         WorkflowEntry entry = workflows.get(id);
         if (entry != null) {
-            entry.end(state);
+            end.accept(entry);
             active.remove(id);
         }
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
@@ -1,5 +1,6 @@
 package org.marjoramnotch.logic.workflow;
 
+import java.util.Optional;
 import org.marjoramnotch.logic.admission.AdmissionPolicy;
 import org.marjoramnotch.logic.admission.Submission;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
@@ -35,6 +36,8 @@
     private final WorkflowLedger ledger;
     private final ConfigurationRequestHandler configuration;
     private final LoadMeter load;
+    private final Feasibility feasibility;
+    private final FeasibilityCheck feasibilityCheck;
     private final Clock wallClock;
     private final AdmissionPolicy admission = new AdmissionPolicy();
     private final PendingReplies<JobId> pendingSubmissions = new PendingReplies<>();
@@ -44,10 +47,14 @@
             WorkflowLedger ledger,
             ConfigurationRequestHandler configuration,
             LoadMeter load,
+            Feasibility feasibility,
+            FeasibilityCheck feasibilityCheck,
             Clock wallClock) {
         this.ledger = ledger;
         this.configuration = configuration;
         this.load = load;
+        this.feasibility = feasibility;
+        this.feasibilityCheck = feasibilityCheck;
         this.wallClock = wallClock;
     }
 
@@ -149,7 +156,12 @@
             throw new MarjoramnotchException(
                     ErrorCode.OVERLOADED, "The workflow is being stored; try again later.");
         }
-        output.reply(handle, new WorkflowAnswer(requireWorkflow(id).state()));
+        WorkflowEntry entry = requireWorkflow(id);
+        output.reply(handle, new WorkflowAnswer(entry.state(), reasonOf(entry)));
+    }
+
+    private Optional<String> reasonOf(WorkflowEntry entry) {
+        return entry.failure().or(() -> feasibilityCheck.findObstacle(entry.id()));
     }
 
     void cancel(RequestHandle handle, CancelWorkflowRequest request, LeaderOutput output) {
--- a/library/src/main/java/org/marjoramnotch/model/fleet/WorkerKind.java
+++ b/library/src/main/java/org/marjoramnotch/model/fleet/WorkerKind.java
@@ -29,6 +29,24 @@
                 && capacity.holds(step.reserved());
     }
 
+    /** Returns how many tasks of the step an idle worker of this kind holds at once. */
+    public long tasksHeld(StepDefinition step) {
+        if (!serves(step)) {
+            return 0;
+        }
+        long most = step.mostPerWorker() == 0 ? step.tasks() : step.mostPerWorker();
+        Resources each = step.reserved();
+        return Math.min(
+                Math.min(most, quotient(capacity.processorMillis(), each.processorMillis())),
+                Math.min(
+                        quotient(capacity.memoryMegabytes(), each.memoryMegabytes()),
+                        quotient(capacity.accelerators(), each.accelerators())));
+    }
+
+    private static long quotient(long amount, long each) {
+        return each == 0 ? Long.MAX_VALUE : amount / each;
+    }
+
     /** Returns whether this kind serves every step that the other one serves. */
     public boolean covers(WorkerKind other) {
         return pool.equals(other.pool)
--- a/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowRecord.java
+++ b/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowRecord.java
@@ -1,7 +1,10 @@
 package org.marjoramnotch.model.workflow;
 
 import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
 import org.marjoramnotch.model.fleet.QueueDefinition;
+import org.marjoramnotch.model.identifier.ServiceName;
 
 /**
  * A workflow in a snapshot.
@@ -11,9 +14,20 @@
  * @param queue the last known definition of its queue
  * @param state the state of the workflow
  * @param tasks its tasks by occurrence, step and index; empty if the workflow no longer has steps
+ * @param formerPools the other pools that its queue was sent to since its acceptance, oldest first;
+ *     absent in snapshots of earlier releases
+ * @param failure why it was given up, if it was; absent in snapshots of earlier releases
  */
 public record WorkflowRecord(
         Workflow workflow,
         QueueDefinition queue,
         WorkflowState state,
-        List<List<List<TaskRecord>>> tasks) {}
+        List<List<List<TaskRecord>>> tasks,
+        List<ServiceName> formerPools,
+        Optional<String> failure) {
+    /** Replaces what is absent in a snapshot of an earlier release by empty values. */
+    public WorkflowRecord {
+        formerPools = Objects.requireNonNullElse(formerPools, List.of());
+        failure = Objects.requireNonNullElse(failure, Optional.empty());
+    }
+}
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/FleetHistoryTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/FleetHistoryTest.java
@@ -3,15 +3,21 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.marjoramnotch.model.fleet.FleetConfiguration;
 import org.marjoramnotch.model.fleet.FleetWorker;
+import org.marjoramnotch.model.fleet.QueueDefinition;
+import org.marjoramnotch.model.fleet.QueueMove;
 import org.marjoramnotch.model.fleet.TeamLimit;
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.AvailabilityZone;
+import org.marjoramnotch.model.identifier.QueueName;
 import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.resource.Resources;
@@ -19,6 +25,7 @@
 
 class FleetHistoryTest {
     private static final TeamName TEAM = new TeamName("one");
+    private static final QueueName QUEUE = new QueueName("quick");
     private static final StepDefinition LARGE_STEP =
             StepDefinition.builder().demand(new Resources(20_000, 100, 0)).build();
 
@@ -103,4 +110,27 @@
                         TEAM, new Resources(otherProcessorMillis, otherMemory, otherAccelerators));
         assertThat(limit.covers(other)).isEqualTo(covers);
     }
+
+    @Test
+    void lastMoveIsKeptWhileTheQueueStays() {
+        FleetConfiguration usual = TestFleet.configuration(1);
+        FleetConfiguration moved = TestFleet.movedQueue(2);
+        history.recordMoves(queuesOf(usual), moved, 70);
+        QueueMove move = new QueueMove(QUEUE, TestFleet.OTHER_POOL, 2, 70);
+        assertThat(history.lastMove(QUEUE)).contains(move);
+        history.recordMoves(queuesOf(moved), TestFleet.movedQueue(3), 80);
+        assertThat(history.lastMove(QUEUE)).contains(move);
+        assertThat(history.snapshot().moves()).containsExactly(move);
+    }
+
+    @Test
+    void queueInItsFirstPoolHasNotMoved() {
+        history.recordMoves(queuesOf(TestFleet.configuration(1)), TestFleet.configuration(2), 70);
+        assertThat(history.snapshot().moves()).isEmpty();
+    }
+
+    private static Map<QueueName, QueueDefinition> queuesOf(FleetConfiguration configuration) {
+        return configuration.queues().stream()
+                .collect(Collectors.toMap(QueueDefinition::name, queue -> queue));
+    }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/TestFleet.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/TestFleet.java
@@ -59,7 +59,11 @@
 
     /** Returns a configuration that sends the quick queue to another pool. */
     static FleetConfiguration movedQueue(long version) {
-        FleetConfiguration usual = configuration(version);
+        return movedQueue(version, Resources.NONE);
+    }
+
+    static FleetConfiguration movedQueue(long version, Resources upperLimit) {
+        FleetConfiguration usual = configuration(version, upperLimit, Optional.empty());
         QueueDefinition quick = usual.queues().get(0);
         QueueDefinition moved =
                 new QueueDefinition(
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTestCase.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTestCase.java
@@ -90,7 +90,7 @@
     }
 
     void startWorkflow(RunPlacement placement) {
-        ledger.apply(new ReplaceConfiguration(TestFleet.configuration(1)));
+        ledger.apply(new ReplaceConfiguration(TestFleet.configuration(1), 0));
         ledger.apply(
                 new SubmitWorkflow(
                         new Workflow(
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
@@ -170,15 +170,11 @@
     }
 
     void addWorker(String name, Resources capacity) {
-        addWorker(name, capacity, EPOCH + now);
-    }
-
-    void addWorker(String name, Resources capacity, long started) {
-        addWorker(name, capacity, started, List.of("a", "rack-1"));
+        addWorker(name, capacity, EPOCH + now, List.of("a", "rack-1"));
     }
 
     void addWorker(String name, Resources capacity, long started, List<String> labels) {
-        FleetWorker worker =
+        addWorker(
                 new FleetWorker(
                         new WorkerIncarnation(new WorkerId(name), started),
                         POOL,
@@ -186,7 +182,10 @@
                         new AvailabilityZone("zone"),
                         capacity,
                         labels,
-                        false);
+                        false));
+    }
+
+    void addWorker(FleetWorker worker) {
         workers.put(
                 worker.id(),
                 new SimulatedFleetWorker(
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowDutyTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowDutyTest.java
@@ -114,6 +114,21 @@
         assertThat(stateOf(ID)).isEqualTo(WorkflowState.FAILED);
     }
 
+    @Test
+    void readGivesTheReasonOfAnInfeasibleWorkflow() {
+        answer(new SubmitWorkflowRequest(TestFleet.target(ID), TestFleet.draft(1, 9_000)));
+        cell.run(1_500);
+        assertReason("step 0 needs 9000m/100MB/0, pool pool has had [8000m/16000MB/0]");
+        cell.run(4_500);
+        cell.restartFromSnapshot();
+        assertReason("step 0 needs 9000m/100MB/0, pool pool has had [8000m/16000MB/0]");
+    }
+
+    private void assertReason(String part) {
+        CellReply reply = answer(new ReadWorkflow(TestFleet.target(ID)));
+        assertThat(((WorkflowAnswer) reply).reason().orElseThrow()).contains(part);
+    }
+
     @Test
     void workflowFailsAfterAsManyFailuresAsItsQueueAllows() {
         cell.failRuns(1);
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowLedgerTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowLedgerTest.java
@@ -39,7 +39,7 @@
 
     @BeforeEach
     void startFleet() {
-        ledger.apply(new ReplaceConfiguration(TestFleet.configuration(1)));
+        ledger.apply(new ReplaceConfiguration(TestFleet.configuration(1), 0));
         ledger.apply(
                 new EnrollWorker(
                         new FleetWorker(
--- a/wire/src/test/java/org/marjoramnotch/wire/WorkflowExamples.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/WorkflowExamples.java
@@ -122,7 +122,7 @@
 
     static final List<Command> COMMANDS =
             List.of(
-                    new ReplaceConfiguration(CONFIGURATION),
+                    new ReplaceConfiguration(CONFIGURATION, 1_700_000_000_000L),
                     new EnrollWorker(WORKER),
                     new SubmitWorkflow(WORKFLOW),
                     new StartRuns(List.of(new RunPlacement(RUN, INCARNATION, "checkpoint"))),
@@ -153,7 +153,7 @@
 
     static final List<CellReply> REPLIES =
             List.of(
-                    new WorkflowAnswer(WorkflowState.RUNNING),
+                    new WorkflowAnswer(WorkflowState.FAILED, Optional.of("reason")),
                     new QueueAnswer(3),
                     new ConfigurationAnswer("{}"),
                     new AdviceQuestion(3, STEP_ID, List.of(new WorkerId("w-1"))));
--- a/wire/src/test/java/org/marjoramnotch/wire/WorkflowSnapshotTest.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/WorkflowSnapshotTest.java
@@ -6,10 +6,15 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.dataformat.cbor.databind.CBORMapper;
 import java.io.IOException;
+import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.marjoramnotch.logic.ledger.Ledger;
 import org.marjoramnotch.logic.ledger.LedgerSnapshot;
 import org.marjoramnotch.model.fleet.FleetHistoryRecord;
+import org.marjoramnotch.model.identifier.ServiceName;
+import org.marjoramnotch.model.workflow.WorkflowRecord;
+import org.marjoramnotch.model.workflow.WorkflowSnapshot;
 
 class WorkflowSnapshotTest {
     private final CborMapper mapper = new CborMapper();
@@ -42,4 +47,44 @@
         assertThat(Ledger.restore(read).snapshot().workflow().history())
                 .isEqualTo(ledger.snapshot().workflow().history());
     }
+
+    /** The release before the former pools of workflows wrote snapshots without them. */
+    @Test
+    void snapshotWithoutFormerPoolsIsRead() throws IOException {
+        Ledger ledger = new Ledger();
+        WorkflowExamples.COMMANDS.subList(0, 4).forEach(ledger::apply);
+        CBORMapper trees = new CBORMapper();
+        JsonNode tree =
+                trees.readTree(mapper.write(LedgerSnapshot.class, ledger.snapshot()))
+                        .path("workflow");
+        assertThat(((ObjectNode) tree.path("history")).remove("moves")).isNotNull();
+        ObjectNode workflow = (ObjectNode) tree.path("workflows").get(0);
+        assertThat(workflow.remove("formerPools")).isNotNull();
+        assertThat(workflow.remove("failure")).isNotNull();
+
+        WorkflowSnapshot read = mapper.read(WorkflowSnapshot.class, trees.writeValueAsBytes(tree));
+
+        assertThat(read).isEqualTo(ledger.snapshot().workflow());
+    }
+
+    @Test
+    void formerPoolsAndReasonSurviveRoundTrip() {
+        WorkflowRecord example = exampleWorkflow();
+        WorkflowRecord moved =
+                new WorkflowRecord(
+                        example.workflow(),
+                        example.queue(),
+                        example.state(),
+                        example.tasks(),
+                        List.of(new ServiceName("former")),
+                        Optional.of("reason"));
+        assertThat(mapper.read(WorkflowRecord.class, mapper.write(WorkflowRecord.class, moved)))
+                .isEqualTo(moved);
+    }
+
+    private static WorkflowRecord exampleWorkflow() {
+        Ledger ledger = new Ledger();
+        WorkflowExamples.COMMANDS.subList(0, 4).forEach(ledger::apply);
+        return ledger.snapshot().workflow().workflows().get(0);
+    }
 }
