Accept work that can never be done whatever the load, and fail it

Callers with work that no worker can hold were answered 429 with a time to return during a rush, and asked again for an answer that was known.

Cause: admission weighed load before it asked whether the work can be done. Change: the answer of Feasibility comes first; such work takes no room, is accepted, and fails after the usual delay. Measured: AdmissionReplayTest.hopelessWorkIsNotRefusedForLoad red before, green after; the other 6 cases unchanged.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
@@ -90,12 +90,15 @@
 
     /**
      * Refuses a workflow that can't be served any more. Standing and recurring workflows are always
-     * admitted, since they have a worth at any later time.
+     * admitted, since they have a worth at any later time, and so are workflows that can never be
+     * done, which take no room and soon fail.
      */
     private void requireAdmission(
             long nowMilliseconds, Workflow workflow, QueueDefinition queue, LeaderOutput output) {
         boolean standing = workflow.steps().stream().anyMatch(StepDefinition::standing);
-        if (standing || workflow.recurrence().isPresent()) {
+        if (standing
+                || workflow.recurrence().isPresent()
+                || feasibility.findObstacle(workflow, queue).isPresent()) {
             return;
         }
         Submission submission = submissionOf(workflow, queue);
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/AdmissionReplayTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/AdmissionReplayTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.marjoramnotch.logic.leader.RequestHandle;
@@ -98,6 +99,28 @@
         answers.forEach(this::checkOutcome);
     }
 
+    /** Guards against callers that are told to return with work that can never be done. */
+    @Test
+    void hopelessWorkIsNotRefusedForLoad() {
+        start();
+        rush(RUSH_MILLISECONDS, 0, 40);
+        assertThat(answers.values()).hasAtLeastOneElementOfType(Refused.class);
+        for (int count = 0; count < 20; count++) {
+            submit("/wide/", TestFleet.draft(WIDE_TASKS, 65_000));
+        }
+        List<JobId> hopeless = List.copyOf(submissions.keySet());
+        rush(200, 0, 0);
+        assertThat(hopeless)
+                .hasSizeGreaterThanOrEqualTo(20)
+                .extracting(answers::get)
+                .doesNotHaveAnyElementsOfTypes(Refused.class);
+        rush(6_000, 0, 0);
+        assertThat(hopeless)
+                .extracting(id -> cell.ledger.workflow(id).orElseThrow().state())
+                .filteredOn(state -> state == WorkflowState.FAILED)
+                .hasSizeGreaterThanOrEqualTo(20);
+    }
+
     /** A refused workflow never runs; an accepted one is complete soon after the rush. */
     private void checkOutcome(JobId workflow, CellReply answer) {
         Optional<WorkflowState> state = cell.ledger.workflow(workflow).map(WorkflowEntry::state);
