Wait for starting workers only where a pool may be new

Callers with work beyond every limit of their team, or beyond all workers of a pool in use, were told up to 15 s after a queue was added or moved that it can never be done, in place of 3 s.

Cause: the delay for workers that may still be starting applied to limits too, and to each queue that a later configuration adds, whatever its pool. Change: it applies to sizes and labels, and to added queues only if their pool has had no worker yet.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/FeasibilityCheck.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/FeasibilityCheck.java
@@ -52,7 +52,9 @@
             if (finding == null || obstacle.get().isNewsAfter(finding.obstacle())) {
                 finding =
                         new Finding(
-                                obstacle.get(), nowMilliseconds, nowMilliseconds + delayOf(entry));
+                                obstacle.get(),
+                                nowMilliseconds,
+                                nowMilliseconds + delayOf(entry, obstacle.get()));
             }
             found.put(entry.id(), finding);
             if (nowMilliseconds >= finding.giveUpAtMilliseconds()) {
@@ -69,9 +71,9 @@
                 .map(finding -> finding.obstacle().describe());
     }
 
-    private long delayOf(WorkflowEntry entry) {
+    private long delayOf(WorkflowEntry entry, Obstacle obstacle) {
         boolean acceptedBeforeMove = !entry.formerPools().isEmpty();
-        if (acceptedBeforeMove) {
+        if (acceptedBeforeMove || obstacle instanceof Obstacle.LimitTooLow) {
             return delayMilliseconds;
         }
         long sinceMove =
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/FleetHistory.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/FleetHistory.java
@@ -55,8 +55,8 @@
     }
 
     /**
-     * Records which queues a configuration sends to another pool than the one before it, and drops
-     * the queues that it does not have.
+     * Records which queues a configuration sends to another pool than the one before it, or adds to
+     * a pool without workers, and drops the queues that it does not have.
      *
      * @param before the queues of the configuration before it
      */
@@ -68,7 +68,10 @@
         moves.clear();
         for (QueueDefinition queue : configuration.queues()) {
             QueueDefinition old = before.get(queue.name());
-            boolean stays = old != null && old.pool().equals(queue.pool());
+            boolean stays =
+                    old == null
+                            ? !kindsOf(queue.pool()).isEmpty()
+                            : old.pool().equals(queue.pool());
             QueueMove move =
                     stays
                             ? known.get(queue.name())
@@ -83,7 +86,7 @@
         }
     }
 
-    /** Returns the last move of a queue; empty if the first configuration sent it to its pool. */
+    /** Returns the last move of a queue; empty if it has always been sent to its pool. */
     Optional<QueueMove> lastMove(QueueName queue) {
         return Optional.ofNullable(moves.get(queue));
     }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/FleetHistoryTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/FleetHistoryTest.java
@@ -129,6 +129,16 @@
         assertThat(history.snapshot().moves()).isEmpty();
     }
 
+    @ParameterizedTest
+    @CsvSource({"true, false", "false, true"})
+    void addedQueueHasMovedOnlyIfItsPoolIsNew(boolean workerKnown, boolean moved) {
+        if (workerKnown) {
+            history.record(worker(8_000));
+        }
+        history.recordMoves(Map.of(), TestFleet.configuration(2), 70);
+        assertThat(history.lastMove(QUEUE).isPresent()).isEqualTo(moved);
+    }
+
     private static Map<QueueName, QueueDefinition> queuesOf(FleetConfiguration configuration) {
         return configuration.queues().stream()
                 .collect(Collectors.toMap(QueueDefinition::name, queue -> queue));
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/MovedQueueTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/MovedQueueTest.java
@@ -151,6 +151,16 @@
         assertThat(fleet.state(ID)).isEqualTo(WorkflowState.FAILED);
     }
 
+    @Test
+    void workBeyondEveryLimitDoesNotWaitForWorkers() {
+        TwoPoolFleet limited = new TwoPoolFleet(13, TwoPoolFleet.SMALL);
+        limited.sendAway(TwoPoolFleet.SMALL);
+        StepDefinition gang = step(16_000).tasks(2).gang(true).build();
+        limited.submit(ID, Optional.empty(), List.of(gang));
+        limited.cell.run(6_000);
+        assertThat(limited.state(ID)).isEqualTo(WorkflowState.FAILED);
+    }
+
     @Test
     void workBeyondAllPoolsFailsOnceItsNewPoolHadTimeToStart() {
         fleet.sendAway(Resources.NONE);
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/TwoPoolFleet.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/TwoPoolFleet.java
@@ -32,9 +32,13 @@
     private long version;
 
     TwoPoolFleet(long seed) {
+        this(seed, Resources.NONE);
+    }
+
+    TwoPoolFleet(long seed, Resources upperLimit) {
         cell = new WorkflowCell(seed);
         new SimulatedGangs(cell);
-        sendBack();
+        limit(upperLimit);
         addLarge();
         cell.run(300);
     }
