--- a/library/src/test/java/org/marjoramnotch/logic/workflow/FeasibilityWalkTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/FeasibilityWalkTest.java
@@ -2,10 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -23,6 +23,8 @@
     private static final String POSSIBLE = "0123456789abcdef";
     private static final String HOPELESS = "fedcba9876543210";
 
+    private static final int ROUNDS = Integer.getInteger("feasibility.rounds", 1);
+
     /** A release that is answered, a lease and a quarantine after the change is undone. */
     private static final long RECOVERY_MILLISECONDS = 25_000;
 
@@ -87,26 +89,24 @@
         }
     }
 
-    static Stream<Arguments> ways() {
-        return Stream.of(Change.values())
-                .flatMap(
-                        change ->
-                                Stream.of(Moment.values())
-                                        .flatMap(
-                                                moment ->
-                                                        Stream.of(Restart.values())
-                                                                .map(
-                                                                        restart ->
-                                                                                Arguments.of(
-                                                                                        change,
-                                                                                        moment,
-                                                                                        restart))));
+    static List<Arguments> ways() {
+        List<Arguments> ways = new ArrayList<>();
+        for (long round = 0; round < ROUNDS; round++) {
+            for (Change change : Change.values()) {
+                for (Moment moment : Moment.values()) {
+                    for (Restart restart : Restart.values()) {
+                        ways.add(Arguments.of(change, moment, restart, ways.size()));
+                    }
+                }
+            }
+        }
+        return ways;
     }
 
     @ParameterizedTest
     @MethodSource("ways")
-    void possibleWorkIsDoneAndHopelessWorkFails(Change change, Moment moment, Restart restart) {
-        long seed = (change.ordinal() * 10L + moment.ordinal()) * 10L + restart.ordinal();
+    void possibleWorkIsDoneAndHopelessWorkFails(
+            Change change, Moment moment, Restart restart, long seed) {
         TwoPoolFleet fleet = new TwoPoolFleet(seed);
         WorkflowCell cell = fleet.cell;
         UniformRandomProvider random = cell.random();
