Give no reason of a failure for a workflow that was cancelled

Callers of GET read, for up to 1 s after a cancellation, why the workflow would be given up. Cause: the reason came from the last check, whatever the state. Change: a workflow that has ended has the reason that it failed for, if any. Measured: WorkflowDutyTest.readGivesNoReasonAfterCancellation red before, green after.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
@@ -164,7 +164,9 @@
     }
 
     private Optional<String> reasonOf(WorkflowEntry entry) {
-        return entry.failure().or(() -> feasibilityCheck.findObstacle(entry.id()));
+        return entry.state().isFinal()
+                ? entry.failure()
+                : feasibilityCheck.findObstacle(entry.id());
     }
 
     void cancel(RequestHandle handle, CancelWorkflowRequest request, LeaderOutput output) {
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowDutyTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowDutyTest.java
@@ -124,6 +124,16 @@
         assertReason("step 0 needs 9000m/100MB/0, pool pool has had [8000m/16000MB/0]");
     }
 
+    /** Guards against a reason of a failure for a workflow that was cancelled before it. */
+    @Test
+    void readGivesNoReasonAfterCancellation() {
+        answer(new SubmitWorkflowRequest(TestFleet.target(ID), TestFleet.draft(1, 9_000)));
+        cell.run(1_500);
+        answer(new CancelWorkflowRequest(TestFleet.target(ID)));
+        CellReply reply = answer(new ReadWorkflow(TestFleet.target(ID)));
+        assertThat(reply).isEqualTo(new WorkflowAnswer(WorkflowState.CANCELLED, Optional.empty()));
+    }
+
     private void assertReason(String part) {
         CellReply reply = answer(new ReadWorkflow(TestFleet.target(ID)));
         assertThat(((WorkflowAnswer) reply).reason().orElseThrow()).contains(part);
