Don't count work that can never be done as load

Callers with possible work were refused with 429 while a burst of impossible work waited to be given up; since such work is accepted in a rush too.

Cause: LoadMeter counted each waiting step, also those of infeasible workflows. Change: a workflow is checked when it is accepted, and infeasible ones are no load until they fail. Measured: AdmissionReplayTest.hopelessWorkIsNotCountedAsLoad (200 impossible workflows at once, then the usual rate) red before, green after.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/FeasibilityCheck.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/FeasibilityCheck.java
@@ -50,11 +50,7 @@
             }
             Finding finding = findings.get(entry.id());
             if (finding == null || obstacle.get().isNewsAfter(finding.obstacle())) {
-                finding =
-                        new Finding(
-                                obstacle.get(),
-                                nowMilliseconds,
-                                nowMilliseconds + delayOf(entry, obstacle.get()));
+                finding = find(nowMilliseconds, entry, obstacle.get());
             }
             found.put(entry.id(), finding);
             if (nowMilliseconds >= finding.giveUpAtMilliseconds()) {
@@ -65,12 +61,32 @@
         findings = found;
     }
 
+    /** Notes a workflow that was infeasible at its acceptance. */
+    void onAccepted(long nowMilliseconds, JobId workflow) {
+        WorkflowEntry entry = ledger.activeWorkflow(workflow).orElse(null);
+        if (entry != null && !findings.containsKey(workflow)) {
+            feasibility
+                    .findObstacle(entry)
+                    .map(obstacle -> find(nowMilliseconds, entry, obstacle))
+                    .ifPresent(finding -> findings.put(workflow, finding));
+        }
+    }
+
+    /** Returns whether a workflow could not be done when it was last checked. */
+    boolean isInfeasible(JobId workflow) {
+        return findings.containsKey(workflow);
+    }
+
     /** Returns why a workflow is about to be given up, if it is. */
     Optional<String> findObstacle(JobId workflow) {
         return Optional.ofNullable(findings.get(workflow))
                 .map(finding -> finding.obstacle().describe());
     }
 
+    private Finding find(long nowMilliseconds, WorkflowEntry entry, Obstacle obstacle) {
+        return new Finding(obstacle, nowMilliseconds, nowMilliseconds + delayOf(entry, obstacle));
+    }
+
     private long delayOf(WorkflowEntry entry, Obstacle obstacle) {
         boolean acceptedBeforeMove = !entry.formerPools().isEmpty();
         if (acceptedBeforeMove || obstacle instanceof Obstacle.LimitTooLow) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/LoadMeter.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/LoadMeter.java
@@ -15,15 +15,17 @@
 final class LoadMeter {
     private final WorkflowLedger ledger;
     private final AdviceBroker advice;
+    private final FeasibilityCheck feasibility;
     private final Map<ServiceName, RunTimeMean> runTimes = new HashMap<>();
     private final Map<ServiceName, WaitingWork> waitingByPool = new HashMap<>();
     private final Map<TeamName, Long> waitingByTeam = new HashMap<>();
     private WaitingWork waitingForAdvice = new WaitingWork();
     private LoadSnapshot snapshot = LoadSnapshot.NONE;
 
-    LoadMeter(WorkflowLedger ledger, AdviceBroker advice) {
+    LoadMeter(WorkflowLedger ledger, AdviceBroker advice, FeasibilityCheck feasibility) {
         this.ledger = ledger;
         this.advice = advice;
+        this.feasibility = feasibility;
     }
 
     /** Returns the load in the latest round. */
@@ -38,12 +40,16 @@
     }
 
     /**
-     * Adds the tasks of a step that have not been placed.
+     * Adds the tasks of a step that have not been placed. Infeasible workflows are no load, since
+     * they never take room.
      *
      * @param pool the pool in which the step runs
      * @param withinLimit whether the limit of its team lets another of them start
      */
     void addWaiting(ReadyStep step, ServiceName pool, int tasks, boolean withinLimit) {
+        if (feasibility.isInfeasible(step.workflow().id())) {
+            return;
+        }
         QueueDefinition queue = step.workflow().queue();
         long processorMillis = tasks * step.tasks().definition().reserved().processorMillis();
         step.workflow()
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -13,6 +13,7 @@
 import org.marjoramnotch.model.command.FailWorkflow;
 import org.marjoramnotch.model.command.ReplaceConfiguration;
 import org.marjoramnotch.model.command.StartRuns;
+import org.marjoramnotch.model.command.SubmitWorkflow;
 import org.marjoramnotch.model.command.WorkflowCommand;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
@@ -83,11 +84,11 @@
         this.sessions = new WorkerSessions(settings, ledger, fencingToken, nowMilliseconds);
         this.advice = new AdviceBroker(fencingToken);
         this.configuration = new ConfigurationRequestHandler(ledger, wallClock);
-        this.load = new LoadMeter(ledger, advice);
         Feasibility possible = new Feasibility(ledger);
         this.feasibility =
                 new FeasibilityCheck(
                         ledger, possible, wallClock, settings.feasibilityDelayMilliseconds());
+        this.load = new LoadMeter(ledger, advice, feasibility);
         this.workflows =
                 new WorkflowRequestHandler(
                         ledger, configuration, load, possible, feasibility, wallClock);
@@ -122,6 +123,8 @@
             onStarted(nowMilliseconds, start, output);
         } else if (applied instanceof EndRuns end) {
             onEnded(nowMilliseconds, end, output);
+        } else if (applied instanceof SubmitWorkflow submit) {
+            feasibility.onAccepted(nowMilliseconds, submit.workflow().id());
         } else if (applied instanceof CancelWorkflow cancel) {
             stopRuns(nowMilliseconds, cancel.workflow(), output);
         } else if (applied instanceof FailWorkflow fail) {
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/AdmissionReplayTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/AdmissionReplayTest.java
@@ -121,6 +121,18 @@
                 .hasSizeGreaterThanOrEqualTo(20);
     }
 
+    /** Guards against possible work that is refused since impossible work waits to be given up. */
+    @Test
+    void hopelessWorkIsNotCountedAsLoad() {
+        start();
+        rush(2_000, 0, 2);
+        for (int count = 0; count < 200; count++) {
+            submit("/wide/", TestFleet.draft(WIDE_TASKS, 65_000));
+        }
+        rush(2_000, 0, 6);
+        assertThat(answers.values()).doesNotHaveAnyElementsOfTypes(Refused.class);
+    }
+
     /** A refused workflow never runs; an accepted one is complete soon after the rush. */
     private void checkOutcome(JobId workflow, CellReply answer) {
         Optional<WorkflowState> state = cell.ledger.workflow(workflow).map(WorkflowEntry::state);
