Name what keeps work from being done, and check the walk's follower

The duty called the check and the decision by one name; a comment needed a second reading; two methods passed the ledger through. The walk also compares a replica that follows the log with the leader's state. No behaviour has changed.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/Feasibility.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/Feasibility.java
@@ -2,9 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.marjoramnotch.model.fleet.FleetConfiguration;
 import org.marjoramnotch.model.fleet.QueueDefinition;
-import org.marjoramnotch.model.fleet.QueueMove;
 import org.marjoramnotch.model.fleet.TeamDefinition;
 import org.marjoramnotch.model.fleet.WorkerKind;
 import org.marjoramnotch.model.identifier.ServiceName;
@@ -71,7 +69,7 @@
     }
 
     /** Returns whether the workers that a pool has now can hold the step when they are idle. */
-    boolean canHold(ServiceName pool, StepDefinition step) {
+    private boolean canHold(ServiceName pool, StepDefinition step) {
         long needed = step.gang() ? step.tasks() : 1;
         long held = 0;
         for (WorkerEntry entry : ledger.workers()) {
@@ -115,14 +113,4 @@
                 ? ledger.hasPool(pool)
                 : history.mayFitWorker(pool, step);
     }
-
-    /** Returns the last move of a queue to another pool. */
-    Optional<QueueMove> lastMove(QueueDefinition queue) {
-        return ledger.history().lastMove(queue.name());
-    }
-
-    /** Returns the version of the configuration in force; 0 if there is none. */
-    long configurationVersion() {
-        return ledger.configuration().map(FleetConfiguration::version).orElse(0L);
-    }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/FeasibilityCheck.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/FeasibilityCheck.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.command.FailWorkflow;
+import org.marjoramnotch.model.fleet.FleetConfiguration;
 import org.marjoramnotch.model.fleet.QueueMove;
 import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.time.Clock;
@@ -49,7 +50,7 @@
                 continue;
             }
             Finding finding = findings.get(entry.id());
-            if (finding == null || obstacle.get().isNewsAfter(finding.obstacle())) {
+            if (finding == null || obstacle.get().hasNewFactsSince(finding.obstacle())) {
                 finding = find(nowMilliseconds, entry, obstacle.get());
             }
             found.put(entry.id(), finding);
@@ -78,7 +79,7 @@
     }
 
     /** Returns why a workflow is about to be given up, if it is. */
-    Optional<String> findObstacle(JobId workflow) {
+    Optional<String> reasonOf(JobId workflow) {
         return Optional.ofNullable(findings.get(workflow))
                 .map(finding -> finding.obstacle().describe());
     }
@@ -93,8 +94,8 @@
             return delayMilliseconds;
         }
         long sinceMove =
-                feasibility
-                        .lastMove(entry.queue())
+                ledger.history()
+                        .lastMove(entry.queue().name())
                         .map(move -> wallClock.nowMilliseconds() - move.sinceEpochMilliseconds())
                         .orElse(MOVED_QUEUE_DELAY_MILLISECONDS);
         // The wall clock may have been set back since the move.
@@ -105,11 +106,11 @@
     private String describe(long nowMilliseconds, WorkflowEntry entry, Finding finding) {
         return finding.obstacle().describe()
                 + "; configuration "
-                + feasibility.configurationVersion()
+                + ledger.configuration().map(FleetConfiguration::version).orElse(0L)
                 + ", queue "
                 + entry.queue().name()
-                + feasibility
-                        .lastMove(entry.queue())
+                + ledger.history()
+                        .lastMove(entry.queue().name())
                         .map(QueueMove::version)
                         .map(version -> " sent to pool " + entry.queue().pool() + " by " + version)
                         .orElse("")
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/FleetHistory.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/FleetHistory.java
@@ -86,7 +86,7 @@
         }
     }
 
-    /** Returns the last move of a queue; empty if it has always been sent to its pool. */
+    /** Returns the last move of a queue, if one is known. */
     Optional<QueueMove> lastMove(QueueName queue) {
         return Optional.ofNullable(moves.get(queue));
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/LoadMeter.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/LoadMeter.java
@@ -15,17 +15,17 @@
 final class LoadMeter {
     private final WorkflowLedger ledger;
     private final AdviceBroker advice;
-    private final FeasibilityCheck feasibility;
+    private final FeasibilityCheck feasibilityCheck;
     private final Map<ServiceName, RunTimeMean> runTimes = new HashMap<>();
     private final Map<ServiceName, WaitingWork> waitingByPool = new HashMap<>();
     private final Map<TeamName, Long> waitingByTeam = new HashMap<>();
     private WaitingWork waitingForAdvice = new WaitingWork();
     private LoadSnapshot snapshot = LoadSnapshot.NONE;
 
-    LoadMeter(WorkflowLedger ledger, AdviceBroker advice, FeasibilityCheck feasibility) {
+    LoadMeter(WorkflowLedger ledger, AdviceBroker advice, FeasibilityCheck feasibilityCheck) {
         this.ledger = ledger;
         this.advice = advice;
-        this.feasibility = feasibility;
+        this.feasibilityCheck = feasibilityCheck;
     }
 
     /** Returns the load in the latest round. */
@@ -47,7 +47,7 @@
      * @param withinLimit whether the limit of its team lets another of them start
      */
     void addWaiting(ReadyStep step, ServiceName pool, int tasks, boolean withinLimit) {
-        if (feasibility.isInfeasible(step.workflow().id())) {
+        if (feasibilityCheck.isInfeasible(step.workflow().id())) {
             return;
         }
         QueueDefinition queue = step.workflow().queue();
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/Obstacle.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/Obstacle.java
@@ -14,10 +14,10 @@
     String describe();
 
     /**
-     * Returns whether more is known than with an earlier obstacle of the same workflow, so that yet
-     * more may come. A move of the queue alone teaches nothing.
+     * Returns whether other limits or kinds of workers are known than with an earlier obstacle of
+     * the same workflow. A move of the queue to another pool alone is no new fact.
      */
-    boolean isNewsAfter(Obstacle earlier);
+    boolean hasNewFactsSince(Obstacle earlier);
 
     /**
      * No worker that the pool has had can run a task of the step.
@@ -31,7 +31,7 @@
             int number, StepDefinition step, ServiceName pool, List<WorkerKind> kinds)
             implements Obstacle {
         @Override
-        public boolean isNewsAfter(Obstacle earlier) {
+        public boolean hasNewFactsSince(Obstacle earlier) {
             return !(earlier instanceof WorkersTooSmall other)
                     || (pool.equals(other.pool) && !kinds.equals(other.kinds));
         }
@@ -61,7 +61,7 @@
     record LimitTooLow(int number, Resources needed, TeamName team, List<TeamLimit> limits)
             implements Obstacle {
         @Override
-        public boolean isNewsAfter(Obstacle earlier) {
+        public boolean hasNewFactsSince(Obstacle earlier) {
             return !(earlier instanceof LimitTooLow other) || !limits.equals(other.limits);
         }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -58,7 +58,7 @@
     private final LatencyObjectives objectives;
     private final LoadMeter load;
     private final RunScheduler scheduler;
-    private final FeasibilityCheck feasibility;
+    private final FeasibilityCheck feasibilityCheck;
     private final EndedWorkflowCleaner endedWorkflows;
     private final RunStopper stopper;
     private boolean scheduleDue = true;
@@ -84,18 +84,18 @@
         this.sessions = new WorkerSessions(settings, ledger, fencingToken, nowMilliseconds);
         this.advice = new AdviceBroker(fencingToken);
         this.configuration = new ConfigurationRequestHandler(ledger, wallClock);
-        Feasibility possible = new Feasibility(ledger);
-        this.feasibility =
+        Feasibility feasibility = new Feasibility(ledger);
+        this.feasibilityCheck =
                 new FeasibilityCheck(
-                        ledger, possible, wallClock, settings.feasibilityDelayMilliseconds());
-        this.load = new LoadMeter(ledger, advice, feasibility);
+                        ledger, feasibility, wallClock, settings.feasibilityDelayMilliseconds());
+        this.load = new LoadMeter(ledger, advice, feasibilityCheck);
         this.workflows =
                 new WorkflowRequestHandler(
-                        ledger, configuration, load, possible, feasibility, wallClock);
+                        ledger, configuration, load, feasibility, feasibilityCheck, wallClock);
         this.workers = new WorkerReportHandler(ledger, sessions);
         this.objectives = new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
         this.scheduler =
-                new RunScheduler(ledger, sessions, advice, objectives, speeds, load, possible);
+                new RunScheduler(ledger, sessions, advice, objectives, speeds, load, feasibility);
         this.endedWorkflows = new EndedWorkflowCleaner(ledger, settings.retentionMilliseconds());
         this.stopper = new RunStopper(ledger, sessions);
     }
@@ -124,7 +124,7 @@
         } else if (applied instanceof EndRuns end) {
             onEnded(nowMilliseconds, end, output);
         } else if (applied instanceof SubmitWorkflow submit) {
-            feasibility.onAccepted(nowMilliseconds, submit.workflow().id());
+            feasibilityCheck.onAccepted(nowMilliseconds, submit.workflow().id());
         } else if (applied instanceof CancelWorkflow cancel) {
             stopRuns(nowMilliseconds, cancel.workflow(), output);
         } else if (applied instanceof FailWorkflow fail) {
@@ -151,7 +151,7 @@
         workers.tick(nowMilliseconds, output);
         if (nowMilliseconds >= nextSlowTickAt) {
             nextSlowTickAt = nowMilliseconds + SLOW_TICK_MILLISECONDS;
-            feasibility.check(nowMilliseconds, output);
+            feasibilityCheck.check(nowMilliseconds, output);
             endedWorkflows.tick(nowMilliseconds, output);
             scheduler.logWaiting(nowMilliseconds, output);
         }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
@@ -164,9 +164,7 @@
     }
 
     private Optional<String> reasonOf(WorkflowEntry entry) {
-        return entry.state().isFinal()
-                ? entry.failure()
-                : feasibilityCheck.findObstacle(entry.id());
+        return entry.state().isFinal() ? entry.failure() : feasibilityCheck.reasonOf(entry.id());
     }
 
     void cancel(RequestHandle handle, CancelWorkflowRequest request, LeaderOutput output) {
--- a/library/src/main/java/org/marjoramnotch/model/fleet/QueueMove.java
+++ b/library/src/main/java/org/marjoramnotch/model/fleet/QueueMove.java
@@ -4,7 +4,7 @@
 import org.marjoramnotch.model.identifier.ServiceName;
 
 /**
- * The last change of the pool that a queue is sent to.
+ * The last change of the pool that a queue is sent to, or its addition to a pool without workers.
  *
  * @param queue the queue
  * @param pool the pool that it is sent to since then
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/FeasibilityWalkTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/FeasibilityWalkTest.java
@@ -136,6 +136,7 @@
         assertThat(fleet.completes(POSSIBLE, RECOVERY_MILLISECONDS))
                 .as("state %s", fleet.state(POSSIBLE))
                 .isTrue();
+        cell.invariants.checkFollower(cell.ledger);
     }
 
     private static void submit(TwoPoolFleet fleet, UniformRandomProvider random, Moment moment) {
