Distrust the leader lease after a suspension

Callers: reads and refusals of a leader that was suspended are confirmed since; other answers from its state, such as the state of a workflow or the number of waiting ones under a queue that was dropped meanwhile, were still sent for the rest of its lease.

Change: before each input the time of day is compared with the steady clock. A leader that is still the leader pauses for a round trip.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
@@ -15,6 +15,7 @@
 import org.marjoramnotch.daemon.duty.Duty;
 import org.marjoramnotch.daemon.duty.DutyInputQueue;
 import org.marjoramnotch.daemon.duty.OrderPort;
+import org.marjoramnotch.daemon.duty.SuspensionDetector;
 import org.marjoramnotch.daemon.link.LocalReplica;
 import org.marjoramnotch.daemon.log.LogEvent;
 import org.marjoramnotch.daemon.metrics.DaemonMetrics;
@@ -107,7 +108,8 @@
                         output,
                         call -> orders.send(call, outcome -> onCallOutcome(call, outcome)),
                         decisionListener,
-                        clock),
+                        clock,
+                        new SuspensionDetector(clock, System::currentTimeMillis)),
                 clock,
                 CellDuty.TICK_MILLISECONDS,
                 failure);
--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
@@ -45,6 +45,7 @@
     private final Consumer<WorkerCall> orders;
     private final Consumer<DecisionLogEntry> decisionListener;
     private final Clock clock;
+    private final SuspensionDetector suspensions;
     private final LogRateLimiter slowBatchLogs;
     private CellCore core;
     private long loggedAppliedIndex;
@@ -60,6 +61,7 @@
      * @param orders sends calls to workers
      * @param decisionListener receives the decisions to be logged
      * @param clock measures how long a sync takes
+     * @param suspensions detects that the clock stood still
      */
     public CellDuty(
             ReplicaId self,
@@ -68,7 +70,8 @@
             CellOutput output,
             Consumer<WorkerCall> orders,
             Consumer<DecisionLogEntry> decisionListener,
-            Clock clock) {
+            Clock clock,
+            SuspensionDetector suspensions) {
         this.self = self;
         this.core = core;
         this.storage = storage;
@@ -77,11 +80,13 @@
         this.orders = orders;
         this.decisionListener = decisionListener;
         this.clock = clock;
+        this.suspensions = suspensions;
         this.slowBatchLogs = new LogRateLimiter(clock, SLOW_BATCH_LOG_INTERVAL_MILLISECONDS);
     }
 
     @Override
     public void receive(long nowMilliseconds, CellInput input) {
+        distrustLeaseAfterSuspension(nowMilliseconds);
         rememberForRestart(input);
         if (outage != null) {
             substituteReplies.refuseInput(input, read -> answer(nowMilliseconds, read));
@@ -90,6 +95,21 @@
         }
     }
 
+    /** Lets the leader prove itself again, since others may have elected another one. */
+    private void distrustLeaseAfterSuspension(long nowMilliseconds) {
+        suspensions
+                .detect()
+                .ifPresent(
+                        milliseconds -> {
+                            LogEvent.of("suspension_detected")
+                                    .with("milliseconds", milliseconds)
+                                    .warn(LOGGER);
+                            if (outage == null) {
+                                core.distrustLease(nowMilliseconds);
+                            }
+                        });
+    }
+
     /** Keeps the inputs in memory that a restarted core must receive again. */
     private void rememberForRestart(CellInput input) {
         if (input instanceof CellInput.UseContacts use) {
@@ -201,6 +221,7 @@
 
     @Override
     public void tick(long nowMilliseconds) {
+        distrustLeaseAfterSuspension(nowMilliseconds);
         if (outage != null) {
             outage.tryReopen(nowMilliseconds)
                     .ifPresent(newCore -> restartCore(nowMilliseconds, newCore));
--- a/daemon/src/test/java/org/marjoramnotch/daemon/storage/DiskNode.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/storage/DiskNode.java
@@ -12,6 +12,7 @@
 import org.marjoramnotch.daemon.duty.CellDuty;
 import org.marjoramnotch.daemon.duty.CellInput;
 import org.marjoramnotch.daemon.duty.CellOutput;
+import org.marjoramnotch.daemon.duty.SuspensionDetector;
 import org.marjoramnotch.logic.cell.CellCore;
 import org.marjoramnotch.logic.cell.CellSettings;
 import org.marjoramnotch.logic.cell.OutgoingReply;
@@ -64,7 +65,8 @@
                         this,
                         call -> {},
                         note -> {},
-                        clock);
+                        clock,
+                        new SuspensionDetector(clock, clock));
     }
 
     /** Runs one turn of the duty, unless a turn is still running. */
--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -26,22 +26,19 @@
  * it from one thread and takes the effects after each batch of calls.
  */
 public final class CellCore {
-    /** Ample, as duties restart within a term only after a refused proposal or a long pause. */
-    private static final long TOKENS_PER_TERM = 1_024;
-
     private final ReplicatedLog log;
     private final LeaderDutyFactory dutyFactory;
     private final DutyOutput output;
     private final CellEffectBuffer buffer = new CellEffectBuffer();
     private final PendingProposals pendingProposals = new PendingProposals();
     private final LeasePause pause = new LeasePause();
+    private final FencingTokens fencingTokens = new FencingTokens();
     private final MembershipChangeDetector membershipChanges = new MembershipChangeDetector();
 
     private final LogApplier applier;
     private @Nullable LeaderDuty duties;
     private boolean stopping;
     private long now;
-    private long dutyStarts;
 
     /** Creates a core on a log whose recovered effects have not been taken yet. */
     public CellCore(
@@ -147,6 +144,13 @@
         return true;
     }
 
+    /** Ends the leader lease until a quorum confirms it again; see {@link ReplicatedLog}. */
+    public void distrustLease(long nowMilliseconds) {
+        now = nowMilliseconds;
+        log.distrustLease(now);
+        processLogEffects();
+    }
+
     /**
      * Gives up leadership because nothing can be stored; afterwards only the status may be read.
      *
@@ -276,18 +280,13 @@
                 && log.isReady(now)
                 && !applier.hasUnapplied()
                 && !isProposalInFlight()) {
-            dutyStarts++;
-            duties = dutyFactory.createAll(ledger(), now, fencingToken());
+            long fencingToken = fencingTokens.next(log.status(now).term());
+            duties = dutyFactory.createAll(ledger(), now, fencingToken);
             buffer.decisionLog.add(
-                    DecisionLogEntry.of("leader_duties_started", "fencing_token", fencingToken()));
+                    DecisionLogEntry.of("leader_duties_started", "fencing_token", fencingToken));
         }
     }
 
-    /** Returns a token higher than that of all earlier duties, including those of the same term. */
-    private long fencingToken() {
-        return log.status(now).term() * TOKENS_PER_TERM + dutyStarts % TOKENS_PER_TERM;
-    }
-
     private boolean isProposalInFlight() {
         return pendingProposals.isInFlight(log.status(now).term(), applier.appliedIndex());
     }
--- a/library/src/main/java/org/marjoramnotch/logic/replication/Leadership.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Leadership.java
@@ -35,6 +35,7 @@
     private final long startedAtMilliseconds;
     private long firstOwnIndex;
     private long confirmationRequestedAtMilliseconds = NEVER;
+    private long leaseDistrustedAtMilliseconds = NEVER;
 
     Leadership(ReplicaState state) {
         this.state = state;
@@ -162,7 +163,13 @@
     }
 
     boolean holdsLease() {
-        return state.now() < leaseEndMilliseconds();
+        return state.now() < leaseEndMilliseconds() && isConfirmed(leaseDistrustedAtMilliseconds);
+    }
+
+    /** Ends the lease until a quorum answers messages that are sent later than now. */
+    void distrustLease() {
+        leaseDistrustedAtMilliseconds = state.now();
+        requestConfirmation();
     }
 
     /** Returns whether this leader holds the lease, or is new and may soon hold it. */
--- a/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
@@ -214,6 +214,12 @@
         return state.leadership().map(leadership -> leadership.isConfirmed(mark)).orElse(false);
     }
 
+    @Override
+    public void distrustLease(long nowMilliseconds) {
+        state.advanceClock(nowMilliseconds);
+        state.leadership().ifPresent(Leadership::distrustLease);
+    }
+
     @Override
     public boolean isReady(long nowMilliseconds) {
         state.advanceClock(nowMilliseconds);
--- a/library/src/main/java/org/marjoramnotch/logic/replication/ReplicatedLog.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ReplicatedLog.java
@@ -93,6 +93,12 @@
      */
     boolean isConfirmed(long mark);
 
+    /**
+     * Ends the lease until a quorum answers messages that are sent after this call, since the clock
+     * may have stood still during the present lease.
+     */
+    void distrustLease(long nowMilliseconds);
+
     /** Returns what this replica knows about the group. */
     ReplicationStatus status(long nowMilliseconds);
 }
--- a/library/src/test/java/org/marjoramnotch/logic/cell/ScriptedLog.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/ScriptedLog.java
@@ -78,6 +78,11 @@
         return mark <= confirmedMark;
     }
 
+    @Override
+    public void distrustLease(long nowMilliseconds) {
+        leaseLapsed = true;
+    }
+
     @Override
     public boolean isLeading(long nowMilliseconds) {
         return ready;
--- a/library/src/test/java/org/marjoramnotch/logic/replication/LeadershipConfirmationTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/LeadershipConfirmationTest.java
@@ -52,6 +52,18 @@
         assertThat(leader.isConfirmed(mark)).isEqualTo(confirmed);
     }
 
+    @ParameterizedTest(name = "answer to a message sent at {0} ms")
+    @CsvSource({"3100, false", "3101, true"})
+    void distrustedLeaseIsHeldAgainAfterAnswersToLaterMessages(long sentAt, boolean held) {
+        leader.receive(3_050, TWO, new AppendAccepted(TERM, 2, 3_010));
+        leader.takeEffects();
+        assertThat(leader.isReady(3_100)).isTrue();
+        leader.distrustLease(3_100);
+        assertThat(leader.isReady(3_100)).isFalse();
+        leader.receive(3_110, TWO, new AppendAccepted(TERM, 2, sentAt));
+        assertThat(leader.isReady(3_110)).isEqualTo(held);
+    }
+
     @Test
     void allMembersAreAskedOnceBeforeTheNextHeartbeat() {
         leader.requestConfirmation(ELECTED_AT);
