Find the route of a call in each spelling of its host and path

Callers saw 404 for a route that is in force if they wrote its host with capitals or with the final dot of a complete name, or escaped an unreserved character of the path. An operator's configuration with two routes at one place, spelled in two ways, was taken; of two routes whose host and prefix give the same text when joined, one was refused.

Cause: routes were compared and looked up as they were written, and validated as host and prefix joined to one text.

Change: CallAddress is a host and a path in the form in which equivalent spellings are equal (RFC 9110, 4.2.3; RFC 3986, 6.2.2). The route table and the validator use it for both sides, so that each place has one route and each call of the place finds it. %2F, doubled slashes and case of paths keep their meaning.

ConfigurationValidatorTest: the pair that is equal only when joined was refused before.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/ConfigurationValidator.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/ConfigurationValidator.java
@@ -27,11 +27,14 @@
                 .pools()
                 .forEach(pool -> require(pools.add(pool.name()), "the pool name", pool.name()));
         Set<QueueName> queues = new HashSet<>();
-        Set<String> routes = new HashSet<>();
+        Set<CallAddress> addresses = new HashSet<>();
         for (QueueDefinition queue : configuration.queues()) {
             require(queues.add(queue.name()), "the queue name", queue.name());
-            String route = queue.host() + queue.pathPrefix();
-            require(routes.add(route), "host and path prefix", route);
+            CallAddress address = CallAddress.of(queue);
+            require(
+                    addresses.add(address),
+                    "host and path prefix",
+                    address.host() + address.path());
             if (!pools.contains(queue.pool())) {
                 throw invalid(
                         "Queue "
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RouteTable.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RouteTable.java
@@ -30,19 +30,26 @@
      */
     record Route(QueueDefinition queue, Optional<JobId> workflow, Optional<TeamName> team) {}
 
+    /** The beginning of the paths of a queue's calls. */
+    private record Prefix(String path, QueueDefinition queue) {}
+
+    /** The queue of a call, and what its path names in the queue. */
+    private record Match(QueueDefinition queue, String name) {}
+
     private final Map<QueueName, QueueDefinition> byName = new HashMap<>();
-    private final Map<String, List<QueueDefinition>> byHost = new HashMap<>();
+    private final Map<String, List<Prefix>> byHost = new HashMap<>();
     private final Map<String, TeamName> byKey = new HashMap<>();
 
     RouteTable(FleetConfiguration configuration) {
         for (QueueDefinition queue : configuration.queues()) {
             byName.put(queue.name(), queue);
-            byHost.computeIfAbsent(queue.host(), host -> new ArrayList<>()).add(queue);
+            CallAddress address = CallAddress.of(queue);
+            byHost.computeIfAbsent(address.host(), host -> new ArrayList<>())
+                    .add(new Prefix(address.path(), queue));
         }
-        Comparator<QueueDefinition> longestFirst =
-                Comparator.comparingInt((QueueDefinition queue) -> queue.pathPrefix().length())
-                        .reversed();
-        byHost.values().forEach(queues -> queues.sort(longestFirst));
+        Comparator<Prefix> longestFirst =
+                Comparator.comparingInt((Prefix prefix) -> prefix.path().length()).reversed();
+        byHost.values().forEach(prefixes -> prefixes.sort(longestFirst));
         for (TeamDefinition team : configuration.teams()) {
             team.keys().forEach(key -> byKey.put(key, team.name()));
         }
@@ -55,10 +62,10 @@
      *     malformed workflow name, {@code INVALID_REQUEST}
      */
     Route resolve(CallTarget target) {
-        QueueDefinition queue =
-                (target.queue().isPresent()
-                                ? findByName(target.queue().get())
-                                : findByHostAndPath(target))
+        Match match =
+                target.queue()
+                        .map(name -> findByName(name, target.path()))
+                        .orElseGet(() -> findByAddress(target))
                         .orElseThrow(
                                 () ->
                                         new MarjoramnotchException(
@@ -66,23 +73,28 @@
                                                 "No queue matches this name, or this host and path;"
                                                         + " check them."));
         Optional<TeamName> team = target.key().map(byKey::get);
-        if (team.isEmpty() && !queue.open()) {
+        if (team.isEmpty() && !match.queue().open()) {
             throw new MarjoramnotchException(
                     ErrorCode.KEY_REFUSED,
                     "The call has no key or an invalid one; send a key of the team.");
         }
-        String prefix = target.queue().isPresent() ? "" : queue.pathPrefix();
-        return new Route(queue, parseWorkflowName(target.path().substring(prefix.length())), team);
+        return new Route(match.queue(), parseWorkflowName(match.name()), team);
     }
 
-    private Optional<QueueDefinition> findByName(QueueName name) {
-        return Optional.ofNullable(byName.get(name));
+    private Optional<Match> findByName(QueueName name, String workflow) {
+        return Optional.ofNullable(byName.get(name)).map(queue -> new Match(queue, workflow));
     }
 
-    private Optional<QueueDefinition> findByHostAndPath(CallTarget target) {
-        return byHost.getOrDefault(target.host(), List.of()).stream()
-                .filter(candidate -> target.path().startsWith(candidate.pathPrefix()))
-                .findFirst();
+    private Optional<Match> findByAddress(CallTarget target) {
+        CallAddress address = CallAddress.of(target.host(), target.path());
+        return byHost.getOrDefault(address.host(), List.of()).stream()
+                .filter(prefix -> address.path().startsWith(prefix.path()))
+                .findFirst()
+                .map(
+                        prefix ->
+                                new Match(
+                                        prefix.queue(),
+                                        address.path().substring(prefix.path().length())));
     }
 
     private static Optional<JobId> parseWorkflowName(String name) {
--- a/library/src/main/java/org/marjoramnotch/model/fleet/QueueDefinition.java
+++ b/library/src/main/java/org/marjoramnotch/model/fleet/QueueDefinition.java
@@ -29,4 +29,19 @@
         double stretch,
         long slackMilliseconds,
         boolean open,
-        Optional<AdviceTiming> advice) {}
+        Optional<AdviceTiming> advice) {
+    /** Returns the same queue at another place. */
+    public QueueDefinition at(String otherHost, String otherPathPrefix) {
+        return new QueueDefinition(
+                name,
+                otherHost,
+                otherPathPrefix,
+                pool,
+                priority,
+                mostFailures,
+                stretch,
+                slackMilliseconds,
+                open,
+                advice);
+    }
+}
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/ConfigurationValidatorTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/ConfigurationValidatorTest.java
@@ -1,5 +1,6 @@
 package org.marjoramnotch.logic.workflow;
 
+import static org.assertj.core.api.Assertions.assertThatCode;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.util.List;
@@ -20,6 +21,7 @@
     static Stream<FleetConfiguration> contradictoryConfigurations() {
         FleetConfiguration valid = TestFleet.configuration(1);
         QueueDefinition quick = valid.queues().get(0);
+        QueueDefinition other = TestFleet.queue("other", "", 0, false, Optional.empty());
         return Stream.of(
                 with(List.of(quick), List.of(), valid.teams()),
                 with(List.of(quick, quick), valid.pools(), valid.teams()),
@@ -30,6 +32,10 @@
                                         "other", quick.pathPrefix(), 0, false, Optional.empty())),
                         valid.pools(),
                         valid.teams()),
+                with(
+                        List.of(quick, other.at("CALLERS.example.", "/%71uick/")),
+                        valid.pools(),
+                        valid.teams()),
                 with(
                         List.of(quick),
                         valid.pools(),
@@ -54,6 +60,24 @@
                 .isInstanceOf(MarjoramnotchException.class);
     }
 
+    /** Guards against a comparison of the two texts joined. */
+    @Test
+    void hostAndPrefixAreComparedApart() {
+        FleetConfiguration valid = TestFleet.configuration(1);
+        QueueDefinition quick = valid.queues().get(0);
+        QueueDefinition other = TestFleet.queue("other", "", 0, false, Optional.empty());
+        assertThatCode(
+                        () ->
+                                ConfigurationValidator.validate(
+                                        with(
+                                                List.of(
+                                                        quick,
+                                                        other.at(quick.host() + "/", "quick/")),
+                                                valid.pools(),
+                                                valid.teams())))
+                .doesNotThrowAnyException();
+    }
+
     @Test
     void consistentConfigurationIsAccepted() {
         ConfigurationValidator.validate(TestFleet.configuration(1));
