Accept names of workflows with capital hexadecimal digits

A caller chooses 16 hexadecimal digits; one that chose capital ones got 400 for a valid submission. Cause: the pattern allowed lower-case digits only. Names stay what they are: two that differ in case are two workflows.

Measured: the row of RouteTableTest with capitals; 400 before (the pattern is the only check of the name).

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RouteTable.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RouteTable.java
@@ -19,7 +19,7 @@
 
 /** Resolves the queue and team of calls under one version of the configuration. */
 final class RouteTable {
-    private static final Pattern WORKFLOW_NAME = Pattern.compile("[0-9a-f]{16}");
+    private static final Pattern WORKFLOW_NAME = Pattern.compile("[0-9A-Fa-f]{16}");
 
     /**
      * The queue, workflow and team that a call refers to.
@@ -104,7 +104,7 @@
         if (!WORKFLOW_NAME.matcher(name).matches()) {
             throw new MarjoramnotchException(
                     ErrorCode.INVALID_REQUEST,
-                    "A workflow name must be 16 lower-case hexadecimal digits; correct it.");
+                    "A workflow name must be 16 hexadecimal digits; correct it.");
         }
         return Optional.of(new JobId(name));
     }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/RouteTableTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/RouteTableTest.java
@@ -64,6 +64,10 @@
         "callers.example, /%2570/, UNKNOWN_QUEUE",
         "callers.example, /%7/, UNKNOWN_QUEUE",
         "callers.example, /%zz/, UNKNOWN_QUEUE",
+        // A name is 16 hexadecimal digits that the caller chose.
+        "callers.example, /p/5C0E7A21D94B36F8, short 5C0E7A21D94B36F8",
+        "callers.example, /p/5c0e7a21d94b36f, INVALID_REQUEST",
+        "callers.example, /p/5c0e7a21d94b36g8, INVALID_REQUEST",
     })
     void callIsResolvedByHostAndPath(String host, String path, String expected) {
         assertThat(resolve(new CallTarget(host, path, Optional.empty()))).isEqualTo(expected);
