Accept a key doubled in one tenant, and one queue at two places

An operator got a final 400 for two kinds of valid configurations: a key that stands twice in the list of one tenant, and a route of the name of another one that differs from it in its place only. The protocol calls keys of two tenants and two routes of one place invalid, neither of these.

Cause: the validator asked only whether a key or name had been seen.

Change: a key is refused if another team has it. A name of a queue or pool is refused if it stands for two different definitions, since accepted work knows its queue by name and could not be told apart.

The same host and prefix under one name stays refused, and so does one name for two different queues.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/ConfigurationValidator.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/ConfigurationValidator.java
@@ -1,10 +1,14 @@
 package org.marjoramnotch.logic.workflow;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
 import org.marjoramnotch.model.fleet.FleetConfiguration;
+import org.marjoramnotch.model.fleet.PoolDefinition;
 import org.marjoramnotch.model.fleet.QueueDefinition;
 import org.marjoramnotch.model.fleet.TeamDefinition;
 import org.marjoramnotch.model.identifier.QueueName;
@@ -18,24 +22,27 @@
     /**
      * Validates a configuration.
      *
-     * @throws MarjoramnotchException with {@code INVALID_RULES} if a name, route or key is used
-     *     twice or a queue refers to an unknown pool
+     * @throws MarjoramnotchException with {@code INVALID_RULES} if a name stands for two
+     *     definitions, two queues are called at one place, two teams share a name or a key, or a
+     *     queue refers to an unknown pool
      */
     public static void validate(FleetConfiguration configuration) {
-        Set<ServiceName> pools = new HashSet<>();
-        configuration
-                .pools()
-                .forEach(pool -> require(pools.add(pool.name()), "the pool name", pool.name()));
-        Set<QueueName> queues = new HashSet<>();
+        Map<ServiceName, PoolDefinition> pools = new HashMap<>();
+        for (PoolDefinition pool : configuration.pools()) {
+            requireSame(pools.put(pool.name(), pool), pool, "the pool name", pool.name());
+        }
+        Map<QueueName, QueueDefinition> queues = new HashMap<>();
         Set<CallAddress> addresses = new HashSet<>();
         for (QueueDefinition queue : configuration.queues()) {
-            require(queues.add(queue.name()), "the queue name", queue.name());
+            // A queue may be called at several places.
+            QueueDefinition placeless = queue.at("", "");
+            requireSame(
+                    queues.put(queue.name(), placeless), placeless, "the queue name", queue.name());
             CallAddress address = CallAddress.of(queue);
-            require(
-                    addresses.add(address),
-                    "host and path prefix",
-                    address.host() + address.path());
-            if (!pools.contains(queue.pool())) {
+            if (!addresses.add(address)) {
+                throw shared("host and path prefix", address.host() + address.path());
+            }
+            if (!pools.containsKey(queue.pool())) {
                 throw invalid(
                         "Queue "
                                 + queue.name()
@@ -46,11 +53,14 @@
             }
         }
         Set<TeamName> teams = new HashSet<>();
-        Set<String> keys = new HashSet<>();
+        Map<String, TeamName> keys = new HashMap<>();
         for (TeamDefinition team : configuration.teams()) {
-            require(teams.add(team.name()), "the team name", team.name());
+            if (!teams.add(team.name())) {
+                throw shared("the team name", team.name());
+            }
             for (String key : team.keys()) {
-                if (!keys.add(key)) {
+                TeamName owner = keys.put(key, team.name());
+                if (owner != null && !owner.equals(team.name())) {
                     throw invalid(
                             "A key of team "
                                     + team.name()
@@ -60,12 +70,17 @@
         }
     }
 
-    private static void require(boolean first, String what, Object value) {
-        if (!first) {
-            throw invalid("Two entries share " + what + ", " + value + "; change one of them.");
+    private static <T> void requireSame(
+            @Nullable T earlier, T definition, String what, Object name) {
+        if (earlier != null && !earlier.equals(definition)) {
+            throw shared(what, name);
         }
     }
 
+    private static MarjoramnotchException shared(String what, Object value) {
+        return invalid("Two entries share " + what + ", " + value + "; change one of them.");
+    }
+
     private static MarjoramnotchException invalid(String message) {
         return new MarjoramnotchException(ErrorCode.INVALID_RULES, message);
     }
