Refuse a body that a damaged chunk cuts off

A request whose chunked body was damaged on its way was taken as if it ended at the damaged chunk: a configuration or submission of the whole that had arrived before, or a shorter body passed on to an endpoint. Likewise an endpoint's answer.

Cause: the decoder reports what it can't read as a last content that carries the failure, and IncomingBody took each last content as the end.

Change: such a content fails the body, and the connection ends after the answer, since the decoder reads nothing more from it.

Measured: HttpListenerTest.bodyWithDamagedChunkIsRefused: before, the 5 bytes before the damaged chunk were the body; after, INVALID_REQUEST and the end of the connection.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/ServerConnection.java
@@ -88,10 +88,8 @@
         if (message instanceof io.netty.handler.codec.http.HttpRequest || !readAhead.isEmpty()) {
             readAhead.add(message);
             processReadAhead();
-        } else if (message instanceof HttpContent content && body != null) {
-            body.add(content);
         } else {
-            ReferenceCountUtil.release(message);
+            addToBody(message);
         }
     }
 
@@ -103,11 +101,16 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event == ChannelInputShutdownEvent.INSTANCE) {
-            inputEnded = true;
             failBody("The caller ended its part of the connection.");
-            if (!answering) {
-                channel.close();
-            }
+            endInput();
+        }
+    }
+
+    /** Closes the connection, once the open request is answered. */
+    private void endInput() {
+        inputEnded = true;
+        if (!answering) {
+            channel.close();
         }
     }
 
@@ -149,7 +152,11 @@
     private void addToBody(Object content) {
         IncomingBody present = body;
         if (content instanceof HttpContent part && present != null) {
+            boolean damaged = part.decoderResult().isFailure();
             present.add(part);
+            if (damaged) {
+                endInput();
+            }
         } else {
             ReferenceCountUtil.release(content);
         }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/transport/IncomingBody.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/transport/IncomingBody.java
@@ -91,8 +91,16 @@
         consume(publication);
     }
 
-    /** Adds a content that the connection has read, and takes it over. */
+    /**
+     * Adds a content that the connection has read, and takes it over. A content that the decoder
+     * could not read, which it reports as the last one, fails the body.
+     */
     public void add(HttpContent content) {
+        if (content.decoderResult().isFailure()) {
+            content.release();
+            fail(content.decoderResult().cause());
+            return;
+        }
         if (content.content().isReadable()) {
             arrived.add(content.content());
         } else {
--- a/daemon/src/test/java/org/marjoramnotch/daemon/http/HttpListenerTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/http/HttpListenerTest.java
@@ -19,6 +19,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.marjoramnotch.daemon.transport.NetworkThreads;
+import org.marjoramnotch.model.error.ErrorCode;
+import org.marjoramnotch.model.error.MarjoramnotchException;
 
 class HttpListenerTest {
     private static final int TIMEOUT_SECONDS = 10;
@@ -198,6 +200,30 @@
         answers.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
+    /** Guards against a body that is cut off by a damaged chunk and taken as a whole one. */
+    @Test
+    void bodyWithDamagedChunkIsRefused() throws Exception {
+        String head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+        try (Socket caller = request(head + "5\r\nfirst\r\nzz\r\n")) {
+            Call call = nextCall();
+
+            assertThat(refusalOfBody(call, TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS)))
+                    .isEqualTo(ErrorCode.INVALID_REQUEST);
+            call.complete(HttpResponse.of(400));
+            assertThat(readToEnd(caller)).startsWith("HTTP/1.1 400");
+        }
+    }
+
+    private static ErrorCode refusalOfBody(Call call, long timeoutMilliseconds) {
+        CompletableFuture<byte[]> body =
+                new BodyReader(SMALL_BUFFER_BYTES)
+                        .read(call.request(), timeoutMilliseconds)
+                        .toCompletableFuture();
+        assertThat(body).failsWithin(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        return ((MarjoramnotchException) body.handle((bytes, failure) -> failure.getCause()).join())
+                .code();
+    }
+
     private Socket request() throws IOException {
         return request("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
     }
