Answer 408 to a body that does not arrive in time

An operator whose configuration arrived over more than 5 s, on a slow or squeezed link, got 400, which ends the call for good, for a valid one.

Cause: BodyReader gave one refusal to bodies that are too long, cut off or late.

Change: a late body is refused with REQUEST_TIMEOUT and 408, after which the operator and workers move on to another daemon; nothing has run.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/RefusalAnswers.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/RefusalAnswers.java
@@ -43,6 +43,7 @@
             case KEY_REFUSED -> 401;
             case QUEUE_PRIVATE -> 403;
             case UNKNOWN_QUEUE, UNKNOWN_JOB, UNKNOWN_WORKER -> 404;
+            case REQUEST_TIMEOUT -> 408;
             case VERSION_CONFLICT,
                     REQUEST_ID_REUSED,
                     IDEMPOTENT_REQUEST_RUNNING,
--- a/daemon/src/test/java/org/marjoramnotch/daemon/http/HttpListenerTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/http/HttpListenerTest.java
@@ -214,6 +214,15 @@
         }
     }
 
+    /** Guards against a valid configuration that is refused for good since it arrives slowly. */
+    @Test
+    void bodyThatArrivesTooLateIsNoInvalidOne() throws Exception {
+        String head = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n";
+        try (Socket caller = request(head + "first")) {
+            assertThat(refusalOfBody(nextCall(), 1)).isEqualTo(ErrorCode.REQUEST_TIMEOUT);
+        }
+    }
+
     private static ErrorCode refusalOfBody(Call call, long timeoutMilliseconds) {
         CompletableFuture<byte[]> body =
                 new BodyReader(SMALL_BUFFER_BYTES)
--- a/library/src/main/java/org/marjoramnotch/model/error/ErrorCode.java
+++ b/library/src/main/java/org/marjoramnotch/model/error/ErrorCode.java
@@ -6,6 +6,8 @@
     INVALID_NAME,
     /** A request cannot be read. */
     INVALID_REQUEST,
+    /** The body of the request did not arrive in time. */
+    REQUEST_TIMEOUT,
     /** A settings file is invalid. */
     INVALID_SETTINGS,
     /** A rules file is invalid. */
