Read targets that begin with scheme and host

A call with the target http://host/path, which each server has to accept (RFC 9112, 3.2.2), was answered 404: on all interfaces the whole target was taken as the path.

Change: HttpRequest takes host, path and query out of such a target. Its host goes before the header Host.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpRequest.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpRequest.java
@@ -5,11 +5,18 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.marjoramnotch.daemon.transport.IncomingBody;
 
 /** A request that a listener has received. Its body is still to be read or discarded. */
 public final class HttpRequest {
+    /** The form of a target that begins with scheme and host (RFC 9112, 3.2.2). */
+    private static final Pattern ABSOLUTE_TARGET =
+            Pattern.compile("https?://([^/?#]+)(.*)", Pattern.CASE_INSENSITIVE);
+
     private final String method;
+    private final Optional<String> targetHost;
     private final String path;
     private final Optional<String> query;
     private final HttpHeaders headers;
@@ -18,13 +25,19 @@
     /**
      * Creates a request.
      *
-     * @param target the path and, after a question mark, the query; not decoded
+     * @param target the path and, after a question mark, the query; not decoded. Scheme and host
+     *     may precede them.
      */
     public HttpRequest(String method, String target, HttpHeaders headers, IncomingBody body) {
-        int mark = target.indexOf('?');
+        Matcher absolute = ABSOLUTE_TARGET.matcher(target);
+        boolean namesHost = absolute.matches();
+        String relative = namesHost ? absolute.group(2) : target;
+        int mark = relative.indexOf('?');
+        String named = mark < 0 ? relative : relative.substring(0, mark);
         this.method = method;
-        this.path = mark < 0 ? target : target.substring(0, mark);
-        this.query = mark < 0 ? Optional.empty() : Optional.of(target.substring(mark + 1));
+        this.targetHost = namesHost ? Optional.of(absolute.group(1)) : Optional.empty();
+        this.path = named.isEmpty() ? "/" : named;
+        this.query = mark < 0 ? Optional.empty() : Optional.of(relative.substring(mark + 1));
         this.headers = headers;
         this.body = body;
     }
@@ -34,6 +47,11 @@
         return method;
     }
 
+    /** Returns the host that the request is for, with its port if one was sent. */
+    public Optional<String> host() {
+        return targetHost.or(() -> header("Host"));
+    }
+
     /** Returns the path, not decoded. */
     public String path() {
         return path;
