Read bearer tokens in one way

On the platform's interface, a call with a valid key under the scheme bearer got 401: CallerRoutes compared the name of the scheme with its case, which schemes don't have (RFC 9110, 11.1). The product's own interface didn't.

Change: both use BearerToken, which was a part of Credentials.

Measured: CallFormsTest, row 'schemes have no case', 401 before, 200 after.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/Credentials.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/Credentials.java
@@ -1,6 +1,5 @@
 package org.marjoramnotch.daemon.http;
 
-import java.util.Locale;
 import java.util.Optional;
 import org.apache.commons.codec.digest.DigestUtils;
 import org.marjoramnotch.model.error.ErrorCode;
@@ -10,8 +9,6 @@
 
 /** Reads bearer tokens. Secrets are hashed here and are not passed on. */
 final class Credentials {
-    private static final String SCHEME = "bearer ";
-
     private Credentials() {}
 
     /**
@@ -21,14 +18,7 @@
      *     KEY_ID.SECRET
      */
     static Optional<Credential> of(HttpCall call) {
-        return token(call).map(Credentials::parse);
-    }
-
-    /** Returns the bearer token that was sent with a call. */
-    static Optional<String> token(HttpCall call) {
-        return call.header("Authorization")
-                .filter(value -> value.toLowerCase(Locale.ROOT).startsWith(SCHEME))
-                .map(value -> value.substring(SCHEME.length()).strip());
+        return BearerToken.of(call.request()).map(Credentials::parse);
     }
 
     private static Credential parse(String token) {
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/OperatorRoutes.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/OperatorRoutes.java
@@ -130,7 +130,7 @@
     }
 
     private void requireOperator(HttpCall call) {
-        String givenSha256 = Credentials.token(call).map(DigestUtils::sha256Hex).orElse("");
+        String givenSha256 = BearerToken.of(call.request()).map(DigestUtils::sha256Hex).orElse("");
         boolean matches =
                 MessageDigest.isEqual(
                         givenSha256.getBytes(StandardCharsets.US_ASCII),
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/WorkflowRoutes.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/WorkflowRoutes.java
@@ -94,7 +94,7 @@
         if (workflow.isEmpty() && call.segments().size() > WORKFLOW_SEGMENT) {
             throw RefusalAnswers.invalidRequest("The path contains no workflow name; append it.");
         }
-        return CallTarget.of(queue, workflow, Credentials.token(call));
+        return CallTarget.of(queue, workflow, BearerToken.of(call.request()));
     }
 
     private HttpResponse state(int status, HttpCall call, String state) {
