Refuse bodies that cannot be read in full on the own interface

Cause: defaults of the JSON reader. Change: fractions in place of whole numbers, doubled names and text after the body are refused with 400.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/JsonBodies.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/JsonBodies.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.annotation.JsonSetter;
 import com.fasterxml.jackson.annotation.Nulls;
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -15,14 +17,19 @@
 /** Reads and writes JSON bodies. A body that lacks a required property is refused. */
 final class JsonBodies {
     private final ObjectMapper mapper =
-            JsonMapper.builder()
+            JsonMapper.builder(
+                            JsonFactory.builder()
+                                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                                    .build())
                     .addModule(new Jdk8Module())
                     .addModule(WellFormedText.module())
                     .defaultSetterInfo(JsonSetter.Value.forContentNulls(Nulls.FAIL))
                     .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
                     .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
                     .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
                     .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                    .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
                     .build();
 
     /**
