Test that a detected suspension pauses the leader

No test noticed whether CellDuty asks its SuspensionDetector: both clocks of DiskNode were the same one. The time of day of a node can now run ahead of its steady clock.

--- a/daemon/src/test/java/org/marjoramnotch/daemon/storage/DiskNode.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/storage/DiskNode.java
@@ -49,6 +49,10 @@
     private CellCore core;
     private boolean busy;
     int totalSent;
+
+    /** How far the time of day is ahead of the steady clock. */
+    long suspendedMilliseconds;
+
     private int requests;
 
     DiskNode(VmId vm, DiskGroupSettings settings, Path folder, Clock clock) {
@@ -66,7 +70,8 @@
                         call -> {},
                         note -> {},
                         clock,
-                        new SuspensionDetector(clock, clock));
+                        new SuspensionDetector(
+                                clock, () -> clock.nowMilliseconds() + suspendedMilliseconds));
     }
 
     /** Runs one turn of the duty, unless a turn is still running. */
--- a/daemon/src/test/java/org/marjoramnotch/daemon/storage/FullDiskTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/storage/FullDiskTest.java
@@ -122,6 +122,18 @@
                 .containsExactly(UNKNOWN_OUTCOME, UNKNOWN_OUTCOME, UNKNOWN_OUTCOME);
     }
 
+    /** Guards against answers of a leader that was replaced while its machine was suspended. */
+    @Test
+    void leaderPausesAfterSuspensionUntilItIsConfirmed() {
+        DiskNode suspended = leader();
+        suspended.suspendedMilliseconds = 5_000;
+        suspended.request(new ReadStatus());
+        suspended.run();
+        assertThat(suspended.replies).containsExactly(NOT_RUN);
+        run(100);
+        assertThat(leader()).isSameAs(suspended);
+    }
+
     /** Blocks one replica in its sync while the others continue. */
     private void hang(DiskNode hanging) {
         hanging.disk.setSyncAction(synced -> {});
