Log the version under which a call is refused or read

Callers saw refusals with 401 or 404 and reads of the configuration that nobody could tell an older leader's answer, another reading and a slow change apart from: no line named the version that decided.

Cause: only applied and outdated versions were logged. Change: the leader logs each refusal with 401, 403 or 404 (call_refused), each read (configuration_read, rules_read) and each refused change with the version in force, its age by the time of day since its proposal, and the term and index of the log at which it decided. The log writes at most 20 lines of refused calls and 2 of reads a second; the counters count all. Answers that leave no more because a majority did not confirm the leader are told as answers_withheld.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/log/DecisionLog.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/log/DecisionLog.java
@@ -13,6 +13,14 @@
 public final class DecisionLog {
     private static final Logger LOGGER = Logger.getLogger(DecisionLog.class);
     private static final int MAXIMUM_LINES_PER_SECOND = 200;
+
+    /**
+     * Limits of events that callers cause. The lines that are left out differ from the written ones
+     * in the call alone, as a change of the version has its own line.
+     */
+    private static final Map<String, Integer> MAXIMUM_LINES_OF_CALLS =
+            Map.of("call_refused", 20, "configuration_read", 2, "rules_read", 2);
+
     private static final long WINDOW_MILLISECONDS = 1_000;
 
     private static final class Window {
@@ -38,7 +46,8 @@
             window.lines = 0;
         }
         window.lines++;
-        if (window.lines > MAXIMUM_LINES_PER_SECOND) {
+        if (window.lines
+                > MAXIMUM_LINES_OF_CALLS.getOrDefault(decision.event(), MAXIMUM_LINES_PER_SECOND)) {
             window.suppressed++;
             return;
         }
--- a/library/src/main/java/org/marjoramnotch/logic/cell/DutyOutput.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/DutyOutput.java
@@ -6,8 +6,10 @@
 import java.util.stream.Stream;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.leader.LogPosition;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.logic.replication.ReplicatedLog;
+import org.marjoramnotch.logic.replication.ReplicationStatus;
 import org.marjoramnotch.model.command.Command;
 import org.marjoramnotch.model.message.CellReply;
 import org.marjoramnotch.model.order.WorkerCall;
@@ -72,6 +74,12 @@
         heldCalls.add(call);
     }
 
+    @Override
+    public LogPosition position() {
+        ReplicationStatus status = log.status(clock.nowMilliseconds());
+        return new LogPosition(status.term(), status.commitIndex());
+    }
+
     @Override
     public void logDecision(DecisionLogEntry logEntry) {
         decisionLog.add(logEntry);
@@ -101,8 +109,14 @@
     /** Discards the held decisions and returns one reply to all requests that have none. */
     List<OutgoingReply> replyToAll(CellReply reply) {
         heldCalls.clear();
+        List<OutgoingReply> withheld = unconfirmed.takeAll();
+        if (!withheld.isEmpty()) {
+            logDecision(
+                    DecisionLogEntry.of("answers_withheld", "answers", withheld.size())
+                            .at(position()));
+        }
         Stream<RequestHandle> unsent =
-                Stream.concat(takeHeldReplies().stream(), unconfirmed.takeAll().stream())
+                Stream.concat(takeHeldReplies().stream(), withheld.stream())
                         .map(OutgoingReply::handle);
         return Stream.concat(unsent, unanswered.removeAll().stream())
                 .map(handle -> new OutgoingReply(handle, reply))
--- a/library/src/main/java/org/marjoramnotch/logic/cell/StandardLeaderDutyFactory.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/StandardLeaderDutyFactory.java
@@ -14,6 +14,7 @@
 import org.marjoramnotch.logic.placement.PlacementMetricsListener;
 import org.marjoramnotch.logic.placement.PlacementPolicy;
 import org.marjoramnotch.logic.placement.PlacementSettings;
+import org.marjoramnotch.logic.workflow.ConfigurationMetricsListener;
 import org.marjoramnotch.logic.workflow.WorkflowDuty;
 import org.marjoramnotch.model.identifier.TeamName;
 
@@ -64,7 +65,11 @@
                                         ledger.workflow(),
                                         workflowSettings.wallClock(),
                                         fencingToken,
-                                        termStartMilliseconds));
+                                        termStartMilliseconds,
+                                        metricsListener
+                                                .<ConfigurationMetricsListener>map(
+                                                        listener -> listener)
+                                                .orElse(ConfigurationMetricsListener.NONE)));
         Optional<LeaderDuty> observer =
                 metricsListener.map(
                         listener ->
--- a/library/src/main/java/org/marjoramnotch/logic/configuration/ConfigurationDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/configuration/ConfigurationDuty.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.apache.commons.codec.digest.DigestUtils;
+import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
@@ -44,6 +45,9 @@
         try {
             if (request instanceof ReadRules) {
                 output.reply(handle, new RulesAnswer(state.version(), state.text()));
+                output.logDecision(
+                        DecisionLogEntry.of("rules_read", "version", state.version())
+                                .at(output.position()));
             } else if (request instanceof ApplyRules apply) {
                 applyRules(handle, apply, output);
             } else {
@@ -56,6 +60,9 @@
             if (e.code() == ErrorCode.INVARIANT_VIOLATED) {
                 throw e;
             }
+            if (request instanceof ApplyRules apply) {
+                logRefusal(apply.request(), apply.expectedVersion(), e.code(), output);
+            }
             output.reply(handle, new Refused(e.refusal()));
         }
     }
@@ -107,6 +114,7 @@
         if (!(command instanceof ChangeConfiguration change)) {
             return;
         }
+        logResult(change, result, output);
         PendingChange pending = pendingChanges.get(change.request());
         if (pending != null && pending.matches(change)) {
             pendingChanges.remove(change.request());
@@ -115,6 +123,40 @@
         }
     }
 
+    private void logResult(ChangeConfiguration change, CommandResult result, LeaderOutput output) {
+        if (result instanceof CommandResult.Rejected rejected) {
+            ErrorCode code = rejected.refusal().code();
+            logRefusal(change.request(), change.expectedVersion(), code, output);
+        } else if (result instanceof CommandResult.ConfigurationAccepted accepted) {
+            output.logDecision(
+                    DecisionLogEntry.of(
+                                    "rules_in_force",
+                                    "version",
+                                    accepted.version(),
+                                    "in_force",
+                                    state.version(),
+                                    "request",
+                                    change.request())
+                            .at(output.position()));
+        }
+    }
+
+    private void logRefusal(
+            RequestId request, long expectedVersion, ErrorCode code, LeaderOutput output) {
+        output.logDecision(
+                DecisionLogEntry.of(
+                                "rules_refused",
+                                "reason",
+                                code,
+                                "request",
+                                request,
+                                "expected_version",
+                                expectedVersion,
+                                "in_force",
+                                state.version())
+                        .at(output.position()));
+    }
+
     private static CellReply reply(CommandResult result, String text) {
         if (result instanceof CommandResult.ConfigurationAccepted accepted) {
             return new RulesAnswer(accepted.version(), text);
--- a/library/src/main/java/org/marjoramnotch/logic/job/JobDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/job/JobDuty.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.marjoramnotch.logic.configuration.AuthorizationLog;
 import org.marjoramnotch.logic.configuration.ConfigurationView;
 import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
@@ -110,6 +111,7 @@
             if (exception.code() == ErrorCode.INVARIANT_VIOLATED) {
                 throw exception;
             }
+            AuthorizationLog.logRefusal(request, exception.code(), configuration, output);
             components.context.refuse(handle, exception.refusal());
         }
     }
--- a/library/src/main/java/org/marjoramnotch/logic/leader/LeaderOutput.java
+++ b/library/src/main/java/org/marjoramnotch/logic/leader/LeaderOutput.java
@@ -18,6 +18,11 @@
                 "This output cannot call workers; override call(WorkerCall).");
     }
 
+    /** Returns the position of the log on which the leader decides. */
+    default LogPosition position() {
+        return LogPosition.NONE;
+    }
+
     /** Writes a decision to the process's own log. */
     default void logDecision(DecisionLogEntry logEntry) {}
 }
--- a/library/src/main/java/org/marjoramnotch/logic/placement/RequestPlacer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/placement/RequestPlacer.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.configuration.AuthorizationLog;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.model.command.CommandResult;
@@ -73,6 +74,9 @@
         }
         RequestAdmission.Decision decision = admission.decide(nowMilliseconds, request);
         if (decision.reply().isPresent()) {
+            if (decision.reply().get() instanceof Refused refused) {
+                logRefusal(request, refused.refusal(), output);
+            }
             output.reply(handle, decision.reply().get());
             return;
         }
@@ -275,9 +279,14 @@
     private void refuse(WaitingRequest request, Refusal refusal, LeaderOutput output) {
         remove(request);
         context.metricsListener().onRefused(request.team(), refusal.code());
+        logRefusal(request.request(), refusal, output);
         output.reply(request.handle(), new Refused(refusal));
     }
 
+    private void logRefusal(PlaceRequest request, Refusal refusal, LeaderOutput output) {
+        AuthorizationLog.logRefusal(request, refusal.code(), context.configuration(), output);
+    }
+
     private void remove(WaitingRequest request) {
         waiting.remove(request.attempt());
         deadlines.remove(request);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/ConfigurationRequestHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/ConfigurationRequestHandler.java
@@ -1,7 +1,6 @@
 package org.marjoramnotch.logic.workflow;
 
 import org.jspecify.annotations.Nullable;
-import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.model.command.ReplaceConfiguration;
@@ -17,13 +16,16 @@
 final class ConfigurationRequestHandler {
     private final WorkflowLedger ledger;
     private final Clock wallClock;
+    private final ConfigurationLog log;
     private final PendingReplies<Long> pendingReplies = new PendingReplies<>();
     private @Nullable RouteTable routes;
     private long routesVersion;
 
-    ConfigurationRequestHandler(WorkflowLedger ledger, Clock wallClock) {
+    ConfigurationRequestHandler(
+            WorkflowLedger ledger, Clock wallClock, ConfigurationMetricsListener metricsListener) {
         this.ledger = ledger;
         this.wallClock = wallClock;
+        this.log = new ConfigurationLog(ledger, wallClock, metricsListener);
     }
 
     void apply(RequestHandle handle, ApplyConfiguration request, LeaderOutput output) {
@@ -31,8 +33,7 @@
         ConfigurationValidator.validate(configuration);
         long inForce = ledger.configuration().map(FleetConfiguration::version).orElse(-1L);
         if (configuration.version() <= inForce) {
-            output.logDecision(
-                    logEntry("configuration_outdated", configuration.version(), inForce));
+            log.logOutdated(configuration.version(), output);
             output.reply(handle, new Done());
             return;
         }
@@ -43,15 +44,20 @@
 
     void read(RequestHandle handle, LeaderOutput output) {
         output.reply(handle, new ConfigurationAnswer(requireConfiguration().document()));
+        log.logRead(output);
     }
 
     void onApplied(ReplaceConfiguration command, LeaderOutput output) {
         long version = command.configuration().version();
-        output.logDecision(
-                logEntry("configuration_in_force", version, requireConfiguration().version()));
+        log.logInForce(version, output);
         pendingReplies.answer(version, new Done(), output);
     }
 
+    /** Returns the log of the decisions that depend on the configuration. */
+    ConfigurationLog log() {
+        return log;
+    }
+
     /**
      * Returns the route table of the configuration in force.
      *
@@ -77,8 +83,4 @@
                                         ErrorCode.NO_LEADER,
                                         "No configuration has been applied yet; try again later."));
     }
-
-    private static DecisionLogEntry logEntry(String event, long version, long inForce) {
-        return DecisionLogEntry.of(event, "version", version, "in_force", inForce);
-    }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -73,17 +73,19 @@
      * @param wallClock the Unix time in milliseconds, for submission and due times
      * @param fencingToken higher than that of every earlier duty of the cell
      * @param nowMilliseconds when the duty starts, in the leader's time
+     * @param metricsListener receives the refusals that the configuration causes
      */
     public WorkflowDuty(
             WorkflowSettings settings,
             WorkflowLedger ledger,
             Clock wallClock,
             long fencingToken,
-            long nowMilliseconds) {
+            long nowMilliseconds,
+            ConfigurationMetricsListener metricsListener) {
         this.ledger = ledger;
         this.sessions = new WorkerSessions(settings, ledger, fencingToken, nowMilliseconds);
         this.advice = new AdviceBroker(fencingToken);
-        this.configuration = new ConfigurationRequestHandler(ledger, wallClock);
+        this.configuration = new ConfigurationRequestHandler(ledger, wallClock, metricsListener);
         Feasibility feasibility = new Feasibility(ledger);
         this.feasibilityCheck =
                 new FeasibilityCheck(
@@ -109,6 +111,7 @@
             if (refusal.code() == ErrorCode.INVARIANT_VIOLATED) {
                 throw refusal;
             }
+            configuration.log().logRefusal(request, refusal, output);
             output.reply(handle, new Refused(refusal.refusal()));
         }
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -42,6 +43,7 @@
 /** The replicated state of configuration, workers and workflows. */
 public final class WorkflowLedger {
     private @Nullable FleetConfiguration configuration;
+    private long configurationProposedEpochMilliseconds;
     private final Map<QueueName, QueueDefinition> queues = new HashMap<>();
     private final Map<TeamName, TeamDefinition> teams = new HashMap<>();
     private final Set<ServiceName> pools = new HashSet<>();
@@ -56,6 +58,7 @@
     public void restore(WorkflowSnapshot snapshot) {
         history.restore(snapshot.history());
         snapshot.configuration().ifPresent(this::activate);
+        configurationProposedEpochMilliseconds = snapshot.configurationProposedEpochMilliseconds();
         for (FleetWorker worker : snapshot.workers()) {
             history.record(worker);
             workers.put(worker.id(), new WorkerEntry(worker));
@@ -76,7 +79,8 @@
                 Optional.ofNullable(configuration),
                 workers.values().stream().map(WorkerEntry::worker).toList(),
                 workflows.values().stream().map(WorkflowEntry::snapshot).toList(),
-                history.snapshot());
+                history.snapshot(),
+                configurationProposedEpochMilliseconds);
     }
 
     /** Applies a command, with the same result on every replica. */
@@ -108,6 +112,16 @@
         return Optional.ofNullable(configuration);
     }
 
+    /**
+     * Returns when a leader proposed the configuration in force, in Unix time; empty if this is not
+     * known.
+     */
+    public OptionalLong configurationProposedEpochMilliseconds() {
+        return configurationProposedEpochMilliseconds == 0
+                ? OptionalLong.empty()
+                : OptionalLong.of(configurationProposedEpochMilliseconds);
+    }
+
     /** Returns a team of the configuration in force. */
     Optional<TeamDefinition> team(TeamName name) {
         return Optional.ofNullable(teams.get(name));
@@ -180,6 +194,7 @@
             history.recordMoves(queues, proposed, replace.proposedEpochMilliseconds());
         }
         activate(proposed);
+        configurationProposedEpochMilliseconds = replace.proposedEpochMilliseconds();
         for (WorkflowEntry entry : active.values()) {
             // A removed queue still applies to the workflows that it had accepted.
             entry.updateQueue(queues.getOrDefault(entry.queue().name(), entry.queue()));
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
@@ -182,6 +182,7 @@
                 && result instanceof CommandResult.Rejected rejected) {
             JobId id = submit.workflow().id();
             admission.onSettled(id);
+            configuration.log().logRefusal(submit.workflow(), rejected.refusal().code(), output);
             pendingSubmissions.answer(id, new Refused(rejected.refusal()), output);
         } else if (command instanceof SubmitWorkflow submit) {
             Workflow workflow = submit.workflow();
--- a/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowSnapshot.java
+++ b/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowSnapshot.java
@@ -14,15 +14,19 @@
  * @param workers the workers
  * @param workflows the workflows
  * @param history what the fleet could run at some time; absent in snapshots of earlier releases
+ * @param configurationProposedEpochMilliseconds when a leader proposed the configuration, in Unix
+ *     time; 0 if there is none, and in snapshots of earlier releases
  */
 public record WorkflowSnapshot(
         Optional<FleetConfiguration> configuration,
         List<FleetWorker> workers,
         List<WorkflowRecord> workflows,
-        FleetHistoryRecord history) {
+        FleetHistoryRecord history,
+        long configurationProposedEpochMilliseconds) {
     /** The state before the first command. */
     public static final WorkflowSnapshot EMPTY =
-            new WorkflowSnapshot(Optional.empty(), List.of(), List.of(), FleetHistoryRecord.EMPTY);
+            new WorkflowSnapshot(
+                    Optional.empty(), List.of(), List.of(), FleetHistoryRecord.EMPTY, 0);
 
     /** Replaces the absent history in a snapshot of an earlier release by an empty one. */
     public WorkflowSnapshot {
--- a/library/src/test/java/org/marjoramnotch/logic/cell/CellLeadershipTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/CellLeadershipTest.java
@@ -4,13 +4,10 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.marjoramnotch.logic.job.JobSettings;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.RequestHandle;
-import org.marjoramnotch.logic.placement.PlacementSettings;
 import org.marjoramnotch.model.identifier.RequestId;
 import org.marjoramnotch.model.message.ApplyRules;
 import org.marjoramnotch.model.message.CellReply;
@@ -29,15 +26,7 @@
     private static final CellReply NO_LEADER = NotLeader.notProcessed(Optional.empty());
 
     private final ScriptedLog log = new ScriptedLog();
-    private final CellCore core =
-            new CellCore(
-                    new CellSettings(100),
-                    log,
-                    new ReferenceCodec(),
-                    new StandardLeaderDutyFactory(
-                            PlacementSettings.defaults(),
-                            JobSettings.defaults(),
-                            RandomSource.XO_RO_SHI_RO_128_PP.create(1)));
+    private final CellCore core = log.newCore();
 
     @BeforeEach
     void lead() {
--- a/library/src/test/java/org/marjoramnotch/logic/cell/ScriptedLog.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/ScriptedLog.java
@@ -4,6 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.apache.commons.rng.simple.RandomSource;
+import org.marjoramnotch.logic.job.JobSettings;
+import org.marjoramnotch.logic.placement.PlacementSettings;
 import org.marjoramnotch.logic.replication.ReplicatedLog;
 import org.marjoramnotch.logic.replication.ReplicationEffects;
 import org.marjoramnotch.logic.replication.ReplicationEffects.CommittedEntry;
@@ -31,6 +34,18 @@
 
     private long lastIndex;
 
+    /** Returns a core on this log with the standard duties. */
+    CellCore newCore() {
+        return new CellCore(
+                new CellSettings(100),
+                this,
+                new ReferenceCodec(),
+                new StandardLeaderDutyFactory(
+                        PlacementSettings.defaults(),
+                        JobSettings.defaults(),
+                        RandomSource.XO_RO_SHI_RO_128_PP.create(1)));
+    }
+
     /** Returns all proposals as committed in the next effects. */
     void commitAll() {
         committed.addAll(proposals);
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
@@ -166,7 +166,8 @@
                         ledger,
                         () -> EPOCH + now,
                         dutyNumber,
-                        now);
+                        now,
+                        ConfigurationMetricsListener.NONE);
     }
 
     void addWorker(String name, Resources capacity) {
