Log and measure which configuration each replica holds

Only the leader told a version, so that a lost version, a replica that was set aside and one that was merely behind looked the same.

New gauges: versions in force and applied index; histograms: age of a version when a replica applied it, and when a call was refused under it.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
@@ -15,6 +15,7 @@
 import org.marjoramnotch.daemon.duty.Duty;
 import org.marjoramnotch.daemon.duty.DutyInputQueue;
 import org.marjoramnotch.daemon.duty.OrderPort;
+import org.marjoramnotch.daemon.duty.ReplicaObserver;
 import org.marjoramnotch.daemon.duty.SuspensionDetector;
 import org.marjoramnotch.daemon.link.LocalReplica;
 import org.marjoramnotch.daemon.log.LogEvent;
@@ -108,6 +109,7 @@
                         output,
                         call -> orders.send(call, outcome -> onCallOutcome(call, outcome)),
                         decisionListener,
+                        new ReplicaObserver(decisionListener, metrics, System::currentTimeMillis),
                         clock,
                         new SuspensionDetector(clock, System::currentTimeMillis)),
                 clock,
@@ -116,6 +118,7 @@
     }
 
     private CellCore startCore(RecoveredState stored, long coreStartedMilliseconds, long now) {
+        RecoveredStateLog.write(self, stored);
         DaemonLimits limits = settings.limits();
         Replica replica =
                 new Replica(
--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/CellDuty.java
@@ -9,6 +9,7 @@
 import org.marjoramnotch.daemon.log.LogRateLimiter;
 import org.marjoramnotch.logic.cell.CellCore;
 import org.marjoramnotch.logic.cell.CellEffects;
+import org.marjoramnotch.logic.cell.HeldConfigurationDetector.Cause;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.model.error.MarjoramnotchException;
 import org.marjoramnotch.model.identifier.ReplicaId;
@@ -44,6 +45,7 @@
     private final SubstituteReplies substituteReplies;
     private final Consumer<WorkerCall> orders;
     private final Consumer<DecisionLogEntry> decisionListener;
+    private final ReplicaObserver observer;
     private final Clock clock;
     private final SuspensionDetector suspensions;
     private final LogRateLimiter slowBatchLogs;
@@ -60,6 +62,7 @@
      * @param storage stores the writes of the core
      * @param orders sends calls to workers
      * @param decisionListener receives the decisions to be logged
+     * @param observer observes what the core has applied
      * @param clock measures how long a sync takes
      * @param suspensions detects that the clock stood still
      */
@@ -70,6 +73,7 @@
             CellOutput output,
             Consumer<WorkerCall> orders,
             Consumer<DecisionLogEntry> decisionListener,
+            ReplicaObserver observer,
             Clock clock,
             SuspensionDetector suspensions) {
         this.self = self;
@@ -79,9 +83,11 @@
         this.substituteReplies = new SubstituteReplies(output);
         this.orders = orders;
         this.decisionListener = decisionListener;
+        this.observer = observer;
         this.clock = clock;
         this.suspensions = suspensions;
         this.slowBatchLogs = new LogRateLimiter(clock, SLOW_BATCH_LOG_INTERVAL_MILLISECONDS);
+        observer.onStart(clock.nowMilliseconds(), core, Cause.START);
     }
 
     @Override
@@ -171,6 +177,7 @@
             effects.replies().forEach(substituteReplies::sendAsUnknown);
         }
         effects.decisionLog().forEach(decisionListener);
+        observer.onBatchEnd(after, core);
     }
 
     @Override
@@ -180,8 +187,8 @@
 
     /** Logs a batch during which no message of the group was handled for long. */
     private void logIfSlow(long begun, long handled, long stored) {
-        long applied = core.appliedIndex() - loggedAppliedIndex;
-        loggedAppliedIndex = core.appliedIndex();
+        long applied = core.appliedState().index() - loggedAppliedIndex;
+        loggedAppliedIndex = core.appliedState().index();
         if (stored - begun >= SLOW_BATCH_MILLISECONDS) {
             slowBatchLogs
                     .tryAcquire()
@@ -209,8 +216,9 @@
 
     private void restartCore(long nowMilliseconds, CellCore newCore) {
         core = newCore;
-        loggedAppliedIndex = newCore.appliedIndex();
+        loggedAppliedIndex = newCore.appliedState().index();
         outage = null;
+        observer.onStart(nowMilliseconds, newCore, Cause.DISK_OUTAGE);
         if (contacts != null) {
             core.setJoinContacts(contacts);
         }
@@ -228,6 +236,7 @@
         }
         if (outage == null) {
             core.tick(nowMilliseconds);
+            observer.onTick(nowMilliseconds, core);
         }
         output.tick(nowMilliseconds);
     }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/metrics/DaemonMetrics.java
@@ -81,6 +81,13 @@
                     .labelNames("event", "result")
                     .register(registry);
 
+    private final Counter refusedConfigurations =
+            Counter.builder()
+                    .name("marjoramnotch_refused_configurations")
+                    .help("Documents of a configuration that were refused when they were read.")
+                    .labelNames("code")
+                    .register(registry);
+
     private final LeaderMetrics leader = new LeaderMetrics(registry);
 
     private final ReplicaMetrics replica = new ReplicaMetrics(registry);
@@ -111,6 +118,11 @@
         refusals.labelValues(code.name()).inc();
     }
 
+    /** Counts a document of a configuration that was refused. */
+    public void countRefusedConfiguration(ErrorCode code) {
+        refusedConfigurations.labelValues(code.name()).inc();
+    }
+
     /** Counts an event. */
     public void count(CountedEvent event) {
         events.labelValues(event.label()).inc();
--- a/daemon/src/main/java/org/marjoramnotch/daemon/metrics/LeaderMetrics.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/metrics/LeaderMetrics.java
@@ -32,6 +32,7 @@
     private final Histogram waiting;
     private final Histogram running;
     private final Counter refusals;
+    private final Histogram refusedVersionAge;
     private final ReplicaGauges gauges;
 
     LeaderMetrics(PrometheusRegistry registry) {
@@ -52,6 +53,16 @@
                         .help("Requests of known teams that the leader refused.")
                         .labelNames("team", "code")
                         .register(registry);
+        refusedVersionAge =
+                Histogram.builder()
+                        .name("marjoramnotch_call_refused_version_age_seconds")
+                        .help(
+                                "Age of the configuration under which a call was refused, from its"
+                                        + " proposal by the clock of its leader.")
+                        .labelNames("code")
+                        .classicOnly()
+                        .classicUpperBounds(ReplicaMetrics.AGE_BOUNDS_SECONDS)
+                        .register(registry);
         gauges = new ReplicaGauges(registry);
     }
 
@@ -95,6 +106,13 @@
         refusals.labelValues(label(team), code.name()).inc();
     }
 
+    @Override
+    public void onCallRefused(ErrorCode code, long versionAgeMilliseconds) {
+        refusedVersionAge
+                .labelValues(code.name())
+                .observe(versionAgeMilliseconds / MILLISECONDS_PER_SECOND);
+    }
+
     @Override
     public void onRunStarted(TeamName team, QueuePolicy policy, long waitedMilliseconds) {
         observe(waiting, team, label(policy), waitedMilliseconds);
--- a/daemon/src/main/java/org/marjoramnotch/daemon/metrics/ReplicaMetrics.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/metrics/ReplicaMetrics.java
@@ -1,9 +1,14 @@
 package org.marjoramnotch.daemon.metrics;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
+import org.marjoramnotch.logic.cell.AppliedState;
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.WorkerCall;
 
@@ -14,8 +19,13 @@
         0.001, 0.005, 0.025, 0.1, 0.25, 0.5, 1, 2.5, 10
     };
 
+    /** Also bound the ages at which calls are refused. */
+    static final double[] AGE_BOUNDS_SECONDS = {0.1, 0.25, 0.5, 1, 2.5, 5, 10, 60, 600};
+
     private final Histogram inputDelay;
+    private final Histogram configurationAge;
     private final Counter calls;
+    private volatile Optional<AppliedState> appliedState = Optional.empty();
 
     ReplicaMetrics(PrometheusRegistry registry) {
         inputDelay =
@@ -27,6 +37,31 @@
                         .classicOnly()
                         .classicUpperBounds(BUCKET_BOUNDS_SECONDS)
                         .register(registry);
+        configurationAge =
+                Histogram.builder()
+                        .name("marjoramnotch_configuration_apply_age_seconds")
+                        .help(
+                                "Time from the proposal of a configuration, by the clock of its"
+                                        + " leader, until it was in force at this replica, by the"
+                                        + " clock here.")
+                        .classicOnly()
+                        .classicUpperBounds(AGE_BOUNDS_SECONDS)
+                        .register(registry);
+        registerGauge(
+                registry,
+                "configuration_version",
+                "Version of the configuration in force at this replica.",
+                AppliedState::configurationVersion);
+        registerGauge(
+                registry,
+                "rules_version",
+                "Version of the rules in force at this replica.",
+                state -> OptionalLong.of(state.rulesVersion()));
+        registerGauge(
+                registry,
+                "applied_index",
+                "Last position of the log that this replica has applied.",
+                state -> OptionalLong.of(state.index()));
         calls =
                 Counter.builder()
                         .name("marjoramnotch_worker_calls")
@@ -35,6 +70,32 @@
                         .register(registry);
     }
 
+    private void registerGauge(
+            PrometheusRegistry registry,
+            String name,
+            String help,
+            Function<AppliedState, OptionalLong> value) {
+        GaugeWithCallback.builder()
+                .name("marjoramnotch_" + name)
+                .help(help)
+                .callback(
+                        callback ->
+                                appliedState
+                                        .map(value)
+                                        .ifPresent(known -> known.ifPresent(callback::call)))
+                .register(registry);
+    }
+
+    /** Sets what the replica has applied. */
+    public void setAppliedState(AppliedState latest) {
+        appliedState = Optional.of(latest);
+    }
+
+    /** Records the age of a configuration when the replica applied it. */
+    public void recordConfigurationAge(long milliseconds) {
+        configurationAge.observe(milliseconds / MILLISECONDS_PER_SECOND);
+    }
+
     /** Records how long an input waited. */
     public void recordInputDelay(long milliseconds) {
         inputDelay.observe(milliseconds / MILLISECONDS_PER_SECOND);
--- a/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
+import org.marjoramnotch.logic.cell.AppliedState;
 import org.marjoramnotch.logic.cell.CellMetrics;
 import org.marjoramnotch.logic.cell.TeamMetrics;
 import org.marjoramnotch.logic.job.ResourceUtilization;
@@ -116,6 +117,27 @@
                         "marjoramnotch_replica_input_delay_seconds_bucket{le=\"0.1\"} 1");
     }
 
+    @Test
+    void configurationIsMeasuredAtTheReplicaAndAtRefusals() {
+        metrics.replica()
+                .setAppliedState(
+                        new AppliedState(70, 0, OptionalLong.of(12), OptionalLong.of(1_000), 4));
+        metrics.replica().recordConfigurationAge(30);
+        metrics.countRefusedConfiguration(ErrorCode.INVALID_RULES);
+        leader.onCallRefused(ErrorCode.KEY_REFUSED, 700);
+        String age = "marjoramnotch_call_refused_version_age_seconds_bucket{code=\"KEY_REFUSED\",";
+
+        assertThat(text())
+                .contains(
+                        "marjoramnotch_configuration_version 12.0",
+                        "marjoramnotch_rules_version 4.0",
+                        "marjoramnotch_applied_index 70.0",
+                        "marjoramnotch_configuration_apply_age_seconds_bucket{le=\"0.1\"} 1",
+                        "marjoramnotch_refused_configurations_total{code=\"INVALID_RULES\"} 1",
+                        age + "le=\"0.5\"} 0",
+                        age + "le=\"1.0\"} 1");
+    }
+
     @Test
     void timesAreRecordedForEachTeamAndClass() {
         leader.onGranted(TEAM, true, 20);
@@ -189,6 +211,7 @@
     @Test
     void operationsPageListsExactlyTheExportedMetrics() throws IOException {
         timesAreRecordedForEachTeamAndClass();
+        configurationIsMeasuredAtTheReplicaAndAtRefusals();
         metrics.countDecision(DecisionLogEntry.of("worker_dismissed", "worker", "w-1"));
         metrics.recordCellRequest(new ReadConfiguration(), new Done(), 30);
         callsToWorkersAreCountedByKindAndOutcome();
--- a/daemon/src/test/java/org/marjoramnotch/daemon/storage/DiskNode.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/storage/DiskNode.java
@@ -12,13 +12,16 @@
 import org.marjoramnotch.daemon.duty.CellDuty;
 import org.marjoramnotch.daemon.duty.CellInput;
 import org.marjoramnotch.daemon.duty.CellOutput;
+import org.marjoramnotch.daemon.duty.ReplicaObserver;
 import org.marjoramnotch.daemon.duty.SuspensionDetector;
+import org.marjoramnotch.daemon.metrics.DaemonMetrics;
 import org.marjoramnotch.logic.cell.CellCore;
 import org.marjoramnotch.logic.cell.CellSettings;
 import org.marjoramnotch.logic.cell.OutgoingReply;
 import org.marjoramnotch.logic.cell.StandardLeaderDutyFactory;
 import org.marjoramnotch.logic.cell.WorkflowDutySettings;
 import org.marjoramnotch.logic.job.JobSettings;
+import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.logic.placement.PlacementSettings;
 import org.marjoramnotch.logic.replication.RecoveredState;
@@ -41,6 +44,7 @@
     final Deque<CellInput> inputs = new ArrayDeque<>();
     final List<ReplicationEnvelope> sent = new ArrayList<>();
     final List<CellReply> replies = new ArrayList<>();
+    final List<DecisionLogEntry> decisions = new ArrayList<>();
     final ReplicaId self;
     private final DiskGroupSettings settings;
     private final Clock clock;
@@ -64,7 +68,8 @@
                         new CellStore(storage, this::create),
                         this,
                         call -> {},
-                        note -> {},
+                        decisions::add,
+                        new ReplicaObserver(decisions::add, new DaemonMetrics().replica(), clock),
                         clock,
                         new SuspensionDetector(clock, clock));
     }
--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -192,9 +192,9 @@
         return log.status(nowMilliseconds);
     }
 
-    /** Returns the index of the last applied entry. */
-    public long appliedIndex() {
-        return applier.appliedIndex();
+    /** Returns which entries and versions are applied. */
+    public AppliedState appliedState() {
+        return applier.appliedState();
     }
 
     /** Returns whether committed entries wait for the next batch to be applied. */
--- a/library/src/main/java/org/marjoramnotch/logic/cell/LogApplier.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/LogApplier.java
@@ -32,6 +32,7 @@
     private final Deque<CommittedEntry> unapplied = new ArrayDeque<>();
     private Ledger ledger = new Ledger();
     private long appliedIndex;
+    private long restoredIndex;
     private int remainingInBatch = MAXIMUM_ENTRIES_PER_BATCH;
 
     LogApplier(PayloadCodec codec, CompactionSchedule compaction, PendingProposals proposals) {
@@ -49,6 +50,11 @@
         return appliedIndex;
     }
 
+    /** Returns which entries and versions are applied. */
+    AppliedState appliedState() {
+        return AppliedState.of(ledger, appliedIndex, restoredIndex);
+    }
+
     /** Returns whether committed entries wait for the next batch. */
     boolean hasUnapplied() {
         return !unapplied.isEmpty();
@@ -98,6 +104,7 @@
         unapplied.clear();
         ledger = Ledger.restore(codec.decodeSnapshot(restored.state()));
         appliedIndex = restored.index();
+        restoredIndex = restored.index();
         compaction.onSnapshot(restored.index());
     }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/cell/LogReplayTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/LogReplayTest.java
@@ -119,7 +119,7 @@
                 return;
             }
             inbox.removeAll(arrived);
-            long appliedBefore = core.appliedIndex();
+            long appliedBefore = core.appliedState().index();
             if (due) {
                 core.tick(now);
                 nextTickAt = now + TICK_MILLISECONDS;
@@ -128,7 +128,7 @@
                     delivery -> core.receive(now, delivery.from(), delivery.message().message()));
             core.endBatch(now);
             CellEffects effects = core.takeEffects(now);
-            busyUntil = now + (core.appliedIndex() - appliedBefore) * APPLY_MILLISECONDS;
+            busyUntil = now + (core.appliedState().index() - appliedBefore) * APPLY_MILLISECONDS;
             effects.messages().forEach(this::send);
             effects.decisionLog().stream()
                     .map(entry -> entry.event())
