Store the founding entry before the identity of a founder

Callers saw: replicas that were killed in the first second of the first start never took a configuration again.

Cause, the first of two: the identity "founder" was stored when the data folder was opened, and the entry that names the founders once the duty of the replica ran. A process that was killed between the two is started with foundsGroup false and had a founder's identity, no group and an empty log, so that it neither voted nor stood for election.

Change: the first writes of a data folder are stored before its identity, and for a founder these are term, group and founding entry. The entry names the seeds of the first start, whatever the settings say later.

Tests: FileReplicaStorageTest.identityOfFounderImpliesItsFoundingEntry; the log was empty after such a start before, as nothing could be given to open. This change alone was not measured with real processes.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
@@ -31,6 +31,7 @@
 import org.marjoramnotch.logic.cell.CellSettings;
 import org.marjoramnotch.logic.cell.LeaderDutyFactory;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
+import org.marjoramnotch.logic.replication.FoundingEntry;
 import org.marjoramnotch.logic.replication.MembershipPolicy;
 import org.marjoramnotch.logic.replication.RecoveredState;
 import org.marjoramnotch.logic.replication.Replica;
@@ -124,9 +125,6 @@
                         RandomSources.create(),
                         coreStartedMilliseconds,
                         now);
-        if (isFounder(settings) && self.identity().equals(FOUNDER_IDENTITY)) {
-            replica.foundGroup(founders());
-        }
         return new CellCore(
                 new CellSettings(limits.snapshotEveryEntries()),
                 replica,
@@ -202,7 +200,10 @@
         try {
             FileReplicaStorage storage =
                     isFounder(settings)
-                            ? FileReplicaStorage.open(dataFolder, FOUNDER_IDENTITY)
+                            ? FileReplicaStorage.open(
+                                    dataFolder,
+                                    FOUNDER_IDENTITY,
+                                    FoundingEntry.writes(founders(settings)))
                             : FileReplicaStorage.open(dataFolder);
             return recover(storage);
         } catch (MarjoramnotchException damage) {
@@ -234,7 +235,7 @@
                         .anyMatch(replica -> replica.vm().equals(settings.vm()));
     }
 
-    private List<ReplicaId> founders() {
+    private static List<ReplicaId> founders(DaemonSettings settings) {
         return settings.replicas().stream()
                 .map(replica -> new ReplicaId(replica.vm(), FOUNDER_IDENTITY))
                 .toList();
--- a/daemon/src/main/java/org/marjoramnotch/daemon/storage/FileReplicaStorage.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/storage/FileReplicaStorage.java
@@ -35,9 +35,11 @@
     private @Nullable LogSegment log;
     private boolean failed;
 
-    private FileReplicaStorage(StorageFolder folder, String newIdentity) throws IOException {
+    private FileReplicaStorage(
+            StorageFolder folder, String newIdentity, List<StorageWrite> firstWrites)
+            throws IOException {
         this.folder = folder;
-        this.identity = IdentityFile.readOrCreate(folder, codec, newIdentity);
+        this.identity = IdentityFile.readOrCreate(folder, codec, newIdentity, firstWrites);
     }
 
     /**
@@ -47,25 +49,32 @@
      *     if it cannot be used or another process uses it
      */
     public static FileReplicaStorage open(Path path) {
-        return open(path, UUID.randomUUID().toString());
+        return open(path, UUID.randomUUID().toString(), List.of());
     }
 
     /**
-     * Opens a data folder, and creates it with the given identity if it is missing or empty.
+     * Opens a data folder, and creates it with the given identity and first writes if it is missing
+     * or empty. The identity is stored last, so that it is never without the first writes.
      *
      * @throws org.marjoramnotch.model.error.MarjoramnotchException with code {@code STORAGE_FAILED}
      *     if it cannot be used or another process uses it
      */
-    public static FileReplicaStorage open(Path path, String newIdentity) {
-        return open(path, newIdentity, FileChannel::open);
+    public static FileReplicaStorage open(
+            Path path, String newIdentity, List<StorageWrite> firstWrites) {
+        return open(path, newIdentity, firstWrites, FileChannel::open);
     }
 
     /** Opens a data folder with the given file opener, by which tests can inject faults. */
     public static FileReplicaStorage open(Path path, String newIdentity, FileOpener files) {
+        return open(path, newIdentity, List.of(), files);
+    }
+
+    private static FileReplicaStorage open(
+            Path path, String newIdentity, List<StorageWrite> firstWrites, FileOpener files) {
         try {
             StorageFolder folder = StorageFolder.open(path, files);
             try {
-                return new FileReplicaStorage(folder, newIdentity);
+                return new FileReplicaStorage(folder, newIdentity, firstWrites);
             } catch (IOException | MarjoramnotchException e) {
                 folder.close();
                 throw e;
--- a/daemon/src/main/java/org/marjoramnotch/daemon/storage/IdentityFile.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/storage/IdentityFile.java
@@ -5,6 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import org.marjoramnotch.logic.replication.StorageWrite;
 
 /** The file that holds the identity of the replica, which is drawn with the data folder. */
 final class IdentityFile {
@@ -12,9 +14,13 @@
 
     /**
      * Reads the identity or creates it. The first log is created before the identity, so that a log
-     * that is missing later indicates damage.
+     * that is missing later indicates damage, and an identity is never without its first writes.
      */
-    static String readOrCreate(StorageFolder folder, StorageCodec codec, String newIdentity)
+    static String readOrCreate(
+            StorageFolder folder,
+            StorageCodec codec,
+            String newIdentity,
+            List<StorageWrite> firstWrites)
             throws IOException {
         Path path = folder.identity();
         if (Files.exists(path)) {
@@ -27,7 +33,11 @@
         if (folder.latestSnapshot().isPresent()) {
             throw StorageErrors.damaged(path, "the file is missing");
         }
-        LogSegment.create(folder.opener(), folder.log(0), codec).close();
+        try (LogSegment log = LogSegment.create(folder.opener(), folder.log(0), codec)) {
+            if (!firstWrites.isEmpty()) {
+                log.append(new StoredBatch(firstWrites));
+            }
+        }
         ByteBuffer content =
                 ByteBuffer.wrap((newIdentity + "\n").getBytes(StandardCharsets.US_ASCII));
         folder.writeAtomically(
--- a/daemon/src/test/java/org/marjoramnotch/daemon/storage/FileReplicaStorageTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/storage/FileReplicaStorageTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.marjoramnotch.logic.replication.FoundingEntry;
 import org.marjoramnotch.logic.replication.HardState;
 import org.marjoramnotch.logic.replication.RecoveredState;
 import org.marjoramnotch.logic.replication.StorageWrite;
@@ -35,6 +36,8 @@
     private static final Snapshot SNAPSHOT =
             new Snapshot(2, 3, MEMBERSHIP, "state".getBytes(StandardCharsets.UTF_8));
 
+    private static final List<StorageWrite> FOUNDING = FoundingEntry.writes(List.of(SELF));
+
     @TempDir private Path folder;
 
     @Test
@@ -137,6 +140,25 @@
         assertThat(openAndClose()).isEqualTo(identity);
     }
 
+    /** Guards against a founder that ends before it has stored that it is one. */
+    @Test
+    void identityOfFounderImpliesItsFoundingEntry() {
+        FileReplicaStorage.open(folder, SELF.identity(), FOUNDING).close();
+        try (FileReplicaStorage restarted = FileReplicaStorage.open(folder)) {
+            RecoveredState recovered = restarted.recover();
+            assertThat(restarted.identity()).isEqualTo(SELF.identity());
+            assertThat(recovered.entries()).hasSize(1);
+            assertThat(recovered.hardState().group()).isPresent();
+        }
+    }
+
+    @Test
+    void firstWritesWithoutIdentityAreDropped() throws IOException {
+        FileReplicaStorage.open(folder, SELF.identity(), FOUNDING).close();
+        Files.delete(folder.resolve("identity"));
+        assertRecovered(RecoveredState.empty());
+    }
+
     @Test
     void secondProcessIsRefused() {
         try (FileReplicaStorage first = FileReplicaStorage.open(folder)) {
