Found the group anew by seeds that attest that they hold no entry

Callers saw: with two or all four replicas killed in the first second of the first start, disks kept, no configuration was ever taken.

Cause, the second of two: a founder that is killed before it has stored its identity is started with foundsGroup false and draws a new one, as after the loss of its disk. With fewer founders left than a quorum no leader is elected, and only a leader lets replicas join.

Change: while the first seed by name holds no entry of a leader and hears none, it probes all seeds in rounds. If the same identities of all seeds attest in two rounds, the second begun after the first, it stores a founding entry of them and announces it. This needs a quorum larger than the losses that are tolerated; with two losses and three seeds nothing changes. Blank founders no longer tell others that a group lives, and drop their entry for a group that holds entries. Three new messages, sent only while there is no group; the line group_founding tells each decision.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
@@ -125,6 +125,13 @@
                         RandomSources.create(),
                         coreStartedMilliseconds,
                         now);
+        replica.setFoundingListener(
+                (decision, group) ->
+                        LogEvent.of("group_founding")
+                                .with("decision", decision)
+                                .with("group", group)
+                                .with("seeds", settings.replicas().size())
+                                .info(LOGGER));
         return new CellCore(
                 new CellSettings(limits.snapshotEveryEntries()),
                 replica,
--- a/library/src/main/java/org/marjoramnotch/logic/replication/JoinProtocol.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/JoinProtocol.java
@@ -18,12 +18,14 @@
  */
 final class JoinProtocol {
     private final ReplicaState state;
+    private final Foundation foundation;
     private Set<VmId> configuredContacts;
     private Optional<VmId> lastReplyingVm = Optional.empty();
     private long nextSendMilliseconds;
 
-    JoinProtocol(ReplicaState state) {
+    JoinProtocol(ReplicaState state, Foundation foundation) {
         this.state = state;
+        this.foundation = foundation;
         this.nextSendMilliseconds = state.now();
         this.configuredContacts = state.settings().replicaVms();
     }
@@ -73,7 +75,10 @@
                 .ifPresentOrElse(
                         leadership -> leadership.changes().onJoinRequest(request.replica()),
                         () -> forwardToLeader(from, request));
-        state.send(from, new JoinReply(state.group()));
+        // The group of a blank founder may never elect a leader.
+        if (!foundation.isBlank()) {
+            state.send(from, new JoinReply(state.group()));
+        }
     }
 
     /** Forwards a request to the leader, which a VM with an empty disk may not know. */
@@ -88,6 +93,8 @@
         lastReplyingVm = Optional.of(from.vm());
         if (state.hardState().group().isEmpty()) {
             state.joinGroup(reply.group());
+        } else if (foundation.isBlank() && !state.group().equals(reply.group())) {
+            foundation.giveUpFor(reply.group());
         }
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/replication/MembershipPolicy.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/MembershipPolicy.java
@@ -32,6 +32,11 @@
         return new MembershipPolicy(true, voters, voters, replaceAfterMilliseconds);
     }
 
+    /** Returns how many voters may be lost at once. */
+    int tolerableLosses() {
+        return (minimumVoters - 1) / 2;
+    }
+
     /** Returns whether every majority of the voters keeps a member after the tolerable losses. */
     boolean toleratesLosses(Membership membership) {
         return membership.voters().size() >= minimumVoters;
--- a/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/Replica.java
@@ -1,6 +1,5 @@
 package org.marjoramnotch.logic.replication;
 
-import java.util.Collections;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -12,6 +11,7 @@
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.replication.AppendEntries;
 import org.marjoramnotch.model.replication.FollowerReply;
+import org.marjoramnotch.model.replication.FoundingMessage;
 import org.marjoramnotch.model.replication.JoinReply;
 import org.marjoramnotch.model.replication.JoinRequest;
 import org.marjoramnotch.model.replication.LogEntry;
@@ -31,12 +31,12 @@
  * time would shorten the period in which votes are refused, on which the leader lease relies.
  */
 public final class Replica implements ReplicatedLog {
-    private static final long FOUNDING_TERM = 1;
-
     private final ReplicaState state;
     private final Election election;
     private final LogReceiver receiver;
+    private final Foundation foundation;
     private final JoinProtocol joinProtocol;
+    private final FoundingProtocol foundingProtocol;
     private long deliveredIndex;
 
     /**
@@ -76,7 +76,9 @@
                         settings, recovered, random, processStartMilliseconds, nowMilliseconds);
         election = new Election(state);
         receiver = new LogReceiver(state);
-        joinProtocol = new JoinProtocol(state);
+        foundation = new Foundation(state);
+        joinProtocol = new JoinProtocol(state, foundation);
+        foundingProtocol = new FoundingProtocol(state, foundation, random);
     }
 
     /**
@@ -86,19 +88,22 @@
      */
     public void foundGroup(List<ReplicaId> founders) {
         if (state.group().isEmpty() && state.log().lastIndex() == 0) {
-            Membership membership = Membership.foundedBy(founders);
-            state.becomeFollower(FOUNDING_TERM, null);
-            state.log().append(LogEntry.membership(1, FOUNDING_TERM, membership));
-            state.joinGroup(membership.group());
+            foundation.take(Membership.foundedBy(founders));
         }
     }
 
+    /** Sets the listener of decisions about the founding of a group. */
+    public void setFoundingListener(FoundingListener listener) {
+        foundation.setListener(listener);
+    }
+
     @Override
     public void tick(long nowMilliseconds) {
         state.advanceClock(nowMilliseconds);
         state.leadership().ifPresent(Leadership::tick);
         election.tick();
         joinProtocol.tick();
+        foundingProtocol.tick();
     }
 
     @Override
@@ -126,6 +131,8 @@
             joinProtocol.onRequest(from, request);
         } else if (message instanceof JoinReply reply) {
             joinProtocol.onReply(from, reply);
+        } else if (message instanceof FoundingMessage founding) {
+            foundingProtocol.receive(from, founding);
         } else if (message instanceof FollowerReply reply) {
             receiveReply(from, reply);
         }
@@ -148,7 +155,7 @@
                     "A group already exists, and this replica joins it automatically; read the"
                             + " status of the group instead.");
         }
-        requireFirstVm();
+        foundation.requireFirstVm();
         Membership membership = Membership.formedBy(state.self());
         state.log().append(LogEntry.membership(1, 0, membership));
         state.joinGroup(membership.group());
@@ -165,6 +172,7 @@
     @Override
     public void setJoinContacts(Set<VmId> contacts) {
         joinProtocol.setJoinContacts(contacts);
+        foundingProtocol.setSeeds(contacts);
     }
 
     @Override
@@ -262,18 +270,6 @@
         }
     }
 
-    /** Allows only one VM to form a group, so that two operators cannot form two groups at once. */
-    private void requireFirstVm() {
-        VmId first = Collections.min(state.settings().replicaVms());
-        if (!first.equals(state.self().vm())) {
-            throw new MarjoramnotchException(
-                    ErrorCode.GROUP_STATE,
-                    "Only the first replica VM by name, "
-                            + first
-                            + ", may form the group; send the request there.");
-        }
-    }
-
     private Leadership requireLeadership() {
         return state.leadership()
                 .orElseThrow(
--- a/library/src/main/java/org/marjoramnotch/logic/replication/ReplicaState.java
+++ b/library/src/main/java/org/marjoramnotch/logic/replication/ReplicaState.java
@@ -40,8 +40,8 @@
         recovered
                 .snapshot()
                 .ifPresent(snapshot -> effects.restore(snapshot.index(), snapshot.state()));
-        if (membership().exists()) {
-            joinGroup(membership().group());
+        if (membership().exists() && !group().equals(membership().group())) {
+            moveToGroup(membership().group());
         }
         timer.start(processStart, now, voterPosition());
     }
@@ -203,6 +203,11 @@
         }
     }
 
+    /** Takes the group of a new first entry, or of a leader that a blank replica is to follow. */
+    void moveToGroup(String group) {
+        setHardState(hardState.withGroup(group));
+    }
+
     /**
      * Commits the entries up to an index, which a quorum has stored, and hands their payloads to
      * the host.
--- a/library/src/main/java/org/marjoramnotch/model/replication/ReplicationMessage.java
+++ b/library/src/main/java/org/marjoramnotch/model/replication/ReplicationMessage.java
@@ -15,7 +15,10 @@
     @JsonSubTypes.Type(value = SnapshotChunkReply.class, name = "snapshot-chunk-reply"),
     @JsonSubTypes.Type(value = TimeoutNow.class, name = "timeout-now"),
     @JsonSubTypes.Type(value = JoinRequest.class, name = "join-request"),
-    @JsonSubTypes.Type(value = JoinReply.class, name = "join-reply")
+    @JsonSubTypes.Type(value = JoinReply.class, name = "join-reply"),
+    @JsonSubTypes.Type(value = FoundingProbe.class, name = "founding-probe"),
+    @JsonSubTypes.Type(value = FoundingAttestation.class, name = "founding-attestation"),
+    @JsonSubTypes.Type(value = FoundingNotice.class, name = "founding-notice")
 })
 public sealed interface ReplicationMessage
         permits VoteRequest,
@@ -25,4 +28,5 @@
                 FollowerReply,
                 TimeoutNow,
                 JoinRequest,
-                JoinReply {}
+                JoinReply,
+                FoundingMessage {}
--- a/wire/src/test/java/org/marjoramnotch/wire/CborCodecTest.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/CborCodecTest.java
@@ -13,6 +13,9 @@
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.replication.AppendEntries;
+import org.marjoramnotch.model.replication.FoundingAttestation;
+import org.marjoramnotch.model.replication.FoundingNotice;
+import org.marjoramnotch.model.replication.FoundingProbe;
 import org.marjoramnotch.model.replication.LogEntry;
 import org.marjoramnotch.model.replication.Membership;
 import org.marjoramnotch.model.replication.ReplicationEnvelope;
@@ -40,7 +43,10 @@
                                     LogEntry.membership(5, 3, MEMBERS)),
                             2,
                             99),
-                    new SnapshotChunk("group", 3, 2, 1, MEMBERS, 0, 3, new byte[] {1, 2, 3}, 99));
+                    new SnapshotChunk("group", 3, 2, 1, MEMBERS, 0, 3, new byte[] {1, 2, 3}, 99),
+                    new FoundingProbe(7, List.of(REPLICA.vm())),
+                    new FoundingAttestation(7, "group"),
+                    new FoundingNotice(MEMBERS));
 
     private final CborMapper mapper = new CborMapper();
     private final CborCodec codec = new CborCodec(mapper);
