--- a/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/ReplicaHost.java
@@ -32,6 +32,7 @@
 import org.marjoramnotch.logic.cell.CellSettings;
 import org.marjoramnotch.logic.cell.LeaderDutyFactory;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
+import org.marjoramnotch.logic.replication.FoundingEntry;
 import org.marjoramnotch.logic.replication.MembershipPolicy;
 import org.marjoramnotch.logic.replication.RecoveredState;
 import org.marjoramnotch.logic.replication.Replica;
@@ -127,9 +128,13 @@
                         RandomSources.create(),
                         coreStartedMilliseconds,
                         now);
-        if (isFounder(settings) && self.identity().equals(FOUNDER_IDENTITY)) {
-            replica.foundGroup(founders());
-        }
+        replica.setFoundingListener(
+                (decision, group) ->
+                        LogEvent.of("group_founding")
+                                .with("decision", decision)
+                                .with("group", group)
+                                .with("seeds", settings.replicas().size())
+                                .info(LOGGER));
         return new CellCore(
                 new CellSettings(limits.snapshotEveryEntries()),
                 replica,
@@ -205,7 +210,10 @@
         try {
             FileReplicaStorage storage =
                     isFounder(settings)
-                            ? FileReplicaStorage.open(dataFolder, FOUNDER_IDENTITY)
+                            ? FileReplicaStorage.open(
+                                    dataFolder,
+                                    FOUNDER_IDENTITY,
+                                    FoundingEntry.writes(founders(settings)))
                             : FileReplicaStorage.open(dataFolder);
             return recover(storage);
         } catch (MarjoramnotchException damage) {
@@ -237,7 +245,7 @@
                         .anyMatch(replica -> replica.vm().equals(settings.vm()));
     }
 
-    private List<ReplicaId> founders() {
+    private static List<ReplicaId> founders(DaemonSettings settings) {
         return settings.replicas().stream()
                 .map(replica -> new ReplicaId(replica.vm(), FOUNDER_IDENTITY))
                 .toList();
