Read changing configurations in random runs of a cell

Callers could see a configuration older than a confirmed one; no random run read the configuration while the group changed, and no VM had a clock that stood still.

--- a/library/src/test/java/org/marjoramnotch/logic/cell/CellSimulation.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/CellSimulation.java
@@ -6,16 +6,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.logic.replication.Coverage;
 import org.marjoramnotch.logic.replication.SimulatedNetwork;
-import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.message.CellReply;
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.NotLeader;
@@ -27,6 +23,13 @@
 final class CellSimulation {
     private static final long TICK_MILLISECONDS = 20;
     private static final long RESEND_MILLISECONDS = 400;
+    private static final int RETRANSMISSION_MILLISECONDS = 400;
+
+    /** A time of day, in milliseconds since the Unix epoch, at which simulations begin. */
+    private static final long EPOCH = 1_700_000_000_000L;
+
+    /** The link of requests that are sent to a host of choice, whether it leads or not. */
+    private static final String READER = "reader";
 
     private record Event(long dueMilliseconds, long sequence, Runnable action) {}
 
@@ -44,16 +47,19 @@
     long time;
 
     CellSimulation(long seed, int replicas) {
+        this(seed, CellGroup.fixed(replicas));
+        hosts.get(0).core().formGroup(hosts.get(0).localTime(time));
+    }
+
+    CellSimulation(long seed, CellGroup group) {
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         network = new SimulatedNetwork(random, new Coverage());
         ReferenceCodec codec = new ReferenceCodec();
-        Set<VmId> vms =
-                IntStream.range(0, replicas)
-                        .mapToObj(number -> new VmId("vm-" + number))
-                        .collect(Collectors.toSet());
-        vms.stream().sorted().forEach(vm -> hosts.add(new SimulatedHost(vm, vms, codec, random)));
+        group.vms().stream()
+                .sorted()
+                .map(vm -> new SimulatedHost(vm, group, codec, random, () -> EPOCH + time))
+                .forEach(hosts::add);
         hosts.forEach(host -> host.start(time));
-        hosts.get(0).core().formGroup(hosts.get(0).localTime(time));
     }
 
     void schedule(long milliseconds, Runnable action) {
@@ -92,6 +98,21 @@
         attempt[0].run();
     }
 
+    /** Sends a request once to a host, whether it leads or not. */
+    void ask(SimulatedHost target, CellRequest request, Consumer<CellReply> receiver) {
+        RequestHandle handle = new RequestHandle(READER, sequence++);
+        awaiting.put(handle, receiver);
+        schedule(1 + random.nextInt(4), () -> deliver(target, handle, request));
+    }
+
+    private void deliver(SimulatedHost target, RequestHandle handle, CellRequest request) {
+        if (target.isPaused(time)) {
+            schedule(target.pausedUntil() - time, () -> deliver(target, handle, request));
+        } else if (target.isRunning()) {
+            target.core().request(target.localTime(time), handle, request);
+        }
+    }
+
     private void send(CellRequest request, Consumer<CellReply> receiver) {
         SimulatedHost target = hosts.get(presumedLeader);
         RequestHandle handle = new RequestHandle("client", sequence++);
@@ -116,7 +137,9 @@
 
     private void deliver(OutgoingReply outgoing) {
         Consumer<CellReply> receiver = awaiting.remove(outgoing.handle());
-        if (outgoing.reply() instanceof NotLeader) {
+        if (outgoing.handle().link().equals(READER)) {
+            schedule(1 + random.nextInt(4), () -> receiver.accept(outgoing.reply()));
+        } else if (outgoing.reply() instanceof NotLeader) {
             presumedLeader = random.nextInt(hosts.size());
         } else if (receiver != null && !losesMessage()) {
             schedule(1 + random.nextInt(4), () -> receiver.accept(outgoing.reply()));
@@ -148,7 +171,11 @@
     }
 
     private void deliver(SimulatedHost host, ReplicationEnvelope envelope) {
-        if (host.isPaused(time)) {
+        if (host.isSuspended(time)) {
+            // The sender's kernel repeats the message some time after the VM has woken.
+            long delay = 1 + random.nextInt(RETRANSMISSION_MILLISECONDS);
+            network.postpone(host.pausedUntil() + delay, envelope);
+        } else if (host.isPaused(time)) {
             network.postpone(time + 1, envelope);
         } else if (host.isRunning()) {
             host.core().receive(host.localTime(time), envelope.from(), envelope.message());
--- a/library/src/test/java/org/marjoramnotch/logic/cell/CellSoak.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/CellSoak.java
@@ -36,7 +36,7 @@
         }
     }
 
-    private static long option(List<String> arguments, String name, long defaultValue) {
+    static long option(List<String> arguments, String name, long defaultValue) {
         int position = arguments.indexOf(name);
         return position < 0 ? defaultValue : Long.parseLong(arguments.get(position + 1));
     }
