--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -242,9 +242,9 @@
 
     /**
      * Ends the duties once this replica leads no longer or a proposal was refused, before entries
-     * of a later leader are applied. While only the lease has lapsed, no other leader can have
-     * decided anything, so the duties pause: what they learned stays, but nothing that they decide
-     * leaves, since another replica may be elected at any moment.
+     * of a later leader are applied. While only the lease has lapsed or is distrusted, the duties
+     * pause: what they learned stays, but nothing that they decide leaves, since another replica
+     * may be elected at any moment.
      */
     private void pauseOrEndDuties() {
         if (duties == null) {
@@ -256,7 +256,7 @@
             pause.end(now).ifPresent(buffer.decisionLog::add);
         } else if (!pause.isActive()) {
             buffer.decisionLog.add(pause.begin(now, log.status(now).term()));
-            // They were decided while the lease was held.
+            // Their requests arrived while the lease was held.
             buffer.replies.addAll(output.takeHeldReplies());
         }
     }
--- a/library/src/test/java/org/marjoramnotch/logic/cell/SuspendedLeaderTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/SuspendedLeaderTest.java
@@ -88,6 +88,7 @@
         Vm leader = awaitLeader();
         awaitReply(leader, second);
         former.suspended = false;
+        assertThat(former.core.mayDecide(former.clock)).isTrue();
         RequestHandle asked = former.request(read);
         assertThat(awaitReply(former, asked)).isInstanceOf(NotLeader.class);
     }
