Count VMs with full disks as down in the runs of open groups

Cause: the injector. A VM whose disk was full was down for 1.5 s without counting as a disturbance, so 1.2 s after it was back a second disk was lost, before the group had its time to replace the first. Ruled out: a loss that the group must bear.

Change: each VM that is down postpones the next loss of disks.

--- a/library/src/test/java/org/marjoramnotch/logic/replication/OpenGroupFaultInjector.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/OpenGroupFaultInjector.java
@@ -79,6 +79,9 @@
         if (now() == healAt) {
             simulation.network().heal();
         }
+        simulation.vms().stream()
+                .filter(vm -> !vm.isRunning())
+                .forEach(vm -> extendDisturbance(vm.startsAt()));
         if (now() >= disturbedUntil + OpenGroupSettings.CATCH_UP_MILLISECONDS && lostDisks > 0) {
             lostDisks = 0;
             if (random.nextBoolean()) {
