Keep the identity of a founder that ends again in the runs of open groups

Cause: with FOUNDERS_ENDED (off by default) a founder that was down, and had run before, came back under another identity: a lost disk that wasn't counted as one.

Change: only a founder that has never started draws another identity.

--- a/library/src/test/java/org/marjoramnotch/logic/replication/OpenGroupVm.java
+++ b/library/src/test/java/org/marjoramnotch/logic/replication/OpenGroupVm.java
@@ -21,6 +21,7 @@
     private final Deque<ReplicationEnvelope> inbox = new ArrayDeque<>();
     private String identity;
     private boolean founds;
+    private boolean hasStarted;
     private SimulatedStorage storage = new SimulatedStorage();
     private Optional<Replica> replica = Optional.empty();
     private Optional<ReplicationEffects> syncing = Optional.empty();
@@ -108,7 +109,7 @@
      * and under another identity if it had not stored one.
      */
     void endFirstStart(long restartsAt) {
-        if (founds && !isRunning()) {
+        if (founds && !hasStarted) {
             identity = drawIdentity();
         }
         founds = false;
@@ -208,6 +209,7 @@
     }
 
     private void start(long time) {
+        hasStarted = true;
         clock.restart(simulation.random().nextInt(1_000_000));
         diskFault = Optional.empty();
         hash = 0;
