Log the source, the number and the effect of each end of a run

An acknowledgement of ends that are not counted leaves no trace.

The leader keeps the origin of proposed ends until they are applied. run_ended gains source, effect, number and call; ends that change nothing are end_without_effect with the reason. New lines: ends_acknowledged (only if a raise skips ends that were not proposed; at most 40 are named), run_not_started with the ages of list, start and answer, unknown_run, start_without_effect. worker_lease_over gains the clock reading, its age, the end of the longest grant and the age of the last own one; order_rejected and the lines of unanswered calls the number of the call. All but the latter end with token, term and index. Handling of applied runs moves from WorkflowDuty to AppliedRunHandler.

run_ended now also tells of runs that end with their worker (WORKER_DISMISSED, NEXT_LIFE) or with their gang (GANG).

--- a/library/src/main/java/org/marjoramnotch/logic/cell/StandardLeaderDutyFactory.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/StandardLeaderDutyFactory.java
@@ -15,6 +15,7 @@
 import org.marjoramnotch.logic.placement.PlacementPolicy;
 import org.marjoramnotch.logic.placement.PlacementSettings;
 import org.marjoramnotch.logic.workflow.ConfigurationMetricsListener;
+import org.marjoramnotch.logic.workflow.RunMetricsListener;
 import org.marjoramnotch.logic.workflow.WorkflowDuty;
 import org.marjoramnotch.model.identifier.TeamName;
 
@@ -69,7 +70,10 @@
                                         metricsListener
                                                 .<ConfigurationMetricsListener>map(
                                                         listener -> listener)
-                                                .orElse(ConfigurationMetricsListener.NONE)));
+                                                .orElse(ConfigurationMetricsListener.NONE),
+                                        metricsListener
+                                                .<RunMetricsListener>map(listener -> listener)
+                                                .orElse(RunMetricsListener.NONE)));
         Optional<LeaderDuty> observer =
                 metricsListener.map(
                         listener ->
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/IncarnationState.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/IncarnationState.java
@@ -122,6 +122,11 @@
         return hasExited() || (!leaseRenewed && lease.isOver(nowMilliseconds));
     }
 
+    /** Returns on what the runs of the worker are over, for logs. */
+    RunEndSource endSource() {
+        return hasExited() ? RunEndSource.WORKER_EXITED : RunEndSource.LEASE_OVER;
+    }
+
     /** Returns whether the worker can run nothing any more, unless its lease is renewed. */
     boolean canRunNothing(long nowMilliseconds) {
         return hasExited() || lease.isOver(nowMilliseconds);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/ResponseTracker.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/ResponseTracker.java
@@ -14,11 +14,13 @@
  */
 final class ResponseTracker {
     private final WorkerId worker;
+    private final RunLog log;
     private long answeredAt;
     private int consecutiveUnanswered;
 
-    ResponseTracker(WorkerId worker, long nowMilliseconds) {
+    ResponseTracker(WorkerId worker, RunLog log, long nowMilliseconds) {
         this.worker = worker;
+        this.log = log;
         this.answeredAt = nowMilliseconds;
     }
 
@@ -46,7 +48,7 @@
     }
 
     void onRejected(WorkerCall call, RejectionReason reason, LeaderOutput output) {
-        output.logDecision(
+        log.log(
                 DecisionLogEntry.of(
                         "order_rejected",
                         "worker",
@@ -56,7 +58,10 @@
                         "run",
                         call instanceof StartRun start ? start.run() : "none",
                         "reason",
-                        reason));
+                        reason,
+                        "call_id",
+                        call.id()),
+                output);
     }
 
     private DecisionLogEntry logEntry(
@@ -69,6 +74,10 @@
                 call.getClass().getSimpleName(),
                 "unanswered",
                 consecutiveUnanswered,
+                "call_id",
+                call.id(),
+                "token",
+                call.fencingToken(),
                 "last_answer_ms",
                 nowMilliseconds - answeredAt,
                 "runs",
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
@@ -7,13 +7,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.LeaderOutput;
-import org.marjoramnotch.model.command.EndRuns;
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.ListRuns;
 import org.marjoramnotch.model.order.RunStatus;
+import org.marjoramnotch.model.order.WorkerCall;
 import org.marjoramnotch.model.workflow.RunEnd;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunOutcome;
@@ -37,6 +36,8 @@
     private final RunOrderTracker orders;
     private final WorkerHealth health;
     private final RunListComparator comparator;
+    private final RunListLog listLog;
+    private final EndProposer proposer;
     private final Map<RunId, RunStatus> statuses = new HashMap<>();
     private final Set<RunId> unknownRuns = new HashSet<>();
     private boolean listed;
@@ -53,12 +54,15 @@
             WorkerIncarnation worker,
             RunOrderTracker orders,
             WorkerHealth health,
+            RunLog log,
             long nowMilliseconds) {
         this.ledger = ledger;
         this.worker = worker;
         this.orders = orders;
         this.health = health;
         this.comparator = new RunListComparator(ledger, orders);
+        this.listLog = new RunListLog(ledger, worker, log);
+        this.proposer = new EndProposer(worker, orders, log, listLog);
         this.idleSince = nowMilliseconds;
     }
 
@@ -131,9 +135,9 @@
     }
 
     /** Handles the application of run ends of this worker, which the worker may now discard. */
-    void onEndsApplied(long nowMilliseconds) {
+    void onEndsApplied(long nowMilliseconds, LeaderOutput output) {
         endsInFlight = Math.max(0, endsInFlight - 1);
-        acknowledged = Math.max(acknowledged, acknowledgeWhenApplied);
+        acknowledge(acknowledgeWhenApplied, output);
         forgetEndedOrders();
         idleSince = nowMilliseconds;
         if (hasRuns()) {
@@ -156,26 +160,42 @@
         orders.onList(nowMilliseconds, sentAt, statuses.keySet());
         RunListComparator.Findings findings =
                 comparator.compare(worker, acknowledged, sentAt, list);
+        findings.unknownRuns().stream()
+                .filter(run -> !unknownRuns.contains(run))
+                .forEach(run -> listLog.onUnknownRun(run, call.id(), output));
         unknownRuns.clear();
         unknownRuns.addAll(findings.unknownRuns());
         unknownRuns.forEach(run -> orders.stopOnce(nowMilliseconds, run, output));
         findings.obsoleteRuns().forEach(run -> orders.stopOnce(nowMilliseconds, run, output));
         forgetEndedOrders();
         findings.ends().forEach(end -> updateHealth(nowMilliseconds, end, output));
+        listLog.noteUncounted(acknowledged, list, findings.ends());
         if (findings.ends().isEmpty()) {
-            acknowledged = Math.max(acknowledged, findings.lastEnd());
+            acknowledge(findings.lastEnd(), output);
         } else {
             acknowledgeWhenApplied = Math.max(acknowledgeWhenApplied, findings.lastEnd());
-            proposeEnds(findings.ends(), output);
+            endsInFlight++;
+            proposer.proposeListed(nowMilliseconds, sentAt, list, findings.ends(), output);
         }
         stopStalled(nowMilliseconds, list.running(), output);
     }
 
+    private void acknowledge(long number, LeaderOutput output) {
+        acknowledged = Math.max(acknowledged, number);
+        listLog.onAcknowledged(acknowledged, output);
+    }
+
+    /** Ends a run whose start was refused. */
+    void proposeRefused(long nowMilliseconds, RunEnd end, WorkerCall call, LeaderOutput output) {
+        endsInFlight++;
+        proposer.proposeRefused(nowMilliseconds, end, call, output);
+    }
+
     /**
-     * Ends all runs because the worker's lease is over. The worker needs a new list before it gets
-     * runs.
+     * Ends all runs because the worker's lease is over or the worker has exited. The worker needs a
+     * new list before it gets runs.
      */
-    void lapseAll(LeaderOutput output) {
+    void lapseAll(RunEndSource source, LeaseEvidence lease, LeaderOutput output) {
         listed = false;
         List<RunEnd> lapsed =
                 ledgerRuns().stream()
@@ -185,10 +205,8 @@
         orders.clear();
         statuses.clear();
         if (!lapsed.isEmpty()) {
-            output.logDecision(
-                    DecisionLogEntry.of(
-                            "worker_lease_over", "worker", worker.worker(), "runs", lapsed.size()));
-            proposeEnds(lapsed, output);
+            endsInFlight++;
+            proposer.proposeLapsed(lapsed, source, lease, output);
         }
     }
 
@@ -197,11 +215,6 @@
         ledgerRuns().forEach(run -> orders.stopOnce(nowMilliseconds, run.run(), output));
     }
 
-    void proposeEnds(List<RunEnd> ends, LeaderOutput output) {
-        endsInFlight++;
-        output.propose(new EndRuns(worker, ends));
-    }
-
     /** Returns how many runs the ledger has on this worker. */
     int runCount() {
         return ledgerRuns().size();
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunOrder.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunOrder.java
@@ -1,6 +1,7 @@
 package org.marjoramnotch.logic.workflow;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.marjoramnotch.model.workflow.RunPlacement;
 
 /** State of the start and stop orders for one run. */
@@ -36,6 +37,16 @@
         return ticket;
     }
 
+    /** Returns what is known about the orders. */
+    OrderEvidence evidence() {
+        return new OrderEvidence(
+                timeOf(firstSentAt), timeOf(settledAt), startLeftUnanswered, stopRequested);
+    }
+
+    private static OptionalLong timeOf(long time) {
+        return time == UNSETTLED ? OptionalLong.empty() : OptionalLong.of(time);
+    }
+
     /** Returns whether an order is in flight and may still take effect. */
     boolean isInFlight() {
         return startInFlight || stopInFlight;
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunOrderTracker.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunOrderTracker.java
@@ -31,6 +31,7 @@
     private final WorkerSession session;
     private final WorkerLease lease;
     private final WorkerHealth health;
+    private final RunLog log;
     private final Map<RunId, RunOrder> orders = new LinkedHashMap<>();
     private boolean startsEnded;
 
@@ -41,7 +42,8 @@
             long fencingToken,
             WorkerSession session,
             WorkerLease lease,
-            WorkerHealth health) {
+            WorkerHealth health,
+            RunLog log) {
         this.settings = settings;
         this.ledger = ledger;
         this.calls = calls;
@@ -49,6 +51,7 @@
         this.session = session;
         this.lease = lease;
         this.health = health;
+        this.log = log;
     }
 
     /** Returns whether any order is in flight. */
@@ -87,6 +90,11 @@
                 || order.isStartExpired(workerClock);
     }
 
+    /** Returns what is known about the orders for a run. */
+    OrderEvidence evidence(RunId run) {
+        return findOrder(run).map(RunOrder::evidence).orElse(OrderEvidence.NONE);
+    }
+
     /** Handles the runs in a list that was requested at the given time. */
     void onList(long nowMilliseconds, long listSentAt, Set<RunId> listed) {
         orders.forEach(
@@ -226,7 +234,7 @@
         }
         RunId run = order.placement().run();
         health.onStartGivenUp(nowMilliseconds);
-        output.logDecision(
+        log.onStartGivenUp(
                 DecisionLogEntry.of(
                         "start_given_up",
                         "run",
@@ -236,7 +244,8 @@
                         "reason",
                         "unanswered",
                         "age_ms",
-                        order.ageMilliseconds(nowMilliseconds)));
+                        order.ageMilliseconds(nowMilliseconds)),
+                output);
         stop(nowMilliseconds, run, output);
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunTransitions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunTransitions.java
@@ -1,11 +1,14 @@
 package org.marjoramnotch.logic.workflow;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.marjoramnotch.model.command.EndRuns;
 import org.marjoramnotch.model.command.StartRuns;
 import org.marjoramnotch.model.resource.Resources;
+import org.marjoramnotch.model.workflow.AppliedEnd;
 import org.marjoramnotch.model.workflow.RunEnd;
+import org.marjoramnotch.model.workflow.RunEndEffect;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunOutcome;
 import org.marjoramnotch.model.workflow.RunPlacement;
@@ -28,14 +31,16 @@
     }
 
     /** Ends all runs of a worker incarnation that is over. */
-    void lapseAll(WorkerEntry worker) {
+    List<AppliedEnd> lapseAll(WorkerEntry worker) {
+        List<AppliedEnd> applied = new ArrayList<>();
         for (ActiveRun run : List.copyOf(worker.runs())) {
             WorkflowTaskId task = run.run().task();
             ledger.workflow(task.step().workflow())
                     .flatMap(entry -> entry.task(task))
                     .ifPresent(TaskState::endUnseen);
-            end(Optional.of(worker), new RunEnd(run.run(), RunOutcome.LAPSED, ""));
+            end(Optional.of(worker), new RunEnd(run.run(), RunOutcome.LAPSED, ""), applied);
         }
+        return applied;
     }
 
     /** Applies starts; the members of a gang start together or not at all. */
@@ -97,32 +102,60 @@
     }
 
     /** Applies ends. */
-    void end(EndRuns ends) {
+    List<AppliedEnd> end(EndRuns ends) {
         // A worker that was dismissed in the meantime may have completed work before.
         Optional<WorkerEntry> worker = ledger.worker(ends.worker());
-        ends.ends().forEach(end -> end(worker, end));
+        List<AppliedEnd> applied = new ArrayList<>();
+        ends.ends().forEach(end -> end(worker, end, applied));
+        return applied;
     }
 
-    private void end(Optional<WorkerEntry> worker, RunEnd end) {
+    /** Returns what an end would change now. */
+    RunEndEffect effectOf(Optional<WorkerEntry> worker, RunEnd end) {
         RunId run = end.run();
         WorkflowEntry entry = ledger.workflow(run.task().step().workflow()).orElse(null);
-        StepTasks step = entry == null ? null : entry.step(run.task().step()).orElse(null);
-        TaskState task = entry == null ? null : entry.task(run.task()).orElse(null);
-        if (step == null || task == null || task.run() != run.number()) {
-            return;
+        if (entry == null) {
+            return RunEndEffect.UNKNOWN_TASK;
+        }
+        TaskState task = entry.task(run.task()).orElse(null);
+        if (task == null) {
+            return entry.state().isFinal()
+                    ? RunEndEffect.WORKFLOW_ENDED
+                    : RunEndEffect.UNKNOWN_TASK;
+        }
+        if (task.run() != run.number()) {
+            return task.run() > run.number() ? RunEndEffect.LATER_RUN : RunEndEffect.NEVER_STARTED;
+        }
+        if (task.isRunning()) {
+            boolean running = worker.map(present -> present.has(run)).orElse(false);
+            return running ? RunEndEffect.ENDED : RunEndEffect.OTHER_WORKER;
+        }
+        if (!task.isWaiting()) {
+            return RunEndEffect.TASK_COMPLETE;
         }
-        boolean running = task.isRunning() && worker.map(present -> present.has(run)).orElse(false);
         // A run recorded as lapsed may turn out to have completed its work before.
-        boolean doneBeforeLapse = task.isWaiting() && end.outcome() == RunOutcome.DONE;
-        if (!running && !doneBeforeLapse) {
+        return end.outcome() == RunOutcome.DONE
+                ? RunEndEffect.COMPLETED
+                : RunEndEffect.ALREADY_ENDED;
+    }
+
+    private void end(Optional<WorkerEntry> worker, RunEnd end, List<AppliedEnd> applied) {
+        RunEndEffect effect = effectOf(worker, end);
+        applied.add(new AppliedEnd(end, effect));
+        if (!effect.isEffective()) {
             return;
         }
+        RunId run = end.run();
+        WorkflowEntry entry = ledger.workflow(run.task().step().workflow()).orElseThrow();
+        StepTasks step = entry.step(run.task().step()).orElseThrow();
+        TaskState task = entry.task(run.task()).orElseThrow();
+        boolean running = effect == RunEndEffect.ENDED;
         if (running) {
             task.returnToWaiting(end.checkpoint());
             release(worker.orElseThrow(), entry, step, run);
         }
         if (end.outcome() == RunOutcome.DONE) {
-            completeTasks(entry, step, run);
+            completeTasks(entry, step, run, applied);
         } else if (end.outcome() == RunOutcome.FAILED) {
             recordFailure(entry, step, task);
         }
@@ -139,7 +172,8 @@
         consumption.remove(entry.workflow().team(), step.definition().demand());
     }
 
-    private void completeTasks(WorkflowEntry entry, StepTasks step, RunId run) {
+    private void completeTasks(
+            WorkflowEntry entry, StepTasks step, RunId run, List<AppliedEnd> applied) {
         if (step.definition().standing()) {
             return;
         }
@@ -156,6 +190,10 @@
                 member.returnToWaiting("");
                 step.finish(member);
                 entry.countEnd();
+                applied.add(
+                        new AppliedEnd(
+                                new RunEnd(memberRun, RunOutcome.DONE, ""),
+                                RunEndEffect.ENDED_WITH_GANG));
             } else {
                 step.finish(member);
             }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerLease.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerLease.java
@@ -36,6 +36,7 @@
     private long sampleSentAt;
     private long sampleReceivedAt;
     private long grantedUntil;
+    private OptionalLong lastGrantAt = OptionalLong.empty();
 
     WorkerLease(WorkflowSettings settings, long nowMilliseconds) {
         this.leaseMilliseconds = settings.leaseMilliseconds();
@@ -66,6 +67,7 @@
         }
         long until = earliestClock(nowMilliseconds) + leaseMilliseconds;
         grantedUntil = Math.max(grantedUntil, until);
+        lastGrantAt = OptionalLong.of(nowMilliseconds);
         return OptionalLong.of(until);
     }
 
@@ -81,6 +83,17 @@
                         + EXPIRY_MARGIN_MILLISECONDS;
     }
 
+    /** Returns what is known about the lease. */
+    LeaseEvidence evidence(long nowMilliseconds) {
+        return new LeaseEvidence(
+                hasClockSample ? OptionalLong.of(sampleClock) : OptionalLong.empty(),
+                nowMilliseconds - (hasClockSample ? sampleReceivedAt : startedAt),
+                hasClockSample ? OptionalLong.of(grantedUntil) : OptionalLong.empty(),
+                lastGrantAt.isEmpty()
+                        ? OptionalLong.empty()
+                        : OptionalLong.of(nowMilliseconds - lastGrantAt.getAsLong()));
+    }
+
     /** Returns whether the clock was read so long ago that grants become short. */
     boolean isReadingOld(long nowMilliseconds) {
         return hasClockSample && age(nowMilliseconds) >= OLD_READING_MILLISECONDS;
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -1,6 +1,5 @@
 package org.marjoramnotch.logic.workflow;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -45,6 +44,7 @@
             FirstListLimiter firstLists,
             long fencingToken,
             FleetWorker worker,
+            RunLog log,
             long nowMilliseconds) {
         this.settings = settings;
         this.worker = worker;
@@ -52,10 +52,12 @@
         this.incarnation = new IncarnationState(lease);
         this.health = new WorkerHealth(worker.id());
         this.orders =
-                new RunOrderTracker(settings, ledger, calls, fencingToken, this, lease, health);
+                new RunOrderTracker(
+                        settings, ledger, calls, fencingToken, this, lease, health, log);
         this.lists =
-                new RunListPoller(ledger, worker.incarnation(), orders, health, nowMilliseconds);
-        this.answers = new ResponseTracker(worker.id(), nowMilliseconds);
+                new RunListPoller(
+                        ledger, worker.incarnation(), orders, health, log, nowMilliseconds);
+        this.answers = new ResponseTracker(worker.id(), log, nowMilliseconds);
         this.listCalls =
                 new RunListCalls(
                         settings,
@@ -202,7 +204,10 @@
                 answers.consecutiveUnanswered() < UNUSABLE_AFTER_UNANSWERED_CALLS,
                 output);
         listCalls.sendIfDue(nowMilliseconds, output);
-        lapseIfOver(nowMilliseconds, output);
+        if (incarnation.areRunsOver(nowMilliseconds, listCalls.isReporting())
+                && !lists.isAwaitingCommit()) {
+            lists.lapseAll(incarnation.endSource(), lease.evidence(nowMilliseconds), output);
+        }
     }
 
     /** Handles the outcome of a call. */
@@ -217,10 +222,9 @@
         }
         if (outcome instanceof CallOutcome.ConnectionRefused) {
             incarnation.onConnectionRefused();
-            onUnanswered(nowMilliseconds, call, output);
-            return;
         }
-        if (outcome instanceof CallOutcome.Unanswered) {
+        if (outcome instanceof CallOutcome.ConnectionRefused
+                || outcome instanceof CallOutcome.Unanswered) {
             onUnanswered(nowMilliseconds, call, output);
             return;
         }
@@ -239,8 +243,8 @@
     }
 
     /** Handles the application of run ends of this worker, which the worker may now discard. */
-    void onEndsApplied(long nowMilliseconds) {
-        lists.onEndsApplied(nowMilliseconds);
+    void onEndsApplied(long nowMilliseconds, LeaderOutput output) {
+        lists.onEndsApplied(nowMilliseconds, output);
     }
 
     private void learnClock(long sentAt, long nowMilliseconds, OptionalLong workerClock) {
@@ -271,7 +275,7 @@
             lists.onRejected(nowMilliseconds);
         }
         orders.onRejected(nowMilliseconds, call, reason, output)
-                .ifPresent(end -> lists.proposeEnds(List.of(end), output));
+                .ifPresent(end -> lists.proposeRefused(nowMilliseconds, end, call, output));
     }
 
     private void onList(
@@ -290,11 +294,4 @@
         listCalls.onListed();
         lists.onList(nowMilliseconds, call, sentAt, list, output);
     }
-
-    private void lapseIfOver(long nowMilliseconds, LeaderOutput output) {
-        if (incarnation.areRunsOver(nowMilliseconds, listCalls.isReporting())
-                && !lists.isAwaitingCommit()) {
-            lists.lapseAll(output);
-        }
-    }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
@@ -20,6 +20,7 @@
     private final WorkflowSettings settings;
     private final WorkflowLedger ledger;
     private final long fencingToken;
+    private final RunLog log;
     private final CallRegistry calls;
     private final FirstListLimiter firstLists = new FirstListLimiter();
     private final Map<WorkerId, WorkerSession> sessions = new TreeMap<>();
@@ -38,10 +39,12 @@
             WorkflowSettings settings,
             WorkflowLedger ledger,
             long fencingToken,
+            RunLog log,
             long nowMilliseconds) {
         this.settings = settings;
         this.ledger = ledger;
         this.fencingToken = fencingToken;
+        this.log = log;
         this.calls = new CallRegistry(fencingToken);
         ledger.workers().forEach(entry -> openSession(entry.worker(), nowMilliseconds));
         blockTasksEndedUnseen(nowMilliseconds, worker -> true);
@@ -197,6 +200,7 @@
                         firstLists,
                         fencingToken,
                         worker,
+                        log,
                         nowMilliseconds));
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -1,13 +1,12 @@
 package org.marjoramnotch.logic.workflow;
 
-import java.util.Optional;
-import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.model.command.CancelWorkflow;
 import org.marjoramnotch.model.command.Command;
 import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.command.DismissWorker;
 import org.marjoramnotch.model.command.EndRuns;
 import org.marjoramnotch.model.command.EnrollWorker;
 import org.marjoramnotch.model.command.FailWorkflow;
@@ -17,9 +16,6 @@
 import org.marjoramnotch.model.command.WorkflowCommand;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
-import org.marjoramnotch.model.fleet.WorkerIncarnation;
-import org.marjoramnotch.model.identifier.JobId;
-import org.marjoramnotch.model.identifier.ServiceName;
 import org.marjoramnotch.model.message.ApplyConfiguration;
 import org.marjoramnotch.model.message.CancelWorkflowRequest;
 import org.marjoramnotch.model.message.CellRequest;
@@ -32,10 +28,6 @@
 import org.marjoramnotch.model.message.TakeAdviceQuestion;
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.time.Clock;
-import org.marjoramnotch.model.workflow.RunEnd;
-import org.marjoramnotch.model.workflow.RunOutcome;
-import org.marjoramnotch.model.workflow.RunPlacement;
-import org.marjoramnotch.model.workflow.StepId;
 
 /** Makes the leader's decisions about workflows in one term of leadership. */
 public final class WorkflowDuty implements LeaderDuty {
@@ -48,23 +40,37 @@
      */
     private static final long SCHEDULE_INTERVAL_MILLISECONDS = 150;
 
-    private final WorkflowLedger ledger;
     private final WorkerSessions sessions;
     private final ConfigurationRequestHandler configuration;
     private final WorkflowRequestHandler workflows;
     private final WorkerReportHandler workers;
     private final AdviceBroker advice;
-    private final SpeedEstimator speeds = new SpeedEstimator();
-    private final LatencyObjectives objectives;
-    private final LoadMeter load;
     private final RunScheduler scheduler;
     private final FeasibilityCheck feasibilityCheck;
     private final EndedWorkflowCleaner endedWorkflows;
-    private final RunStopper stopper;
+    private final AppliedRunHandler runs;
     private boolean scheduleDue = true;
     private long nextSlowTickAt;
     private long nextScheduleAt;
 
+    /** Creates a duty without metrics of runs. */
+    public WorkflowDuty(
+            WorkflowSettings settings,
+            WorkflowLedger ledger,
+            Clock wallClock,
+            long fencingToken,
+            long nowMilliseconds,
+            ConfigurationMetricsListener metricsListener) {
+        this(
+                settings,
+                ledger,
+                wallClock,
+                fencingToken,
+                nowMilliseconds,
+                metricsListener,
+                RunMetricsListener.NONE);
+    }
+
     /**
      * Creates the duty.
      *
@@ -74,6 +80,7 @@
      * @param fencingToken higher than that of every earlier duty of the cell
      * @param nowMilliseconds when the duty starts, in the leader's time
      * @param metricsListener receives the refusals that the configuration causes
+     * @param runMetricsListener receives the ends of runs
      */
     public WorkflowDuty(
             WorkflowSettings settings,
@@ -81,25 +88,30 @@
             Clock wallClock,
             long fencingToken,
             long nowMilliseconds,
-            ConfigurationMetricsListener metricsListener) {
-        this.ledger = ledger;
-        this.sessions = new WorkerSessions(settings, ledger, fencingToken, nowMilliseconds);
+            ConfigurationMetricsListener metricsListener,
+            RunMetricsListener runMetricsListener) {
+        RunLog log = new RunLog(ledger, fencingToken, runMetricsListener);
+        this.sessions = new WorkerSessions(settings, ledger, fencingToken, log, nowMilliseconds);
         this.advice = new AdviceBroker(fencingToken);
         this.configuration = new ConfigurationRequestHandler(ledger, wallClock, metricsListener);
         Feasibility feasibility = new Feasibility(ledger);
         this.feasibilityCheck =
                 new FeasibilityCheck(
                         ledger, feasibility, wallClock, settings.feasibilityDelayMilliseconds());
-        this.load = new LoadMeter(ledger, advice, feasibilityCheck);
+        LoadMeter load = new LoadMeter(ledger, advice, feasibilityCheck);
         this.workflows =
                 new WorkflowRequestHandler(
                         ledger, configuration, load, feasibility, feasibilityCheck, wallClock);
         this.workers = new WorkerReportHandler(ledger, sessions);
-        this.objectives = new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
+        LatencyObjectives objectives =
+                new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
+        SpeedEstimator speeds = new SpeedEstimator();
         this.scheduler =
                 new RunScheduler(ledger, sessions, advice, objectives, speeds, load, feasibility);
         this.endedWorkflows = new EndedWorkflowCleaner(ledger, settings.retentionMilliseconds());
-        this.stopper = new RunStopper(ledger, sessions);
+        this.runs =
+                new AppliedRunHandler(
+                        ledger, sessions, advice, speeds, objectives, load, scheduler, log);
     }
 
     @Override
@@ -123,18 +135,21 @@
             return;
         }
         if (applied instanceof StartRuns start) {
-            onStarted(nowMilliseconds, start, output);
+            runs.onStarted(nowMilliseconds, start, output);
         } else if (applied instanceof EndRuns end) {
-            onEnded(nowMilliseconds, end, output);
+            runs.onEnded(nowMilliseconds, end, result, output);
         } else if (applied instanceof SubmitWorkflow submit) {
             feasibilityCheck.onAccepted(nowMilliseconds, submit.workflow().id());
         } else if (applied instanceof CancelWorkflow cancel) {
-            stopRuns(nowMilliseconds, cancel.workflow(), output);
+            runs.stopAll(nowMilliseconds, cancel.workflow(), output);
         } else if (applied instanceof FailWorkflow fail) {
-            stopRuns(nowMilliseconds, fail.workflow(), output);
+            runs.stopAll(nowMilliseconds, fail.workflow(), output);
         } else if (applied instanceof ReplaceConfiguration replace) {
             configuration.onApplied(replace, output);
+        } else if (applied instanceof DismissWorker dismiss) {
+            runs.onDismissed(dismiss, result, output);
         } else if (applied instanceof EnrollWorker enroll) {
+            runs.onEnrolled(enroll, result, output);
             advice.onEnrolled(enroll.worker().incarnation());
         }
         workers.onApplied(nowMilliseconds, applied, output);
@@ -212,87 +227,4 @@
                     "The request is not a workflow request; report this routing error.");
         }
     }
-
-    /** Sends the orders for starts that took effect. */
-    private void onStarted(long nowMilliseconds, StartRuns start, LeaderOutput output) {
-        scheduler.onApplied(start);
-        for (RunPlacement placement : start.placements()) {
-            Optional<String> ticket = scheduler.takeTicket(placement.run());
-            boolean started =
-                    ledger.worker(placement.worker())
-                            .map(worker -> worker.has(placement.run()))
-                            .orElse(false);
-            if (started) {
-                speeds.onStarted(nowMilliseconds, placement.run());
-                sessions.of(placement.worker())
-                        .ifPresent(
-                                session ->
-                                        session.start(nowMilliseconds, placement, ticket, output));
-                output.logDecision(
-                        DecisionLogEntry.of(
-                                "run_started",
-                                "run",
-                                placement.run(),
-                                "worker",
-                                placement.worker().worker()));
-            }
-        }
-    }
-
-    private void onEnded(long nowMilliseconds, EndRuns end, LeaderOutput output) {
-        sessions.of(end.worker()).ifPresent(session -> session.onEndsApplied(nowMilliseconds));
-        for (RunEnd run : end.ends()) {
-            JobId workflow = run.run().task().step().workflow();
-            speeds.onEnded(nowMilliseconds, end.worker().worker(), run)
-                    .ifPresent(runTime -> recordRunTime(end.worker(), run, runTime));
-            if (run.outcome() == RunOutcome.NOT_STARTED) {
-                advice.invalidate(run.run().task().step(), end.worker().worker());
-            }
-            output.logDecision(
-                    DecisionLogEntry.of(
-                            "run_ended",
-                            "run",
-                            run.run(),
-                            "worker",
-                            end.worker().worker(),
-                            "outcome",
-                            run.outcome(),
-                            "state",
-                            ledger.workflow(workflow)
-                                    .map(entry -> entry.state().name())
-                                    .orElse("forgotten")));
-            stopRunsIfOver(nowMilliseconds, workflow, output);
-            stopper.stopBrokenGang(nowMilliseconds, run, output);
-        }
-    }
-
-    private void recordRunTime(WorkerIncarnation worker, RunEnd end, long milliseconds) {
-        StepId step = end.run().task().step();
-        WorkflowEntry entry = ledger.workflow(step.workflow()).orElse(null);
-        StepTasks tasks = entry == null ? null : entry.step(step).orElse(null);
-        if (tasks != null) {
-            long processorMillis = tasks.definition().reserved().processorMillis();
-            ServiceName pool =
-                    ledger.worker(worker)
-                            .map(known -> known.worker().pool())
-                            .orElse(entry.queue().pool());
-            load.onRunDone(pool, processorMillis, milliseconds);
-        }
-    }
-
-    private void stopRunsIfOver(long nowMilliseconds, JobId workflow, LeaderOutput output) {
-        boolean hasEnded =
-                ledger.workflow(workflow).map(entry -> entry.state().isFinal()).orElse(true);
-        if (hasEnded) {
-            stopRuns(nowMilliseconds, workflow, output);
-        }
-    }
-
-    /** Stops the remaining runs of a workflow that has ended. */
-    private void stopRuns(long nowMilliseconds, JobId workflow, LeaderOutput output) {
-        advice.forget(workflow);
-        speeds.forget(workflow);
-        objectives.forget(workflow);
-        stopper.stopAll(nowMilliseconds, workflow, output);
-    }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -35,6 +36,9 @@
 import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.resource.Resources;
+import org.marjoramnotch.model.workflow.AppliedEnd;
+import org.marjoramnotch.model.workflow.RunEnd;
+import org.marjoramnotch.model.workflow.RunEndEffect;
 import org.marjoramnotch.model.workflow.Workflow;
 import org.marjoramnotch.model.workflow.WorkflowRecord;
 import org.marjoramnotch.model.workflow.WorkflowSnapshot;
@@ -88,7 +92,7 @@
         if (command instanceof StartRuns start) {
             runs.start(start);
         } else if (command instanceof EndRuns end) {
-            runs.end(end);
+            return new CommandResult.RunsEnded(runs.end(end));
         } else if (command instanceof SubmitWorkflow submit) {
             return apply(submit);
         } else if (command instanceof CancelWorkflow cancel) {
@@ -96,9 +100,9 @@
         } else if (command instanceof FailWorkflow fail) {
             endWorkflow(fail.workflow(), entry -> entry.giveUp(fail.reason()));
         } else if (command instanceof EnrollWorker enroll) {
-            apply(enroll);
+            return new CommandResult.RunsEnded(enroll(enroll.worker()));
         } else if (command instanceof DismissWorker dismiss) {
-            apply(dismiss);
+            return new CommandResult.RunsEnded(dismiss(dismiss.worker()));
         } else if (command instanceof ForgetWorkflows forget) {
             forget.workflows().forEach(this::forget);
         } else if (command instanceof ReplaceConfiguration replace) {
@@ -181,6 +185,11 @@
         return history;
     }
 
+    /** Returns what the end of a run of a worker would change now. */
+    RunEndEffect effectOf(WorkerIncarnation worker, RunEnd end) {
+        return runs.effectOf(worker(worker), end);
+    }
+
     Resources usageOf(TeamName team) {
         return consumption.usage(team);
     }
@@ -263,30 +272,29 @@
         }
     }
 
-    private void apply(EnrollWorker enroll) {
-        FleetWorker worker = enroll.worker();
+    private List<AppliedEnd> enroll(FleetWorker worker) {
         history.record(worker);
         WorkerEntry known = workers.get(worker.id());
         if (known == null) {
             workers.put(worker.id(), new WorkerEntry(worker));
-            return;
+            return List.of();
         }
         long knownStart = known.worker().incarnation().startedEpochMilliseconds();
         long start = worker.incarnation().startedEpochMilliseconds();
+        List<AppliedEnd> ends = List.of();
         if (start > knownStart) {
-            runs.lapseAll(known);
+            ends = runs.lapseAll(known);
             workers.put(worker.id(), new WorkerEntry(worker));
         } else if (start == knownStart) {
             known.update(worker);
         }
+        return ends;
     }
 
-    private void apply(DismissWorker dismiss) {
-        worker(dismiss.worker())
-                .ifPresent(
-                        entry -> {
-                            runs.lapseAll(entry);
-                            workers.remove(entry.worker().id());
-                        });
+    private List<AppliedEnd> dismiss(WorkerIncarnation worker) {
+        Optional<WorkerEntry> entry = worker(worker);
+        List<AppliedEnd> ends = entry.map(runs::lapseAll).orElse(List.of());
+        entry.ifPresent(known -> workers.remove(known.worker().id()));
+        return ends;
     }
 }
--- a/library/src/main/java/org/marjoramnotch/model/command/CommandResult.java
+++ b/library/src/main/java/org/marjoramnotch/model/command/CommandResult.java
@@ -1,8 +1,10 @@
 package org.marjoramnotch.model.command;
 
+import java.util.List;
 import org.marjoramnotch.model.endpoint.StoredAnswer;
 import org.marjoramnotch.model.error.Refusal;
 import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.workflow.AppliedEnd;
 
 /** The result of applying a {@link Command}; it is the same on every replica. */
 public sealed interface CommandResult {
@@ -37,6 +39,13 @@
      */
     record AnsweredBefore(StoredAnswer answer) implements CommandResult {}
 
+    /**
+     * Ends of runs were applied.
+     *
+     * @param ends the ends, with those that follow from them
+     */
+    record RunsEnded(List<AppliedEnd> ends) implements CommandResult {}
+
     /**
      * The command was rejected and had no effect.
      *
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/FirstListLimiterTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/FirstListLimiterTest.java
@@ -53,7 +53,8 @@
         IntStream.range(0, WORKERS)
                 .mapToObj(index -> worker("w-%03d".formatted(index)))
                 .forEach(worker -> ledger.apply(new EnrollWorker(worker)));
-        return new WorkerSessions(WorkflowSettings.defaults(), ledger, 1_025, now);
+        RunLog log = new RunLog(ledger, 1_025, RunMetricsListener.NONE);
+        return new WorkerSessions(WorkflowSettings.defaults(), ledger, 1_025, log, now);
     }
 
     private static FleetWorker worker(String name) {
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTestCase.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTestCase.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.BeforeEach;
+import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
 import org.marjoramnotch.model.command.Command;
@@ -46,6 +47,7 @@
                     false);
     final List<WorkerCall> calls = new ArrayList<>();
     final List<Command> proposals = new ArrayList<>();
+    final List<DecisionLogEntry> decisionLog = new ArrayList<>();
     final LeaderOutput output =
             new LeaderOutput() {
                 @Override
@@ -60,6 +62,11 @@
                 public void call(WorkerCall call) {
                     calls.add(call);
                 }
+
+                @Override
+                public void logDecision(DecisionLogEntry logEntry) {
+                    decisionLog.add(logEntry);
+                }
             };
     final WorkflowLedger ledger = new WorkflowLedger();
     WorkerSession session;
@@ -75,6 +82,7 @@
                         new FirstListLimiter(),
                         1,
                         worker,
+                        new RunLog(ledger, 1, RunMetricsListener.NONE),
                         0);
         session.tick(0, output);
     }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowLedgerTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowLedgerTest.java
@@ -7,6 +7,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.marjoramnotch.model.command.CommandResult;
 import org.marjoramnotch.model.command.DismissWorker;
 import org.marjoramnotch.model.command.EndRuns;
 import org.marjoramnotch.model.command.EnrollWorker;
@@ -20,7 +21,9 @@
 import org.marjoramnotch.model.identifier.QueueName;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.resource.Resources;
+import org.marjoramnotch.model.workflow.AppliedEnd;
 import org.marjoramnotch.model.workflow.RunEnd;
+import org.marjoramnotch.model.workflow.RunEndEffect;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunOutcome;
 import org.marjoramnotch.model.workflow.RunPlacement;
@@ -78,6 +81,10 @@
         return new EndRuns(INCARNATION, List.of(new RunEnd(run(index), outcome, "")));
     }
 
+    private static AppliedEnd applied(int index, RunEndEffect effect) {
+        return new AppliedEnd(new RunEnd(run(index), RunOutcome.DONE, ""), effect);
+    }
+
     @Test
     void runCompletedBeforeItsWorkerWasDismissedCounts() {
         start(StepDefinition.builder().demand(new Resources(100, 100, 0)).build());
@@ -86,6 +93,32 @@
         assertThat(ledger.workflow(ID).orElseThrow().state()).isEqualTo(WorkflowState.COMPLETE);
     }
 
+    @Test
+    void endOfGangMemberEndsTheOthersWithIt() {
+        start(
+                StepDefinition.builder()
+                        .tasks(2)
+                        .demand(new Resources(100, 100, 0))
+                        .gang(true)
+                        .build());
+        assertThat(ledger.apply(end(1, RunOutcome.DONE)))
+                .isEqualTo(
+                        new CommandResult.RunsEnded(
+                                List.of(
+                                        applied(1, RunEndEffect.ENDED),
+                                        applied(0, RunEndEffect.ENDED_WITH_GANG))));
+    }
+
+    @Test
+    void secondEndOfCompleteTaskHasNoEffect() {
+        start(StepDefinition.builder().tasks(2).demand(new Resources(100, 100, 0)).build());
+        ledger.apply(end(0, RunOutcome.DONE));
+        assertThat(ledger.apply(end(0, RunOutcome.DONE)))
+                .isEqualTo(
+                        new CommandResult.RunsEnded(
+                                List.of(applied(0, RunEndEffect.TASK_COMPLETE))));
+    }
+
     @Test
     void failuresOfGangMembersInOneRunCountOnceAfterSnapshot() {
         start(
