Count ends of runs by source and effect

Change: marjoramnotch_leader_run_ends_total (source, effect; those without effect too), marjoramnotch_leader_uncounted_ends_total (reason) and marjoramnotch_leader_starts_given_up_total. They are counted at the event, so that suppressed log lines count, and stay with the process.

Measured: LeaderMetricsTest, 10 tests, green; the new one does not compile before.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/metrics/LeaderMetrics.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/metrics/LeaderMetrics.java
@@ -8,9 +8,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.marjoramnotch.logic.cell.CellMetrics;
 import org.marjoramnotch.logic.cell.LeaderMetricsListener;
+import org.marjoramnotch.logic.workflow.RunEndSource;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.rule.QueuePolicy;
+import org.marjoramnotch.model.workflow.RunEndEffect;
 
 /**
  * The metrics that the process collects while it leads. The thread of the replica's duty updates
@@ -33,6 +35,9 @@
     private final Histogram running;
     private final Counter refusals;
     private final Histogram refusedVersionAge;
+    private final Counter runEnds;
+    private final Counter uncountedEnds;
+    private final Counter startsGivenUp;
     private final ReplicaGauges gauges;
 
     LeaderMetrics(PrometheusRegistry registry) {
@@ -63,6 +68,25 @@
                         .classicOnly()
                         .classicUpperBounds(ReplicaMetrics.AGE_BOUNDS_SECONDS)
                         .register(registry);
+        runEnds =
+                Counter.builder()
+                        .name("marjoramnotch_leader_run_ends")
+                        .help("Ends of runs that were applied, by source and by effect.")
+                        .labelNames("source", "effect")
+                        .register(registry);
+        uncountedEnds =
+                Counter.builder()
+                        .name("marjoramnotch_leader_uncounted_ends")
+                        .help(
+                                "Ends that were acknowledged to workers without being proposed, by"
+                                        + " the reason.")
+                        .labelNames("reason")
+                        .register(registry);
+        startsGivenUp =
+                Counter.builder()
+                        .name("marjoramnotch_leader_starts_given_up")
+                        .help("Starts that were given up since their workers did not answer.")
+                        .register(registry);
         gauges = new ReplicaGauges(registry);
     }
 
@@ -123,6 +147,21 @@
         observe(running, team, label(policy), ranMilliseconds);
     }
 
+    @Override
+    public void onEndApplied(RunEndSource source, RunEndEffect effect) {
+        runEnds.labelValues(label(source), label(effect)).inc();
+    }
+
+    @Override
+    public void onUncountedEndAcknowledged(RunEndEffect effect) {
+        uncountedEnds.labelValues(label(effect)).inc();
+    }
+
+    @Override
+    public void onStartGivenUp() {
+        startsGivenUp.inc();
+    }
+
     @Override
     public void onCellMetrics(CellMetrics metrics) {
         gauges.onCellMetrics(metrics);
@@ -145,7 +184,7 @@
         return team.value();
     }
 
-    private static String label(QueuePolicy policy) {
-        return policy.name().toLowerCase(Locale.ROOT);
+    private static String label(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT);
     }
 }
--- a/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
@@ -17,6 +17,7 @@
 import org.marjoramnotch.logic.job.ResourceUtilization;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.replication.ReplicationStatus;
+import org.marjoramnotch.logic.workflow.RunEndSource;
 import org.marjoramnotch.logic.workflow.WorkflowMetrics;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.Refusal;
@@ -38,6 +39,7 @@
 import org.marjoramnotch.model.order.WorkerCall;
 import org.marjoramnotch.model.resource.Resources;
 import org.marjoramnotch.model.rule.QueuePolicy;
+import org.marjoramnotch.model.workflow.RunEndEffect;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.StepId;
 import org.marjoramnotch.model.workflow.WorkflowTaskId;
@@ -162,6 +164,23 @@
                         "refusals_total{code=\"TEAM_AT_LIMIT\",team=\"wards\"} 1.0");
     }
 
+    @Test
+    void endsOfRunsAreCountedBySourceAndEffect() {
+        leader.onEndApplied(RunEndSource.LIST, RunEndEffect.ENDED);
+        leader.onEndApplied(RunEndSource.LIST, RunEndEffect.ENDED);
+        leader.onEndApplied(RunEndSource.LEASE_OVER, RunEndEffect.LATER_RUN);
+        leader.onUncountedEndAcknowledged(RunEndEffect.ALREADY_ENDED);
+        leader.onStartGivenUp();
+        String ends = "marjoramnotch_leader_run_ends_total{effect=";
+
+        assertThat(text())
+                .contains(
+                        ends + "\"ended\",source=\"list\"} 2.0",
+                        ends + "\"later_run\",source=\"lease_over\"} 1.0",
+                        "marjoramnotch_leader_uncounted_ends_total{reason=\"already_ended\"} 1.0",
+                        "marjoramnotch_leader_starts_given_up_total 1.0");
+    }
+
     @Test
     void histogramHasElevenLines() {
         leader.onEnded(TEAM, 100);
@@ -211,6 +230,7 @@
     @Test
     void operationsPageListsExactlyTheExportedMetrics() throws IOException {
         timesAreRecordedForEachTeamAndClass();
+        endsOfRunsAreCountedBySourceAndEffect();
         configurationIsMeasuredAtTheReplicaAndAtRefusals();
         metrics.countDecision(DecisionLogEntry.of("worker_dismissed", "worker", "w-1"));
         metrics.recordCellRequest(new ReadConfiguration(), new Done(), 30);
