--- a/library/src/main/java/org/marjoramnotch/logic/workflow/EndProposer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/EndProposer.java
@@ -1,7 +1,6 @@
 package org.marjoramnotch.logic.workflow;
 
 import java.util.List;
-import java.util.OptionalLong;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.command.EndRuns;
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
@@ -26,24 +25,19 @@
 
     /** Proposes ends that a list shows, also by showing neither a run nor its end. */
     void proposeListed(
-            long nowMilliseconds,
-            long listSentAt,
-            CallOutcome.Listed list,
-            List<RunEnd> ends,
-            LeaderOutput output) {
+            long nowMilliseconds, CallOutcome.Listed list, List<RunEnd> ends, LeaderOutput output) {
         EndOrigin origin = EndOrigin.ofList(list);
-        OptionalLong sentAt = OptionalLong.of(listSentAt);
         ends.stream()
                 .map(RunEnd::run)
                 .filter(run -> origin.numberOf(run).isEmpty())
-                .forEach(run -> logNotStarted(nowMilliseconds, run, origin, sentAt, output));
+                .forEach(run -> logNotStarted(nowMilliseconds, run, origin, output));
         propose(ends, origin, output);
     }
 
     /** Proposes the end of a run whose start was refused. */
     void proposeRefused(long nowMilliseconds, RunEnd end, WorkerCall call, LeaderOutput output) {
         EndOrigin origin = EndOrigin.ofRefusal(call.id());
-        logNotStarted(nowMilliseconds, end.run(), origin, OptionalLong.empty(), output);
+        logNotStarted(nowMilliseconds, end.run(), origin, output);
         propose(List.of(end), origin, output);
     }
 
@@ -55,13 +49,8 @@
     }
 
     private void logNotStarted(
-            long nowMilliseconds,
-            RunId run,
-            EndOrigin origin,
-            OptionalLong callSentAt,
-            LeaderOutput output) {
-        OrderEvidence order = orders.evidence(run);
-        listLog.onNotStarted(nowMilliseconds, run, origin, callSentAt, order, output);
+            long nowMilliseconds, RunId run, EndOrigin origin, LeaderOutput output) {
+        listLog.onNotStarted(nowMilliseconds, run, origin, orders.evidence(run), output);
     }
 
     private void propose(List<RunEnd> ends, EndOrigin origin, LeaderOutput output) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListLog.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListLog.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
@@ -109,7 +108,6 @@
             long nowMilliseconds,
             RunId run,
             EndOrigin origin,
-            OptionalLong callSentAt,
             OrderEvidence order,
             LeaderOutput output) {
         log.log(
@@ -123,12 +121,14 @@
                         origin.source(),
                         "call",
                         RunLog.orNone(origin.call()),
-                        "call_sent_ms",
-                        age(nowMilliseconds, callSentAt),
+                        "start_call",
+                        RunLog.orNone(order.call()),
                         "start_sent_ms",
-                        age(nowMilliseconds, order.sentAt()),
-                        "answered_ms",
-                        age(nowMilliseconds, order.settledAt()),
+                        order.sentAt().isPresent()
+                                ? nowMilliseconds - order.sentAt().getAsLong()
+                                : "none",
+                        "answered_after_call",
+                        RunLog.orNone(order.settledAfterCall()),
                         "unanswered",
                         order.unanswered(),
                         "stop",
@@ -157,8 +157,4 @@
                         RunLog.orNone(lease.ownGrantAge())),
                 output);
     }
-
-    private static Object age(long nowMilliseconds, OptionalLong time) {
-        return time.isPresent() ? nowMilliseconds - time.getAsLong() : "none";
-    }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
@@ -146,20 +146,14 @@
     }
 
     /** Handles a list sent by the worker. */
-    void onList(
-            long nowMilliseconds,
-            ListRuns call,
-            long sentAt,
-            CallOutcome.Listed list,
-            LeaderOutput output) {
+    void onList(long nowMilliseconds, ListRuns call, CallOutcome.Listed list, LeaderOutput output) {
         listed = true;
         acknowledgedAtWorker = Math.max(acknowledgedAtWorker, call.acknowledgedEnds());
         nextListAt = nowMilliseconds;
         statuses.clear();
         list.running().forEach(status -> statuses.put(status.run(), status));
-        orders.onList(nowMilliseconds, sentAt, statuses.keySet());
-        RunListComparator.Findings findings =
-                comparator.compare(worker, acknowledged, sentAt, list);
+        orders.onList(call.id(), statuses.keySet());
+        RunListComparator.Findings findings = comparator.compare(worker, acknowledged, list);
         findings.unknownRuns().stream()
                 .filter(run -> !unknownRuns.contains(run))
                 .forEach(run -> listLog.onUnknownRun(run, call.id(), output));
@@ -175,7 +169,7 @@
         } else {
             acknowledgeWhenApplied = Math.max(acknowledgeWhenApplied, findings.lastEnd());
             endsInFlight++;
-            proposer.proposeListed(nowMilliseconds, sentAt, list, findings.ends(), output);
+            proposer.proposeListed(nowMilliseconds, list, findings.ends(), output);
         }
         stopStalled(nowMilliseconds, list.running(), output);
     }
