Log starts and ends of runs that a new leader inherits

Change: a replica that leads and has no duties yet logs inherited_start and inherited_end with term and index. Other replicas log nothing, so that an entry has one line.

--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -237,6 +237,8 @@
     private void onApplied(Command command, CommandResult result) {
         if (duties != null) {
             duties.onApplied(now, command, result, output);
+        } else {
+            output.logInherited(ledger(), command, result);
         }
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/cell/DutyOutput.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/DutyOutput.java
@@ -8,9 +8,13 @@
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.LogPosition;
 import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.logic.ledger.Ledger;
 import org.marjoramnotch.logic.replication.ReplicatedLog;
 import org.marjoramnotch.logic.replication.ReplicationStatus;
+import org.marjoramnotch.logic.workflow.InheritedRuns;
 import org.marjoramnotch.model.command.Command;
+import org.marjoramnotch.model.command.CommandResult;
+import org.marjoramnotch.model.command.WorkflowCommand;
 import org.marjoramnotch.model.message.CellReply;
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.order.WorkerCall;
@@ -92,6 +96,17 @@
         decisionLog.add(logEntry);
     }
 
+    /**
+     * Logs what a command did to runs if this replica leads and its duties have not begun, so that
+     * no leader tells of it.
+     */
+    void logInherited(Ledger ledger, Command command, CommandResult result) {
+        if (command instanceof WorkflowCommand && log.isLeading(clock.nowMilliseconds())) {
+            InheritedRuns.describe(ledger.workflow(), command, result)
+                    .forEach(logEntry -> logDecision(logEntry.at(position())));
+        }
+    }
+
     /** Holds decisions that were taken but not sent, before all later ones. */
     void holdBack(List<OutgoingReply> replies, List<WorkerCall> calls) {
         heldReplies.addAll(0, replies);
--- a/library/src/test/java/org/marjoramnotch/logic/cell/ScriptedLog.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/ScriptedLog.java
@@ -19,6 +19,7 @@
 final class ScriptedLog implements ReplicatedLog {
     private static final ReplicaId SELF = new ReplicaId(new VmId("vm-1"), "disk");
 
+    final ReferenceCodec codec = new ReferenceCodec();
     final List<CommittedEntry> proposals = new ArrayList<>();
     final List<Long> compactions = new ArrayList<>();
     private final List<CommittedEntry> committed = new ArrayList<>();
@@ -39,7 +40,7 @@
         return new CellCore(
                 new CellSettings(100),
                 this,
-                new ReferenceCodec(),
+                codec,
                 new StandardLeaderDutyFactory(
                         PlacementSettings.defaults(),
                         JobSettings.defaults(),
