Log on which position the duties of a leader begin

The tests of gang ends share a step.

Measured: InheritedRunLogTest.dutiesBeginWithTokenAndPosition; the fields are missing before.

--- a/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/CellCore.java
@@ -284,8 +284,7 @@
                 && !isProposalInFlight()) {
             long fencingToken = fencingTokens.next(log.status(now).term());
             duties = dutyFactory.createAll(ledger(), now, fencingToken);
-            buffer.decisionLog.add(
-                    DecisionLogEntry.of("leader_duties_started", "fencing_token", fencingToken));
+            output.logDutiesStarted(fencingToken);
         }
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/cell/DutyOutput.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/DutyOutput.java
@@ -96,6 +96,13 @@
         decisionLog.add(logEntry);
     }
 
+    /** Logs that the duties begin, and on which position. */
+    void logDutiesStarted(long fencingToken) {
+        logDecision(
+                DecisionLogEntry.of("leader_duties_started", "fencing_token", fencingToken)
+                        .at(position()));
+    }
+
     /**
      * Logs what a command did to runs if this replica leads and its duties have not begun, so that
      * no leader tells of it.
--- a/library/src/test/java/org/marjoramnotch/logic/cell/InheritedRunLogTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/InheritedRunLogTest.java
@@ -56,6 +56,16 @@
                                 .at(new LogPosition(1, 0)));
     }
 
+    @Test
+    void dutiesBeginWithTokenAndPosition() {
+        core.tick(0);
+
+        assertThat(core.takeEffects(0).decisionLog())
+                .contains(
+                        DecisionLogEntry.of("leader_duties_started", "fencing_token", 1_025L)
+                                .at(new LogPosition(1, 0)));
+    }
+
     @Test
     void otherReplicasLogNothing() {
         log.ready = false;
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowLedgerTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowLedgerTest.java
@@ -38,6 +38,9 @@
     private static final WorkerIncarnation INCARNATION =
             new WorkerIncarnation(new WorkerId("w-1"), 1);
 
+    private static final StepDefinition GANG =
+            StepDefinition.builder().tasks(2).demand(new Resources(100, 100, 0)).gang(true).build();
+
     private final WorkflowLedger ledger = new WorkflowLedger();
 
     @BeforeEach
@@ -95,12 +98,7 @@
 
     @Test
     void endOfGangMemberEndsTheOthersWithIt() {
-        start(
-                StepDefinition.builder()
-                        .tasks(2)
-                        .demand(new Resources(100, 100, 0))
-                        .gang(true)
-                        .build());
+        start(GANG);
         assertThat(ledger.apply(end(1, RunOutcome.DONE)))
                 .isEqualTo(
                         new CommandResult.RunsEnded(
@@ -121,12 +119,7 @@
 
     @Test
     void failuresOfGangMembersInOneRunCountOnceAfterSnapshot() {
-        start(
-                StepDefinition.builder()
-                        .tasks(2)
-                        .demand(new Resources(100, 100, 0))
-                        .gang(true)
-                        .build());
+        start(GANG);
         ledger.apply(end(0, RunOutcome.FAILED));
         WorkflowLedger restored = new WorkflowLedger();
         restored.restore(ledger.snapshot());
