--- a/daemon/src/test/java/org/marjoramnotch/daemon/DaemonFixture.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/DaemonFixture.java
@@ -1,8 +1,6 @@
 package org.marjoramnotch.daemon;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -87,13 +85,6 @@
                 .build();
     }
 
-    /** Returns a port that was free at the time of the call. */
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        }
-    }
-
     void form() {
         operator("POST", "/v1/operator/form", "");
     }
--- a/daemon/src/test/java/org/marjoramnotch/daemon/ThreeReplicaTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/ThreeReplicaTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.marjoramnotch.daemon.settings.ReplicaAddress;
 import org.marjoramnotch.daemon.standin.StandInEndpoint;
+import org.marjoramnotch.daemon.transport.PortReservation;
 import org.marjoramnotch.model.identifier.VmId;
 
 /** Runs three daemons with a replica and one without, all in the test process. */
@@ -37,7 +38,7 @@
         for (int number = 1; number <= 3; number++) {
             replicas.add(
                     new ReplicaAddress(
-                            new VmId("vm-" + number), "127.0.0.1", DaemonFixture.freePort()));
+                            new VmId("vm-" + number), "127.0.0.1", PortReservation.reserve()));
         }
         for (int number = 1; number <= 4; number++) {
             daemons.add(
--- a/end-to-end/src/test/java/org/marjoramnotch/endtoend/Cell.java
+++ b/end-to-end/src/test/java/org/marjoramnotch/endtoend/Cell.java
@@ -6,9 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -17,6 +15,7 @@
 import java.util.Optional;
 import java.util.function.UnaryOperator;
 import org.apache.commons.codec.digest.DigestUtils;
+import org.marjoramnotch.daemon.transport.PortReservation;
 
 /**
  * A cell whose replicas and entries run as separate processes, each on its own loopback address.
@@ -48,7 +47,7 @@
         ArrayNode replicas = JSON.createArrayNode();
         List<int[]> ports = new ArrayList<>();
         for (int number = 1; number <= replicaCount + entryCount; number++) {
-            ports.add(new int[] {freePort(number), freePort(number)});
+            ports.add(new int[] {PortReservation.reserve(), PortReservation.reserve()});
             if (number <= replicaCount) {
                 ObjectNode replica = replicas.addObject();
                 replica.put("vm", "vm-" + number).put("host", host(number));
@@ -241,11 +240,4 @@
     private static String host(int number) {
         return "127.0.0." + (10 + number);
     }
-
-    private static int freePort(int number) throws IOException {
-        try (ServerSocket socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress(InetAddress.getByName(host(number)), 0));
-            return socket.getLocalPort();
-        }
-    }
 }
