--- a/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedGangs.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedGangs.java
@@ -1,11 +1,14 @@
 package org.marjoramnotch.logic.workflow;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunOutcome;
 import org.marjoramnotch.model.workflow.StepId;
@@ -21,17 +24,24 @@
 
     private record Member(SimulatedFleetWorker worker, SimulatedFleetWorker.LiveRun run) {}
 
-    private final WorkflowCell cell;
+    private final Supplier<Collection<SimulatedFleetWorker>> workers;
+    private final LongSupplier clock;
     private final Map<GangRun, Long> endsAt = new HashMap<>();
 
     SimulatedGangs(WorkflowCell cell) {
-        this.cell = cell;
+        this(cell.workers::values, cell::now);
         cell.afterEachStep(this::advance);
     }
 
-    private void advance() {
+    SimulatedGangs(Supplier<Collection<SimulatedFleetWorker>> workers, LongSupplier clock) {
+        this.workers = workers;
+        this.clock = clock;
+    }
+
+    /** Ends the runs of gangs that are due to end. */
+    void advance() {
         Map<GangRun, List<Member>> present = new HashMap<>();
-        for (SimulatedFleetWorker worker : cell.workers.values()) {
+        for (SimulatedFleetWorker worker : workers.get()) {
             for (SimulatedFleetWorker.LiveRun run : worker.live()) {
                 if (run.step.gang()) {
                     RunId id = run.run;
@@ -53,17 +63,17 @@
         Long end = endsAt.get(gang);
         if (end == null && members.size() == size) {
             long work = members.get(0).run().step.estimateMilliseconds();
-            endsAt.put(gang, cell.now() + work);
+            endsAt.put(gang, clock.getAsLong() + work);
         } else if (end == null) {
             members.stream()
                     .filter(
                             member ->
-                                    cell.now() - member.run().startedAt
+                                    clock.getAsLong() - member.run().startedAt
                                             >= MISSING_MEMBER_TIMEOUT_MILLISECONDS)
                     .forEach(member -> end(member, RunOutcome.ALONE));
         } else if (members.size() < size) {
             members.forEach(member -> end(member, RunOutcome.BROKEN));
-        } else if (cell.now() >= end) {
+        } else if (clock.getAsLong() >= end) {
             RunOutcome outcome =
                     members.get(0).run().outcome == RunOutcome.FAILED
                             ? RunOutcome.FAILED
