Acknowledge ends only with the command that they rest on

Callers saw nothing: no way to reach it was found. The number of a list's ends rose with the first EndRuns of the worker's life that was applied, and one of them less counted as in flight, whoever had proposed it. Only a session that is dismissed and enrolled again under the same start time, with a list of the earlier session still on its way, has a second proposer. Change: RunListPoller keeps each proposal with its number and compares the applied command.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
@@ -1,6 +1,8 @@
 package org.marjoramnotch.logic.workflow;
 
+import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -39,14 +41,21 @@
     private final RunListComparator comparator;
     private final Map<RunId, RunStatus> statuses = new HashMap<>();
     private final Set<RunId> unknownRuns = new HashSet<>();
+    private final Deque<ProposedEnds> proposed = new ArrayDeque<>();
     private boolean listed;
     private boolean listInFlight;
-    private int endsInFlight;
     private long nextListAt;
     private long idleSince;
     private long acknowledged;
     private long acknowledgedAtWorker;
-    private long acknowledgeWhenApplied;
+
+    /**
+     * Ends that are not applied yet.
+     *
+     * @param command the proposal
+     * @param lastEnd the number that may be acknowledged once it is applied; 0 for none
+     */
+    private record ProposedEnds(EndRuns command, long lastEnd) {}
 
     RunListPoller(
             WorkflowLedger ledger,
@@ -84,7 +93,7 @@
 
     /** Returns whether any proposed run ends are not applied yet. */
     boolean isAwaitingCommit() {
-        return endsInFlight > 0;
+        return !proposed.isEmpty();
     }
 
     /**
@@ -96,7 +105,7 @@
 
     /** Returns whether no list is awaited, nor the result of one. */
     boolean mayAsk(long nowMilliseconds) {
-        return !listInFlight && endsInFlight == 0 && nowMilliseconds >= nextListAt;
+        return !listInFlight && proposed.isEmpty() && nowMilliseconds >= nextListAt;
     }
 
     boolean isDue(long nowMilliseconds) {
@@ -130,10 +139,16 @@
         nextListAt = nowMilliseconds + (hasRuns() ? RETRY_MILLISECONDS : IDLE_RETRY_MILLISECONDS);
     }
 
-    /** Handles the application of run ends of this worker, which the worker may now discard. */
-    void onEndsApplied(long nowMilliseconds) {
-        endsInFlight = Math.max(0, endsInFlight - 1);
-        acknowledged = Math.max(acknowledged, acknowledgeWhenApplied);
+    /**
+     * Handles the application of run ends of this worker, which it may discard if it listed them.
+     */
+    void onEndsApplied(long nowMilliseconds, EndRuns applied) {
+        ProposedEnds first = proposed.peek();
+        // A session that was dismissed may have proposed ends of the same incarnation.
+        if (first != null && first.command().equals(applied)) {
+            proposed.remove();
+            acknowledged = Math.max(acknowledged, first.lastEnd());
+        }
         forgetEndedOrders();
         idleSince = nowMilliseconds;
         if (hasRuns()) {
@@ -165,8 +180,7 @@
         if (findings.ends().isEmpty()) {
             acknowledged = Math.max(acknowledged, findings.lastEnd());
         } else {
-            acknowledgeWhenApplied = Math.max(acknowledgeWhenApplied, findings.lastEnd());
-            proposeEnds(findings.ends(), output);
+            propose(findings.ends(), findings.lastEnd(), output);
         }
         stopStalled(nowMilliseconds, list.running(), output);
     }
@@ -197,9 +211,15 @@
         ledgerRuns().forEach(run -> orders.stopOnce(nowMilliseconds, run.run(), output));
     }
 
+    /** Proposes run ends that the worker has not listed. */
     void proposeEnds(List<RunEnd> ends, LeaderOutput output) {
-        endsInFlight++;
-        output.propose(new EndRuns(worker, ends));
+        propose(ends, 0, output);
+    }
+
+    private void propose(List<RunEnd> ends, long lastEnd, LeaderOutput output) {
+        EndRuns command = new EndRuns(worker, ends);
+        proposed.add(new ProposedEnds(command, lastEnd));
+        output.propose(command);
     }
 
     /** Returns how many runs the ledger has on this worker. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.model.command.EndRuns;
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.ListRuns;
@@ -150,10 +151,7 @@
         return orders.hasOrdersInFlight();
     }
 
-    /**
-     * Returns tasks whose start may have been executed by another incarnation of the worker. A
-     * worker with another name at the address refuses all orders to this one.
-     */
+    /** Returns tasks whose start may have been executed by the worker's next incarnation. */
     Set<WorkflowTaskId> possiblyStartedTasks() {
         return incarnation.mayNextHaveReceivedOrders()
                 ? orders.possiblyStartedTasks(run -> lists.status(run).isPresent())
@@ -238,8 +236,8 @@
     }
 
     /** Handles the application of run ends of this worker, which the worker may now discard. */
-    void onEndsApplied(long nowMilliseconds) {
-        lists.onEndsApplied(nowMilliseconds);
+    void onEndsApplied(long nowMilliseconds, EndRuns applied) {
+        lists.onEndsApplied(nowMilliseconds, applied);
     }
 
     private void learnClock(long sentAt, long nowMilliseconds, OptionalLong workerClock) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -240,7 +240,7 @@
     }
 
     private void onEnded(long nowMilliseconds, EndRuns end, LeaderOutput output) {
-        sessions.of(end.worker()).ifPresent(session -> session.onEndsApplied(nowMilliseconds));
+        sessions.of(end.worker()).ifPresent(session -> session.onEndsApplied(nowMilliseconds, end));
         for (RunEnd run : end.ends()) {
             JobId workflow = run.run().task().step().workflow();
             speeds.onEnded(nowMilliseconds, end.worker().worker(), run)
