Show that a next life holds a longer lease than leaders count, as known

A call that is carried out by the next life of a worker under its name brings an end of lease by the clock of the earlier life; the worker shortens it to its longest lease, 10 s, while leaders count theirs, 5 s. When such a worker is cut off, its runs count as lapsed too early: a task starts again although the lease went on, and the end of the first run is acknowledged later.

Not done: WorkerRestartTest expects the task of a silent next life to run again within one lease that leaders grant, and all replicas would have to keep the earlier names.

--- a/library/src/test/java/org/marjoramnotch/logic/workflow/AcknowledgementCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/AcknowledgementCell.java
@@ -55,6 +55,7 @@
     private List<WorkerCall> held = new ArrayList<>();
     private @Nullable WorkflowDuty duty;
     private double lossShare;
+    private boolean nextLifeCarriesOutCalls;
     private long heldUntil;
     private long stalledUntil;
     private long cutUntil;
@@ -87,6 +88,11 @@
         cutUntil = now + milliseconds;
     }
 
+    /** Lets the next life of a worker carry out calls that were meant for the earlier one. */
+    void passCallsToNextLife() {
+        nextLifeCarriesOutCalls = true;
+    }
+
     /** Lets a worker refuse its next start. */
     void rejectStart(WorkerId worker) {
         Optional.ofNullable(lives.get(worker)).ifPresent(life -> life.worker.rejectStarts(1));
@@ -257,7 +263,7 @@
 
     private CallOutcome carryOut(WorkerCall call) {
         AcknowledgedEnds.Life life = lives.get(call.worker().id());
-        return life == null || !isOf(life, call)
+        return life == null || !(nextLifeCarriesOutCalls || isOf(life, call))
                 ? new CallOutcome.Unanswered(call.id())
                 : ends.carryOut(now, life, call, lives.values());
     }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/RunEndAcknowledgementTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/RunEndAcknowledgementTest.java
@@ -6,8 +6,10 @@
 import java.util.Optional;
 import java.util.stream.LongStream;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.message.ApplyConfiguration;
 import org.marjoramnotch.model.message.CancelWorkflowRequest;
@@ -36,8 +38,26 @@
     @ParameterizedTest
     @MethodSource("seeds")
     void endIsAcknowledgedOnlyOnceItCannotBeLost(long seed) {
+        useCell(seed);
+        play();
+    }
+
+    // A lease by the clock of an earlier life lasted longer than the leader counted.
+    @ParameterizedTest
+    @ValueSource(longs = {27, 36, 158, 636, 1_245})
+    @Tag("known-red")
+    void nextLifeThatCarriesOutCallsForTheEarlierOneRunsNothingTwice(long seed) {
+        useCell(seed);
+        cell.passCallsToNextLife();
+        play();
+    }
+
+    private void useCell(long seed) {
         cell = new AcknowledgementCell(seed);
         random = cell.random;
+    }
+
+    private void play() {
         cell.request(new ApplyConfiguration(TestFleet.configuration(1)));
         cell.run(50);
         for (int worker = 0; worker < WORKERS; worker++) {
