--- a/library/src/main/java/org/marjoramnotch/logic/workflow/AppliedRunHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/AppliedRunHandler.java
@@ -76,7 +76,7 @@
     void onEnded(long nowMilliseconds, EndRuns end, CommandResult result, LeaderOutput output) {
         log.onApplied(end, result, output);
         sessions.of(end.worker())
-                .ifPresent(session -> session.onEndsApplied(nowMilliseconds, output));
+                .ifPresent(session -> session.onEndsApplied(nowMilliseconds, end, output));
         for (RunEnd run : end.ends()) {
             JobId workflow = run.run().task().step().workflow();
             speeds.onEnded(nowMilliseconds, end.worker().worker(), run)
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.model.command.EndRuns;
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.ListRuns;
@@ -42,12 +43,10 @@
     private final Set<RunId> unknownRuns = new HashSet<>();
     private boolean listed;
     private boolean listInFlight;
-    private int endsInFlight;
     private long nextListAt;
     private long idleSince;
     private long acknowledged;
     private long acknowledgedAtWorker;
-    private long acknowledgeWhenApplied;
 
     RunListPoller(
             WorkflowLedger ledger,
@@ -88,7 +87,7 @@
 
     /** Returns whether any proposed run ends are not applied yet. */
     boolean isAwaitingCommit() {
-        return endsInFlight > 0;
+        return proposer.isAwaitingCommit();
     }
 
     /**
@@ -100,7 +99,7 @@
 
     /** Returns whether no list is awaited, nor the result of one. */
     boolean mayAsk(long nowMilliseconds) {
-        return !listInFlight && endsInFlight == 0 && nowMilliseconds >= nextListAt;
+        return !listInFlight && !proposer.isAwaitingCommit() && nowMilliseconds >= nextListAt;
     }
 
     boolean isDue(long nowMilliseconds) {
@@ -134,10 +133,11 @@
         nextListAt = nowMilliseconds + (hasRuns() ? RETRY_MILLISECONDS : IDLE_RETRY_MILLISECONDS);
     }
 
-    /** Handles the application of run ends of this worker, which the worker may now discard. */
-    void onEndsApplied(long nowMilliseconds, LeaderOutput output) {
-        endsInFlight = Math.max(0, endsInFlight - 1);
-        acknowledge(acknowledgeWhenApplied, output);
+    /**
+     * Handles the application of run ends of this worker, which it may discard if it listed them.
+     */
+    void onEndsApplied(long nowMilliseconds, EndRuns applied, LeaderOutput output) {
+        acknowledge(proposer.onApplied(applied), output);
         forgetEndedOrders();
         idleSince = nowMilliseconds;
         if (hasRuns()) {
@@ -167,21 +167,20 @@
         if (findings.ends().isEmpty()) {
             acknowledge(findings.lastEnd(), output);
         } else {
-            acknowledgeWhenApplied = Math.max(acknowledgeWhenApplied, findings.lastEnd());
-            endsInFlight++;
-            proposer.proposeListed(nowMilliseconds, list, findings.ends(), output);
+            proposer.proposeListed(nowMilliseconds, list, findings, output);
         }
         stopStalled(nowMilliseconds, list.running(), output);
     }
 
     private void acknowledge(long number, LeaderOutput output) {
-        acknowledged = Math.max(acknowledged, number);
-        listLog.onAcknowledged(acknowledged, output);
+        if (number > acknowledged) {
+            acknowledged = number;
+            listLog.onAcknowledged(number, output);
+        }
     }
 
     /** Ends a run whose start was refused. */
     void proposeRefused(long nowMilliseconds, RunEnd end, WorkerCall call, LeaderOutput output) {
-        endsInFlight++;
         proposer.proposeRefused(nowMilliseconds, end, call, output);
     }
 
@@ -199,7 +198,6 @@
         orders.clear();
         statuses.clear();
         if (!lapsed.isEmpty()) {
-            endsInFlight++;
             proposer.proposeLapsed(lapsed, source, lease, output);
         }
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.model.command.EndRuns;
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.ListRuns;
@@ -116,6 +117,10 @@
         return incarnation.isReplaced();
     }
 
+    boolean mayNextHaveReceivedOrders() {
+        return incarnation.mayNextHaveReceivedOrders();
+    }
+
     /** Sends no more starts, since the next incarnation is about to enroll and would get them. */
     void expectSuccessor() {
         incarnation.onSuccessorReported();
@@ -152,10 +157,7 @@
         return orders.hasOrdersInFlight();
     }
 
-    /**
-     * Returns tasks whose start may have been executed by another incarnation of the worker. A
-     * worker with another name at the address refuses all orders to this one.
-     */
+    /** Returns tasks whose start may have been executed by the worker's next incarnation. */
     Set<WorkflowTaskId> possiblyStartedTasks() {
         return incarnation.mayNextHaveReceivedOrders()
                 ? orders.possiblyStartedTasks(run -> lists.status(run).isPresent())
@@ -243,8 +245,8 @@
     }
 
     /** Handles the application of run ends of this worker, which the worker may now discard. */
-    void onEndsApplied(long nowMilliseconds, LeaderOutput output) {
-        lists.onEndsApplied(nowMilliseconds, output);
+    void onEndsApplied(long nowMilliseconds, EndRuns applied, LeaderOutput output) {
+        lists.onEndsApplied(nowMilliseconds, applied, output);
     }
 
     private void learnClock(long sentAt, long nowMilliseconds, OptionalLong workerClock) {
@@ -280,10 +282,9 @@
 
     private void onList(
             long nowMilliseconds, ListRuns call, CallOutcome.Listed list, LeaderOutput output) {
-        OptionalLong started = list.startedEpochMilliseconds();
-        if (started.isPresent()
-                && started.getAsLong() != worker.incarnation().startedEpochMilliseconds()) {
+        if (!list.mayBeOf(worker.incarnation())) {
             incarnation.onNamesakeAnswered();
+            orders.endStarts();
             return;
         }
         incarnation.onListed(nowMilliseconds);
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/RunListLogTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/RunListLogTest.java
@@ -96,7 +96,7 @@
         startSecondRun();
         list(10, nextList(0), 0, List.of(), List.of(done(7, FIRST), done(8, SECOND)));
         assertThat(DecisionFields.of(decisionLog, "ends_acknowledged")).isEmpty();
-        session.onEndsApplied(20, output);
+        session.onEndsApplied(20, (EndRuns) proposals.get(0), output);
 
         assertThat(DecisionFields.only(decisionLog, "ends_acknowledged"))
                 .containsEntry("up_to", "8")
@@ -108,7 +108,7 @@
     void raiseByCountedEndsAloneIsNotLogged() {
         startWorkflow(placement(FIRST));
         list(10, nextList(0), 0, List.of(), List.of(done(7, FIRST)));
-        session.onEndsApplied(20, output);
+        session.onEndsApplied(20, (EndRuns) proposals.get(0), output);
 
         assertThat(decisionLog).isEmpty();
     }
