--- a/library/src/test/java/org/marjoramnotch/logic/workflow/AcknowledgementCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/AcknowledgementCell.java
@@ -26,8 +26,6 @@
 import org.marjoramnotch.model.order.ListRuns;
 import org.marjoramnotch.model.order.WorkerCall;
 import org.marjoramnotch.model.resource.Resources;
-import org.marjoramnotch.model.workflow.RunId;
-import org.marjoramnotch.model.workflow.StepDefinition;
 
 /**
  * Runs the workflow duty in steps of a millisecond, with commits that stall, calls that are held or
@@ -113,7 +111,12 @@
         double rate = 0.985 + 0.03 * random.nextDouble();
         SimulatedFleetWorker life =
                 new SimulatedFleetWorker(
-                        worker, random.nextLong(1_000_000), rate, this::stepOf, random, 0);
+                        worker,
+                        random.nextLong(1_000_000),
+                        rate,
+                        run -> WorkflowCell.stepOf(ledger, run),
+                        random,
+                        0);
         lives.put(id, new AcknowledgedEnds.Life(life));
         request(new ReportWorker(worker, now));
     }
@@ -165,13 +168,6 @@
         }
     }
 
-    private StepDefinition stepOf(RunId run) {
-        return ledger.workflow(run.task().step().workflow())
-                .flatMap(entry -> entry.step(run.task().step()))
-                .map(StepTasks::definition)
-                .orElseGet(() -> StepDefinition.builder().build());
-    }
-
     void run(long milliseconds) {
         long end = now + milliseconds;
         while (now < end) {
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/RunListPollerTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/RunListPollerTest.java
@@ -27,16 +27,7 @@
     void endInFlightIsNotAcknowledgedWithOtherEnds() {
         RunId run = new RunId(TASK, 1);
         startWorkflow(new RunPlacement(run, worker.incarnation(), ""));
-        calls.clear();
-        WorkflowDuty duty =
-                new WorkflowDuty(
-                        WorkflowSettings.defaults(),
-                        ledger,
-                        () -> WorkflowCell.EPOCH,
-                        2,
-                        0,
-                        ConfigurationMetricsListener.NONE);
-        duty.onTick(0, output);
+        WorkflowDuty duty = startDuty();
         RunEndReport end = new RunEndReport(1, new RunEnd(run, RunOutcome.DONE, ""));
         duty.onCallOutcome(
                 10,
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTestCase.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTestCase.java
@@ -89,6 +89,21 @@
                 output);
     }
 
+    /** Starts the duty of a later leader, which asks for the first lists. */
+    WorkflowDuty startDuty() {
+        calls.clear();
+        WorkflowDuty duty =
+                new WorkflowDuty(
+                        WorkflowSettings.defaults(),
+                        ledger,
+                        () -> WorkflowCell.EPOCH,
+                        2,
+                        0,
+                        ConfigurationMetricsListener.NONE);
+        duty.onTick(0, output);
+        return duty;
+    }
+
     void startWorkflow(RunPlacement placement) {
         ledger.apply(new ReplaceConfiguration(TestFleet.configuration(1), 0));
         ledger.apply(
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionsTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionsTest.java
@@ -34,16 +34,7 @@
                         worker.labels(),
                         false);
         ledger.apply(new EnrollWorker(other));
-        calls.clear();
-        WorkflowDuty duty =
-                new WorkflowDuty(
-                        WorkflowSettings.defaults(),
-                        ledger,
-                        () -> WorkflowCell.EPOCH,
-                        2,
-                        0,
-                        ConfigurationMetricsListener.NONE);
-        duty.onTick(0, output);
+        WorkflowDuty duty = startDuty();
         for (WorkerCall list : List.copyOf(calls)) {
             boolean restarted = list.worker().equals(worker);
             duty.onCallOutcome(
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
@@ -193,7 +193,7 @@
                         worker,
                         random.nextLong(1_000_000),
                         0.985 + 0.03 * random.nextDouble(),
-                        this::stepOf,
+                        run -> stepOf(ledger, run),
                         random,
                         failureShare));
         request(new ReportWorker(worker, now));
@@ -209,7 +209,7 @@
         return handle;
     }
 
-    private StepDefinition stepOf(RunId run) {
+    static StepDefinition stepOf(WorkflowLedger ledger, RunId run) {
         return ledger.workflow(run.task().step().workflow())
                 .flatMap(entry -> entry.step(run.task().step()))
                 .map(StepTasks::definition)
