Count what the next life of a worker shows of the runs of its predecessor

Callers saw a task started again about six seconds after its run had ended done, and that end was acknowledged. Cause: a worker restarts under its name and carries out a start that was meant for its earlier life. Its list names another life, and the leader threw the whole list away: the runs of the earlier life were ended with its dismissal, and their tasks waited for one lease of the cell (5 s) and then ran elsewhere, though the run was at work, or done, on the next life. That life enrolled later, and its end was acknowledged as one that no longer counted.

Change: the ends that such a list shows count at once, while their numbers, which are of the next life, are not acknowledged by this session. Tasks whose runs it shows at work wait for the longest lease that the worker accepts (setting longestLeaseMilliseconds), since the lease in the call ended by the clock of the earlier life. All others wait as before.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/WorkflowDaemonSettings.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/WorkflowDaemonSettings.java
@@ -5,7 +5,7 @@
 /**
  * Properties of the workers that accept orders.
  *
- * @param longestLeaseMilliseconds longest lease that a worker grants
+ * @param longestLeaseMilliseconds longest lease that a worker accepts
  * @param reportIntervalMilliseconds interval of the workers' reports
  * @param retentionMilliseconds how long ended workflows can be read by callers
  */
@@ -21,6 +21,7 @@
         WorkflowSettings defaults = WorkflowSettings.defaults();
         return WorkflowSettings.builder()
                 .leaseMilliseconds(Math.min(defaults.leaseMilliseconds(), longestLeaseMilliseconds))
+                .longestLeaseMilliseconds(longestLeaseMilliseconds)
                 .reportTimeoutMilliseconds(
                         (long) (reportIntervalMilliseconds * REPORTS_PER_TIMEOUT))
                 .retentionMilliseconds(retentionMilliseconds)
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/EndProposer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/EndProposer.java
@@ -67,6 +67,11 @@
         propose(findings.ends(), findings.lastEnd(), origin, output);
     }
 
+    /** Proposes ends that a list of the next life shows; their numbers are of that life. */
+    void proposeListedByNextLife(CallOutcome.Listed list, List<RunEnd> ends, LeaderOutput output) {
+        propose(ends, 0, EndOrigin.ofList(list), output);
+    }
+
     /** Proposes the end of a run whose start was refused. */
     void proposeRefused(long nowMilliseconds, RunEnd end, WorkerCall call, LeaderOutput output) {
         EndOrigin origin = EndOrigin.ofRefusal(call.id());
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -152,7 +152,6 @@
                 && !orders.hasOrdersInFlight();
     }
 
-    /** Returns whether any order is in flight. */
     boolean hasOrdersInFlight() {
         return orders.hasOrdersInFlight();
     }
@@ -164,6 +163,11 @@
                 : Set.of();
     }
 
+    /** Returns tasks whose runs are at work on the worker's next incarnation. */
+    Set<WorkflowTaskId> tasksOfNextLife() {
+        return lists.tasksOfNextLife();
+    }
+
     /** Adds the tasks of runs that the worker lists but the ledger does not have on it. */
     void addUnknownTasks(Set<WorkflowTaskId> tasks) {
         lists.unknownRuns().forEach(run -> tasks.add(run.task()));
@@ -285,6 +289,7 @@
         if (!list.mayBeOf(worker.incarnation())) {
             incarnation.onNamesakeAnswered();
             orders.endStarts();
+            lists.onListOfNextLife(nowMilliseconds, list, output);
             return;
         }
         incarnation.onListed(nowMilliseconds);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
@@ -30,10 +30,23 @@
      * Tasks that must wait because the next incarnation of a worker may have received their start
      * orders.
      *
-     * @param tasks the tasks
-     * @param until when they may start again if the next incarnation does not enroll
+     * @param untilByTask when each may start again if the next incarnation does not enroll
      */
-    private record BlockedTasks(Set<WorkflowTaskId> tasks, long until) {}
+    private record BlockedTasks(Map<WorkflowTaskId, Long> untilByTask) {
+        BlockedTasks() {
+            this(new HashMap<>());
+        }
+
+        void add(WorkflowTaskId task, long until) {
+            untilByTask.merge(task, until, Math::max);
+        }
+
+        /** Removes the tasks that may start again; returns whether none is left. */
+        boolean isOver(long nowMilliseconds) {
+            untilByTask.values().removeIf(until -> nowMilliseconds >= until);
+            return untilByTask.isEmpty();
+        }
+    }
 
     WorkerSessions(
             WorkflowSettings settings,
@@ -46,8 +59,8 @@
         this.fencingToken = fencingToken;
         this.log = log;
         this.calls = new CallRegistry(fencingToken);
-        ledger.workers().forEach(entry -> openSession(entry.worker(), nowMilliseconds));
         blockTasksEndedUnseen(nowMilliseconds, worker -> true);
+        ledger.workers().forEach(entry -> openSession(entry.worker(), nowMilliseconds));
     }
 
     /**
@@ -61,12 +74,7 @@
                     .forEach(
                             (task, worker) -> {
                                 if (restarted.test(worker)) {
-                                    blockedTasks
-                                            .computeIfAbsent(
-                                                    worker,
-                                                    id -> new BlockedTasks(new HashSet<>(), until))
-                                            .tasks()
-                                            .add(task);
+                                    blockedOn(worker).add(task, until);
                                 }
                             });
         }
@@ -133,17 +141,23 @@
      */
     private void blockTasks(long nowMilliseconds, WorkerSession ended) {
         WorkerId worker = ended.worker().id();
-        Set<WorkflowTaskId> tasks = new HashSet<>(ended.possiblyStartedTasks());
-        Optional.ofNullable(blockedTasks.get(worker))
-                .ifPresent(earlier -> tasks.addAll(earlier.tasks()));
-        blockedTasks.put(
-                worker, new BlockedTasks(tasks, nowMilliseconds + settings.leaseMilliseconds()));
+        BlockedTasks blocked = blockedOn(worker);
+        long until = nowMilliseconds + settings.leaseMilliseconds();
+        Set.copyOf(blocked.untilByTask().keySet()).forEach(task -> blocked.add(task, until));
+        ended.possiblyStartedTasks().forEach(task -> blocked.add(task, until));
+        // Their leases end by the clock of another incarnation, so only the worker limits them.
+        long longest = nowMilliseconds + settings.longestLeaseMilliseconds();
+        ended.tasksOfNextLife().forEach(task -> blocked.add(task, longest));
+    }
+
+    private BlockedTasks blockedOn(WorkerId worker) {
+        return blockedTasks.computeIfAbsent(worker, id -> new BlockedTasks());
     }
 
     /** Returns tasks that must not start because a run of them may exist on some worker. */
     Set<WorkflowTaskId> blockedTasks() {
         Set<WorkflowTaskId> tasks = new HashSet<>();
-        blockedTasks.values().forEach(blocked -> tasks.addAll(blocked.tasks()));
+        blockedTasks.values().forEach(blocked -> tasks.addAll(blocked.untilByTask().keySet()));
         sessions.values().forEach(session -> session.addUnknownTasks(tasks));
         return tasks;
     }
@@ -155,7 +169,8 @@
                         blocked ->
                                 of(blocked.getKey())
                                         .map(session -> session.isSettled(nowMilliseconds))
-                                        .orElse(nowMilliseconds >= blocked.getValue().until()));
+                                        .orElseGet(
+                                                () -> blocked.getValue().isOver(nowMilliseconds)));
         calls.overdue(nowMilliseconds)
                 .forEach(id -> onOutcome(nowMilliseconds, new CallOutcome.Unanswered(id), output));
         sessions.values().forEach(session -> session.tick(nowMilliseconds, output));
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
@@ -4,6 +4,7 @@
  * Timing settings of the workflow duty.
  *
  * @param leaseMilliseconds how long runs continue without a renewal of the worker's lease
+ * @param longestLeaseMilliseconds the longest lease that a worker accepts
  * @param listWaitMilliseconds how long a worker may delay its list until a run ends
  * @param orderRetryMilliseconds delay before an unanswered order is sent again
  * @param workerClockDriftPercent how much slower than real time a worker's clock may run
@@ -13,6 +14,7 @@
  */
 public record WorkflowSettings(
         long leaseMilliseconds,
+        long longestLeaseMilliseconds,
         long listWaitMilliseconds,
         long orderRetryMilliseconds,
         int workerClockDriftPercent,
@@ -33,6 +35,7 @@
     public static final class Builder {
         // Outlasts an election of 2 s and the first call of the new leader.
         private long leaseMilliseconds = 5_000;
+        private long longestLeaseMilliseconds = 10_000;
         // The longest wait that workers allow.
         private long listWaitMilliseconds = 2_000;
         private long orderRetryMilliseconds = 50;
@@ -51,6 +54,12 @@
             return this;
         }
 
+        /** Sets the longest lease that a worker accepts. */
+        public Builder longestLeaseMilliseconds(long value) {
+            longestLeaseMilliseconds = value;
+            return this;
+        }
+
         /** Sets the time without contact after which a worker gets no new runs. */
         public Builder reportTimeoutMilliseconds(long value) {
             reportTimeoutMilliseconds = value;
@@ -67,6 +76,7 @@
         public WorkflowSettings build() {
             return new WorkflowSettings(
                     leaseMilliseconds,
+                    longestLeaseMilliseconds,
                     listWaitMilliseconds,
                     orderRetryMilliseconds,
                     workerClockDriftPercent,
