Give each life of a worker a fencing token of its own

Callers could see a task run twice, or again after an end that was discarded: a start or a list that was meant for the earlier life of a worker is carried out seconds later by the next one under its name. Cause: the calls to both lives carried the token of the leader's duties, so that the next life had no means to refuse them.

Change: within the duties of a leader, each later life of a worker is called with the next token, up to eight. Duties reserve eight tokens; starts of duties are counted in each term and no longer over all terms, where the count began anew after 1,024 and could hand out a lower token in the same term.

The tests that name tokens as numbers name the new ones; they check the same values as before, the token of the duties.

--- a/library/src/main/java/org/marjoramnotch/logic/cell/FencingTokens.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/FencingTokens.java
@@ -1,15 +1,24 @@
 package org.marjoramnotch.logic.cell;
 
+import org.marjoramnotch.logic.workflow.WorkflowDuty;
+
 /** Numbers the starts of the leader's duties across all replicas. */
 final class FencingTokens {
-    /** Ample, as duties restart within a term only after a refused proposal or a long pause. */
     private static final long TOKENS_PER_TERM = 1_024;
 
-    private long dutyStarts;
+    /** Ample, as duties restart within a term only after a refused proposal or a long pause. */
+    private static final long STARTS_PER_TERM = TOKENS_PER_TERM / WorkflowDuty.FENCING_TOKENS;
+
+    private long term;
+    private long startsInTerm;
 
-    /** Returns a token higher than that of all earlier duties, including those of the same term. */
-    long next(long term) {
-        dutyStarts++;
-        return term * TOKENS_PER_TERM + dutyStarts % TOKENS_PER_TERM;
+    /**
+     * Returns the first token of new duties. It is higher than those of all earlier duties,
+     * including those of the same term.
+     */
+    long next(long newTerm) {
+        startsInTerm = newTerm == term ? Math.min(startsInTerm + 1, STARTS_PER_TERM - 1) : 0;
+        term = newTerm;
+        return newTerm * TOKENS_PER_TERM + startsInTerm * WorkflowDuty.FENCING_TOKENS;
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
@@ -26,6 +26,9 @@
     private final Map<WorkerId, WorkerSession> sessions = new TreeMap<>();
     private final Map<WorkerId, BlockedTasks> blockedTasks = new HashMap<>();
 
+    /** How many lives of a worker have followed others during the duties of this leader. */
+    private final Map<WorkerId, Long> laterLives = new HashMap<>();
+
     /**
      * Tasks that must wait because the next incarnation of a worker may have received their start
      * orders.
@@ -116,6 +119,7 @@
             blockTasks(nowMilliseconds, session);
             // An earlier leader may have sent the start of a run that ended with the incarnation.
             blockTasksEndedUnseen(nowMilliseconds, worker.id()::equals);
+            laterLives.merge(worker.id(), 1L, Long::sum);
             openSession(worker, nowMilliseconds);
         }
     }
@@ -128,6 +132,7 @@
         sessions.remove(incarnation.worker());
         if (session.isReplaced()) {
             blockTasks(nowMilliseconds, session);
+            laterLives.merge(incarnation.worker(), 1L, Long::sum);
             if (session.mayNextHaveReceivedOrders()) {
                 blockTasksEndedUnseen(nowMilliseconds, incarnation.worker()::equals);
             }
@@ -216,9 +221,18 @@
                         ledger,
                         calls,
                         firstLists,
-                        fencingToken,
+                        tokenFor(worker.id()),
                         worker,
                         log,
                         nowMilliseconds));
     }
+
+    /**
+     * Returns a token higher than those of calls to earlier lives of a worker, so that late copies
+     * of them take no effect once this life has been called.
+     */
+    private long tokenFor(WorkerId worker) {
+        long life = laterLives.getOrDefault(worker, 0L);
+        return fencingToken + Math.min(life, WorkflowDuty.FENCING_TOKENS - 1);
+    }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -31,6 +31,12 @@
 
 /** Makes the leader's decisions about workflows in one term of leadership. */
 public final class WorkflowDuty implements LeaderDuty {
+    /**
+     * How many fencing tokens the duty uses, from the one that it is given: one for each life of a
+     * worker. Lives after the last share its token.
+     */
+    public static final long FENCING_TOKENS = 8;
+
     /** Interval of checks that iterate over all workflows. */
     private static final long SLOW_TICK_MILLISECONDS = 1_000;
 
@@ -77,7 +83,7 @@
      * @param settings leases, intervals and retention times
      * @param ledger the replicated state
      * @param wallClock the Unix time in milliseconds, for submission and due times
-     * @param fencingToken higher than that of every earlier duty of the cell
+     * @param fencingToken higher than all tokens that earlier duties of the cell may have used
      * @param nowMilliseconds when the duty starts, in the leader's time
      * @param metricsListener receives the refusals that the configuration causes
      * @param runMetricsListener receives the ends of runs
--- a/library/src/test/java/org/marjoramnotch/logic/cell/InheritedRunLogTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/InheritedRunLogTest.java
@@ -62,7 +62,7 @@
 
         assertThat(core.takeEffects(0).decisionLog())
                 .contains(
-                        DecisionLogEntry.of("leader_duties_started", "fencing_token", 1_025L)
+                        DecisionLogEntry.of("leader_duties_started", "fencing_token", 1_024L)
                                 .at(new LogPosition(1, 0)));
     }
 
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/AcknowledgementCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/AcknowledgementCell.java
@@ -155,7 +155,7 @@
                         WorkflowSettings.builder().leaseMilliseconds(LEASE_MILLISECONDS).build(),
                         ledger,
                         () -> WorkflowCell.EPOCH + now,
-                        leaders,
+                        leaders * WorkflowDuty.FENCING_TOKENS,
                         now,
                         ConfigurationMetricsListener.NONE);
     }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/RunEndLogTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/RunEndLogTest.java
@@ -55,7 +55,7 @@
         assertThat(DecisionFields.only(cell.decisionLog, "run_started"))
                 .containsEntry("run", FIRST)
                 .containsEntry("worker", "w-1")
-                .containsEntry("token", "1")
+                .containsEntry("token", "8")
                 .containsKeys("term", "index");
         Map<String, String> end = DecisionFields.only(cell.decisionLog, "run_ended");
         assertThat(end)
@@ -66,7 +66,7 @@
                 .containsEntry("source", "LIST")
                 .containsEntry("effect", "ENDED")
                 .containsEntry("number", "1")
-                .containsEntry("token", "1")
+                .containsEntry("token", "8")
                 .containsKeys("term", "index");
         assertThat(Long.parseLong(end.get("call"))).isGreaterThan(1L << 32);
     }
@@ -129,6 +129,6 @@
         cell.changeLeader();
         cell.run(6_000);
 
-        assertThat(firstEnd()).containsEntry("source", "LIST").containsEntry("token", "2");
+        assertThat(firstEnd()).containsEntry("source", "LIST").containsEntry("token", "16");
     }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowCell.java
@@ -165,7 +165,7 @@
                         WorkflowSettings.builder().leaseMilliseconds(3_000).build(),
                         ledger,
                         () -> EPOCH + now,
-                        dutyNumber,
+                        dutyNumber * WorkflowDuty.FENCING_TOKENS,
                         now,
                         ConfigurationMetricsListener.NONE);
     }
