--- /dev/null
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetSoak.java
@@ -0,0 +1,40 @@
+package org.marjoramnotch.logic.cell;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Runs simulations of replicas with workers from the command line: {@code --seed FIRST --runs
+ * COUNT}, with {@code --trace 1} to print the events.
+ */
+public final class FleetSoak {
+    private FleetSoak() {}
+
+    /** Runs all seeds and prints those in which a task started twice. */
+    public static void main(String[] arguments) {
+        List<String> options = List.of(arguments);
+        long first = CellSoak.option(options, "--seed", 1);
+        long runs = CellSoak.option(options, "--runs", 1);
+        boolean traced = CellSoak.option(options, "--trace", 0) > 0;
+        Map<String, Integer> total = new TreeMap<>();
+        long starts = 0;
+        long failed = 0;
+        for (long seed = first; seed < first + runs; seed++) {
+            FleetSimulation cell = new FleetSimulationRun(seed, traced).run();
+            cell.trace.lines().forEach(System.out::println);
+            starts += cell.checker.starts();
+            cell.occurrences().forEach((what, times) -> total.merge(what, times, Integer::sum));
+            if (!cell.checker.violations().isEmpty()) {
+                failed++;
+                System.out.println(
+                        "event=fleet_soak_violation seed=%d violations=\"%s\""
+                                .formatted(seed, cell.checker.violations()));
+            }
+        }
+        System.out.println(
+                "event=fleet_soak_ended runs=%d failed=%d starts=%d met=\"%s\""
+                        .formatted(runs, failed, starts, total));
+        System.exit(failed == 0 ? 0 : 1);
+    }
+}
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/RunInvariants.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/RunInvariants.java
@@ -67,7 +67,7 @@
         Map<WorkflowTaskId, String> running = new HashMap<>();
         for (SimulatedFleetWorker worker : workers) {
             Resources taken = Resources.NONE;
-            for (SimulatedFleetWorker.LiveRun run : worker.live()) {
+            for (SimulatedRun run : worker.live()) {
                 taken = taken.plus(run.step.reserved());
                 String other = running.put(run.run.task(), worker.worker().id().value());
                 assertThat(other).as("second run of " + run.run.task() + " at " + now).isNull();
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedFleetWorker.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedFleetWorker.java
@@ -30,28 +30,9 @@
 /**
  * Simulates a worker in virtual time, with leases, fencing, late orders and reports of run ends.
  */
-final class SimulatedFleetWorker {
-    private static final long MAXIMUM_LEASE_MILLISECONDS = 10_000;
+public final class SimulatedFleetWorker {
     private static final long STOP_MILLISECONDS = 200;
 
-    /** A run on the worker. */
-    static final class LiveRun {
-        final RunId run;
-        final StepDefinition step;
-        final long startedAt;
-        final long endsAt;
-        final RunOutcome outcome;
-        long stopsAt = Long.MAX_VALUE;
-
-        LiveRun(RunId run, StepDefinition step, long startedAt, long endsAt, RunOutcome outcome) {
-            this.run = run;
-            this.step = step;
-            this.startedAt = startedAt;
-            this.endsAt = endsAt;
-            this.outcome = outcome;
-        }
-    }
-
     private static final int MAXIMUM_ENDS_PER_LIST = 500;
     private static final int COMPLETE_PERCENT = 100;
     private static final long MAXIMUM_STANDING_MILLISECONDS = 3_000;
@@ -62,20 +43,21 @@
     private final Function<RunId, StepDefinition> steps;
     private final UniformRandomProvider random;
     private double failureShare;
-    private final Map<WorkflowTaskId, LiveRun> live = new LinkedHashMap<>();
+    private final Map<WorkflowTaskId, SimulatedRun> live = new LinkedHashMap<>();
     private final Map<WorkflowTaskId, Long> lastClosedRun = new HashMap<>();
     private final List<RunEndReport> ended = new ArrayList<>();
     private long highestFencingToken;
-    private long leaseUntil;
+    private final SimulatedLease lease = new SimulatedLease();
     private long lastEnd;
     private int startsToReject;
     private boolean rejectsCalls;
     private double standingFailureShare;
     private ToLongFunction<StepDefinition> runTimes;
     private Predicate<StartRun> ticketCheck = start -> true;
-    private BiConsumer<RunId, RunOutcome> onEnd = (run, outcome) -> {};
+    private FleetWorkerListener listener = FleetWorkerListener.NONE;
 
-    SimulatedFleetWorker(
+    /** Creates a worker without runs, whose clock runs at a multiple of real time. */
+    public SimulatedFleetWorker(
             FleetWorker worker,
             long clockOrigin,
             double clockRate,
@@ -91,28 +73,28 @@
         this.runTimes = step -> step.estimateMilliseconds() / 2 + random.nextLong(600);
     }
 
-    void useRunTimes(ToLongFunction<StepDefinition> times) {
+    public void useRunTimes(ToLongFunction<StepDefinition> times) {
         runTimes = times;
     }
 
     /** Renews the lease from a list call that waits for a run to end. */
     void renewLease(long now, ListRuns list) {
         if (list.fencingToken() >= highestFencingToken) {
-            list.leaseUntil().ifPresent(until -> extend(now, until));
+            list.leaseUntil().ifPresent(until -> lease.extend(clock(now), until));
         }
     }
 
-    boolean hasEndsAfter(long acknowledged) {
+    public boolean hasEndsAfter(long acknowledged) {
         return lastEnd > acknowledged;
     }
 
     /** Rejects the next starts for lack of a ticket. */
-    void rejectStarts(int count) {
+    public void rejectStarts(int count) {
         startsToReject = count;
     }
 
     /** Sets whether the worker rejects every call, as an unhealthy worker does. */
-    void rejectCalls(boolean rejects) {
+    public void rejectCalls(boolean rejects) {
         rejectsCalls = rejects;
     }
 
@@ -133,8 +115,18 @@
         ticketCheck = check;
     }
 
-    void onRunEnd(BiConsumer<RunId, RunOutcome> listener) {
-        onEnd = listener;
+    public void setListener(FleetWorkerListener newListener) {
+        listener = newListener;
+    }
+
+    void onRunEnd(BiConsumer<RunId, RunOutcome> onEnd) {
+        setListener(
+                new FleetWorkerListener() {
+                    @Override
+                    public void onEnded(long number, RunId run, RunOutcome outcome) {
+                        onEnd.accept(run, outcome);
+                    }
+                });
     }
 
     /** Reports the worker as draining from now on. */
@@ -150,22 +142,22 @@
                         true);
     }
 
-    FleetWorker worker() {
+    public FleetWorker worker() {
         return worker;
     }
 
-    Collection<LiveRun> live() {
+    public Collection<SimulatedRun> live() {
         return live.values();
     }
 
-    long clock(long now) {
+    public long clock(long now) {
         return clockOrigin + (long) (now * clockRate);
     }
 
     /** Ends the runs that are due to end. */
-    void advance(long now) {
-        boolean lapsed = clock(now) >= leaseUntil;
-        for (LiveRun run : List.copyOf(live.values())) {
+    public void advance(long now) {
+        boolean lapsed = lease.isOver(clock(now));
+        for (SimulatedRun run : List.copyOf(live.values())) {
             if (lapsed) {
                 end(run, RunOutcome.LAPSED);
             } else if (now >= run.stopsAt) {
@@ -174,9 +166,13 @@
                 end(run, run.outcome);
             }
         }
+        if (lease.lapse(clock(now))) {
+            listener.onLeaseLapsed();
+        }
     }
 
-    CallOutcome handle(long now, WorkerCall call) {
+    /** Carries out a call and returns the answer. */
+    public CallOutcome handle(long now, WorkerCall call) {
         advance(now);
         if (call.fencingToken() < highestFencingToken) {
             return rejected(now, call, RejectionReason.FENCED);
@@ -191,7 +187,7 @@
         }
         if (call instanceof StopRun stop) {
             lastClosedRun.merge(stop.run().task(), stop.run().number(), Math::max);
-            LiveRun run = live.get(stop.run().task());
+            SimulatedRun run = live.get(stop.run().task());
             if (run != null && run.run.equals(stop.run())) {
                 run.stopsAt = Math.min(run.stopsAt, now + random.nextLong(STOP_MILLISECONDS));
             }
@@ -204,7 +200,8 @@
 
     private CallOutcome list(long now, ListRuns list) {
         ended.removeIf(report -> report.number() <= list.acknowledgedEnds());
-        list.leaseUntil().ifPresent(until -> extend(now, until));
+        listener.onEndsAcknowledged(list.acknowledgedEnds());
+        list.leaseUntil().ifPresent(until -> lease.extend(clock(now), until));
         List<RunStatus> statuses = live.values().stream().map(run -> statusOf(now, run)).toList();
         return new CallOutcome.Listed(
                 list.id(),
@@ -214,23 +211,23 @@
                 ended.stream().limit(MAXIMUM_ENDS_PER_LIST).toList());
     }
 
-    private static RunStatus statusOf(long now, LiveRun run) {
+    private static RunStatus statusOf(long now, SimulatedRun run) {
         int percent = run.step.standing() ? COMPLETE_PERCENT : progress(now, run);
         return new RunStatus(run.run, checkpoint(run), percent, -1);
     }
 
-    private static String checkpoint(LiveRun run) {
+    private static String checkpoint(SimulatedRun run) {
         return run.step.checkpointing() ? "saved-" + run.run : "";
     }
 
-    private static int progress(long now, LiveRun run) {
+    private static int progress(long now, SimulatedRun run) {
         return (int) (100 * (now - run.startedAt) / Math.max(1, run.endsAt - run.startedAt));
     }
 
     private CallOutcome start(long now, StartRun start) {
         RunId run = start.run();
-        LiveRun existing = live.get(run.task());
-        extend(now, start.leaseUntil());
+        SimulatedRun existing = live.get(run.task());
+        lease.extend(clock(now), start.leaseUntil());
         if (startsToReject > 0) {
             startsToReject--;
             return rejected(now, start, RejectionReason.NO_TICKET);
@@ -252,12 +249,13 @@
         long duration = runTimes.applyAsLong(step);
         live.put(
                 run.task(),
-                new LiveRun(
+                new SimulatedRun(
                         run,
                         step,
                         now,
                         endOf(now, step, fails, duration),
                         fails || step.standing() ? RunOutcome.FAILED : RunOutcome.DONE));
+        listener.onStarted(run);
         return new CallOutcome.Accepted(start.id(), OptionalLong.of(clock(now)));
     }
 
@@ -274,26 +272,21 @@
 
     /** Ends a run with an outcome that depends on other workers, as in a gang. */
     void endNow(RunId run, RunOutcome outcome) {
-        LiveRun existing = live.get(run.task());
+        SimulatedRun existing = live.get(run.task());
         if (existing != null && existing.run.equals(run)) {
             end(existing, outcome);
         }
     }
 
-    private void extend(long now, long until) {
-        long latestEnd = clock(now) + MAXIMUM_LEASE_MILLISECONDS;
-        leaseUntil = Math.max(leaseUntil, Math.min(until, latestEnd));
-    }
-
     private CallOutcome rejected(long now, WorkerCall call, RejectionReason reason) {
         return new CallOutcome.Rejected(call.id(), OptionalLong.of(clock(now)), reason);
     }
 
-    private void end(LiveRun run, RunOutcome outcome) {
+    private void end(SimulatedRun run, RunOutcome outcome) {
         live.remove(run.run.task());
         lastClosedRun.merge(run.run.task(), run.run.number(), Math::max);
         lastEnd++;
         ended.add(new RunEndReport(lastEnd, new RunEnd(run.run, outcome, checkpoint(run))));
-        onEnd.accept(run.run, outcome);
+        listener.onEnded(lastEnd, run.run, outcome);
     }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedGangs.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedGangs.java
@@ -19,7 +19,7 @@
 
     private record GangRun(StepId step, long number) {}
 
-    private record Member(SimulatedFleetWorker worker, SimulatedFleetWorker.LiveRun run) {}
+    private record Member(SimulatedFleetWorker worker, SimulatedRun run) {}
 
     private final WorkflowCell cell;
     private final Map<GangRun, Long> endsAt = new HashMap<>();
@@ -32,7 +32,7 @@
     private void advance() {
         Map<GangRun, List<Member>> present = new HashMap<>();
         for (SimulatedFleetWorker worker : cell.workers.values()) {
-            for (SimulatedFleetWorker.LiveRun run : worker.live()) {
+            for (SimulatedRun run : worker.live()) {
                 if (run.step.gang()) {
                     RunId id = run.run;
                     present.computeIfAbsent(
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/TestFleet.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/TestFleet.java
@@ -16,13 +16,14 @@
 import org.marjoramnotch.model.workflow.WorkflowDraft;
 
 /** A configuration of two queues and two teams. */
-final class TestFleet {
+public final class TestFleet {
     static final String KEY = "key-of-team-one";
     static final ServiceName OTHER_POOL = new ServiceName("other-pool");
 
     private TestFleet() {}
 
-    static FleetConfiguration configuration(long version) {
+    /** Returns a configuration without limits. */
+    public static FleetConfiguration configuration(long version) {
         return configuration(version, Resources.NONE, Optional.empty());
     }
 
@@ -85,7 +86,8 @@
                 usual.teams());
     }
 
-    static CallTarget target(String workflow) {
+    /** Returns the target of a workflow in the quick queue. */
+    public static CallTarget target(String workflow) {
         return new CallTarget("callers.example", "/quick/" + workflow, Optional.of(KEY));
     }
 
