Restart simulated workers under their names

Change: workers of the fleet simulation crash and restart. A worker discards ends when a call arrives, not again when it answers.

--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetCalls.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetCalls.java
@@ -90,14 +90,18 @@
         }
     }
 
+    /** Lets a call arrive seconds later; it is lost if the worker has restarted since. */
     private void executeLate(OpenCall open, FleetWorkerNode worker) {
         cell.count("call carried out late");
+        int life = worker.lives();
         cell.timeline.after(
                 random.nextLong(LATE_MINIMUM_MICROSECONDS, LATE_MAXIMUM_MICROSECONDS),
                 () -> {
-                    cell.trace.add(
-                            () -> "late at=" + worker.machine.name() + " " + brief(open.call));
-                    worker.handle(open.call, Optional.empty());
+                    if (worker.lives() == life) {
+                        cell.trace.add(
+                                () -> "late at=" + worker.machine.name() + " " + brief(open.call));
+                        worker.handle(open.call, Optional.empty());
+                    }
                 });
     }
 
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetFaultInjector.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetFaultInjector.java
@@ -46,7 +46,8 @@
         }
         for (FleetWorkerNode worker : cell.workers) {
             worker.lossShare = 0;
-            worker.worker().rejectCalls(false);
+            worker.worker().ifPresent(present -> present.rejectCalls(false));
+            restart(worker);
         }
     }
 
@@ -97,11 +98,15 @@
             case SLOW_INPUTS -> hosts(host, each -> each.slowInputsUntil = in(duration));
             case CALLS_LOST -> loseCalls(worker, duration);
             case WORKER_CUT_ONE_WAY -> cutWorker(worker, duration);
-            case UNHEALTHY_WORKER -> {
-                worker.worker().rejectCalls(true);
-                after(duration / 2, () -> worker.worker().rejectCalls(false));
-            }
-            case STARTS_REJECTED -> worker.worker().rejectStarts(1 + random.nextInt(4));
+            case UNHEALTHY_WORKER -> rejectCalls(worker, duration / 2);
+            case STARTS_REJECTED ->
+                    worker.worker()
+                            .ifPresent(present -> present.rejectStarts(1 + random.nextInt(4)));
+            case WORKER_RESTART -> crash(worker, duration / 2);
+            case MANY_WORKERS_RESTART ->
+                    cell.workers.stream()
+                            .filter(each -> random.nextBoolean())
+                            .forEach(each -> crash(each, random.nextLong(20, duration)));
             default -> throw new IllegalStateException("unknown fault " + fault);
         }
     }
@@ -191,6 +196,29 @@
                 });
     }
 
+    private void rejectCalls(FleetWorkerNode worker, long duration) {
+        worker.worker()
+                .ifPresent(
+                        present -> {
+                            present.rejectCalls(true);
+                            after(duration, () -> present.rejectCalls(false));
+                        });
+    }
+
+    private void crash(FleetWorkerNode worker, long duration) {
+        if (worker.worker().isPresent()) {
+            worker.crash();
+            after(duration, () -> restart(worker));
+        }
+    }
+
+    private void restart(FleetWorkerNode worker) {
+        if (worker.worker().isEmpty()) {
+            worker.start();
+            cell.reportNow(worker);
+        }
+    }
+
     private void restart(FleetHost host) {
         if (!host.isRunning()) {
             cell.start(host);
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetSimulation.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetSimulation.java
@@ -35,11 +35,12 @@
 
 /** Simulates the replicas of a cell together with the workers that they lead. */
 final class FleetSimulation {
-    private static final long EPOCH = 1_700_000_000_000L;
+    static final long EPOCH = 1_700_000_000_000L;
     private static final int ENTRIES_BETWEEN_SNAPSHOTS = 150;
     private static final int ZONES = 3;
     private static final long RESEND_MILLISECONDS = 400;
     private static final long REPORT_MILLISECONDS = 1_500;
+    private static final long REPORT_TIMEOUT_MILLISECONDS = 1_400;
     private static final FleetNetwork.Machine CLIENT = new FleetNetwork.Machine("client", -1);
 
     final UniformRandomProvider random;
@@ -90,11 +91,7 @@
             FleetNetwork.Machine machine =
                     new FleetNetwork.Machine("worker-" + index, index % ZONES);
             FleetWorkerNode worker =
-                    new FleetWorkerNode(
-                            machine,
-                            this,
-                            configuration.pools().get(0).name(),
-                            checker.listenerOf(machine.name()));
+                    new FleetWorkerNode(machine, this, configuration.pools().get(0).name());
             workers.add(worker);
             workersById.put(worker.id(), worker);
             timeline.after(
@@ -103,10 +100,15 @@
     }
 
     private void report(FleetWorkerNode worker) {
-        sendUntilAnswered(worker.machine, worker.report(), timeline.now() + MILLISECOND * 1_400);
+        reportNow(worker);
         timeline.after(REPORT_MILLISECONDS * MILLISECOND, () -> report(worker));
     }
 
+    void reportNow(FleetWorkerNode worker) {
+        long until = timeline.now() + REPORT_TIMEOUT_MILLISECONDS * MILLISECOND;
+        worker.report().ifPresent(report -> sendUntilAnswered(worker.machine, report, until));
+    }
+
     /** Starts the process of a host from what its disk has. */
     void start(FleetHost host) {
         host.start((recovered, now) -> newCore(host, recovered, now));
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetWorkerNode.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetWorkerNode.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.marjoramnotch.logic.workflow.FleetWorkerListener;
+import org.jspecify.annotations.Nullable;
 import org.marjoramnotch.logic.workflow.SimulatedFleetWorker;
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
@@ -31,28 +31,37 @@
     private record WaitingList(ListRuns call, long until, Consumer<CallOutcome> answer) {}
 
     final FleetNetwork.Machine machine;
-    private final MicrosecondTimeline timeline;
+    private final FleetSimulation cell;
+    private final ServiceName pool;
     private final long phase;
-    private final SimulatedFleetWorker worker;
     private final List<WaitingList> waiting = new ArrayList<>();
+    private @Nullable SimulatedFleetWorker worker;
+    private long clockStartsAt;
+    private int lives;
     private long reports;
 
     /** The fraction of calls that are lost, carried out late or left unanswered. */
     double lossShare;
 
-    FleetWorkerNode(
-            FleetNetwork.Machine machine,
-            FleetSimulation cell,
-            ServiceName pool,
-            FleetWorkerListener listener) {
-        UniformRandomProvider random = cell.random;
+    FleetWorkerNode(FleetNetwork.Machine machine, FleetSimulation cell, ServiceName pool) {
         this.machine = machine;
-        this.timeline = cell.timeline;
-        this.phase = random.nextLong(MILLISECOND);
-        this.worker =
+        this.cell = cell;
+        this.pool = pool;
+        this.phase = cell.random.nextLong(MILLISECOND);
+        start();
+        cell.timeline.after(phase, this::tick);
+    }
+
+    /** Begins a life of the worker, which knows nothing of earlier ones. */
+    void start() {
+        UniformRandomProvider random = cell.random;
+        lives++;
+        clockStartsAt = now();
+        reports = 0;
+        SimulatedFleetWorker started =
                 new SimulatedFleetWorker(
                         new FleetWorker(
-                                new WorkerIncarnation(new WorkerId(machine.name()), 1),
+                                new WorkerIncarnation(id(), FleetSimulation.EPOCH + now()),
                                 pool,
                                 "10.0.0.1:80",
                                 new AvailabilityZone("zone-" + machine.zone()),
@@ -64,9 +73,24 @@
                         run -> cell.stepOf(run.task().step()),
                         random,
                         0);
-        worker.useRunTimes(step -> runTime(random, step));
-        worker.setListener(listener);
-        timeline.after(phase, this::tick);
+        started.useRunTimes(step -> runTime(random, step));
+        started.setListener(cell.checker.listenerOf(lifeName()));
+        worker = started;
+    }
+
+    /** Ends the worker with all that runs on it. */
+    void crash() {
+        worker = null;
+        if (cell.random.nextBoolean()) {
+            waiting.forEach(
+                    list -> list.answer().accept(new CallOutcome.Unanswered(list.call().id())));
+        }
+        waiting.clear();
+        cell.checker.onCrash(lifeName());
+    }
+
+    private String lifeName() {
+        return machine.name() + "#" + lives;
     }
 
     private static long runTime(UniformRandomProvider random, StepDefinition step) {
@@ -78,49 +102,77 @@
     }
 
     WorkerId id() {
-        return worker.worker().id();
+        return new WorkerId(machine.name());
     }
 
-    SimulatedFleetWorker worker() {
-        return worker;
+    /** Returns the present life of the worker, if it is up. */
+    Optional<SimulatedFleetWorker> worker() {
+        return Optional.ofNullable(worker);
     }
 
-    ReportWorker report() {
+    Optional<ReportWorker> report() {
         reports++;
-        return new ReportWorker(worker.worker(), reports);
+        return worker().map(present -> new ReportWorker(present.worker(), reports));
     }
 
     private long now() {
-        return (timeline.now() + phase) / MILLISECOND;
+        return (cell.timeline.now() + phase) / MILLISECOND;
+    }
+
+    /** Returns the time since the life began, which the worker's clock counts. */
+    private long age() {
+        return now() - clockStartsAt;
     }
 
     private void tick() {
-        worker.advance(now());
-        answerWaiting();
-        timeline.after(MILLISECOND, this::tick);
+        if (worker != null) {
+            worker.advance(age());
+            answerWaiting(worker);
+        }
+        cell.timeline.after(MILLISECOND, this::tick);
     }
 
-    private void answerWaiting() {
+    private void answerWaiting(SimulatedFleetWorker present) {
         for (WaitingList list : List.copyOf(waiting)) {
-            boolean over =
-                    now() >= list.until() || worker.hasEndsAfter(list.call().acknowledgedEnds());
+            boolean over = now() >= list.until() || present.hasEnds();
             if (over) {
                 waiting.remove(list);
-                list.answer().accept(worker.handle(now(), list.call()));
+                list.answer().accept(present.handle(age(), withoutAcknowledgement(list.call())));
             }
         }
     }
 
+    /** Returns a call for the answer only, since a worker discards ends when a call arrives. */
+    private static ListRuns withoutAcknowledgement(ListRuns call) {
+        return new ListRuns(
+                call.id(),
+                call.worker(),
+                call.fencingToken(),
+                0,
+                call.leaseUntil(),
+                call.waitMilliseconds());
+    }
+
+    int lives() {
+        return lives;
+    }
+
     /** Carries out a call; the answer may come later, or never if the call expects none. */
     void handle(WorkerCall call, Optional<Consumer<CallOutcome>> answer) {
-        CallOutcome outcome = worker.handle(now(), call);
+        if (worker == null) {
+            if (cell.random.nextBoolean()) {
+                answer.ifPresent(to -> to.accept(new CallOutcome.ConnectionRefused(call.id())));
+            }
+            return;
+        }
+        CallOutcome outcome = worker.handle(age(), call);
         if (answer.isEmpty()) {
             return;
         }
         if (call instanceof ListRuns list
                 && outcome instanceof CallOutcome.Listed
                 && list.waitMilliseconds() > 0
-                && !worker.hasEndsAfter(list.acknowledgedEnds())) {
+                && !worker.hasEnds()) {
             waiting.add(new WaitingList(list, now() + list.waitMilliseconds(), answer.get()));
         } else {
             answer.get().accept(outcome);
--- a/library/src/test/java/org/marjoramnotch/logic/cell/StartOnceChecker.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/StartOnceChecker.java
@@ -125,6 +125,13 @@
         ends.removeIf(end -> end.acknowledgement != Acknowledgement.PENDING);
     }
 
+    /** Handles the end of a worker with all that runs on it. */
+    void onCrash(String worker) {
+        trace.add(() -> "worker_crashes worker=" + worker);
+        live.values().forEach(runs -> runs.values().removeIf(worker::equals));
+        pending.remove(worker);
+    }
+
     private void lapse(String worker) {
         trace.add(() -> "lease_lapses worker=" + worker);
         List<DoneRun> ends = pending.getOrDefault(worker, new ArrayList<>());
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedFleetWorker.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedFleetWorker.java
@@ -84,10 +84,15 @@
         }
     }
 
-    public boolean hasEndsAfter(long acknowledged) {
+    boolean hasEndsAfter(long acknowledged) {
         return lastEnd > acknowledged;
     }
 
+    /** Returns whether any ends are not acknowledged yet. */
+    public boolean hasEnds() {
+        return !ended.isEmpty();
+    }
+
     /** Rejects the next starts for lack of a ticket. */
     public void rejectStarts(int count) {
         startsToReject = count;
