Call the next life of a worker at once, with its own token

Callers could see a task run again: a list or start that was meant for the earlier life of a worker was carried out by the next one between its first answer and its enrollment, when nothing had raised its token yet; a list with an acknowledged number discarded ends that nobody had seen.

Change: the first list of a next life is followed by a call with the token of that life, which takes nothing for granted and lists its runs once more.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/IncarnationState.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/IncarnationState.java
@@ -65,10 +65,15 @@
         return !acceptsOrders();
     }
 
-    /** Handles a list of a later incarnation, which may also have received orders to this one. */
-    void onNamesakeAnswered() {
+    /**
+     * Handles a list of a later incarnation, which may also have received orders to this one;
+     * returns whether it is the first.
+     */
+    boolean onNamesakeAnswered() {
+        boolean first = !namesakeAnswered;
         replaced = true;
         namesakeAnswered = true;
+        return first;
     }
 
     /** Handles a report of a later incarnation that is not enrolled yet. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListCalls.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListCalls.java
@@ -10,6 +10,7 @@
     private final CallRegistry calls;
     private final FirstListLimiter firstLists;
     private final long fencingToken;
+    private final long nextLifeToken;
     private final WorkerSession session;
     private final IncarnationState incarnation;
     private final RunListPoller lists;
@@ -22,6 +23,7 @@
             CallRegistry calls,
             FirstListLimiter firstLists,
             long fencingToken,
+            long nextLifeToken,
             WorkerSession session,
             IncarnationState incarnation,
             RunListPoller lists,
@@ -31,6 +33,7 @@
         this.calls = calls;
         this.firstLists = firstLists;
         this.fencingToken = fencingToken;
+        this.nextLifeToken = nextLifeToken;
         this.session = session;
         this.incarnation = incarnation;
         this.lists = lists;
@@ -69,6 +72,24 @@
                         < settings.reportTimeoutMilliseconds();
     }
 
+    /**
+     * Lists the runs of the next life that answers in place of this one. The call carries the token
+     * of that life, so that late copies of earlier calls take no effect there.
+     */
+    void fenceNextLife(long nowMilliseconds, LeaderOutput output) {
+        calls.send(
+                nowMilliseconds,
+                session,
+                new ListRuns(
+                        calls.nextId(),
+                        session.worker(),
+                        nextLifeToken,
+                        0,
+                        OptionalLong.empty(),
+                        0),
+                output);
+    }
+
     private void send(long nowMilliseconds, LeaderOutput output) {
         boolean longPoll =
                 lists.mayLongPoll() && isReporting() && lease.isReadingRecent(nowMilliseconds);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -44,6 +44,7 @@
             CallRegistry calls,
             FirstListLimiter firstLists,
             long fencingToken,
+            long nextLifeToken,
             FleetWorker worker,
             RunLog log,
             long nowMilliseconds) {
@@ -65,6 +66,7 @@
                         calls,
                         firstLists,
                         fencingToken,
+                        nextLifeToken,
                         this,
                         incarnation,
                         lists,
@@ -112,7 +114,6 @@
         return lists.hasList();
     }
 
-    /** Returns whether an answer from another incarnation shows that this one has ended. */
     boolean isReplaced() {
         return incarnation.isReplaced();
     }
@@ -193,7 +194,6 @@
         lists.onStart(nowMilliseconds);
     }
 
-    /** Stops a run; a later list shows its end. */
     void stop(long nowMilliseconds, RunId run, LeaderOutput output) {
         if (incarnation.acceptsOrders()) {
             orders.stop(nowMilliseconds, run, output);
@@ -216,7 +216,6 @@
         }
     }
 
-    /** Handles the outcome of a call. */
     void onOutcome(
             long nowMilliseconds,
             WorkerCall call,
@@ -287,7 +286,9 @@
     private void onList(
             long nowMilliseconds, ListRuns call, CallOutcome.Listed list, LeaderOutput output) {
         if (!list.mayBeOf(worker.incarnation())) {
-            incarnation.onNamesakeAnswered();
+            if (incarnation.onNamesakeAnswered()) {
+                listCalls.fenceNextLife(nowMilliseconds, output);
+            }
             orders.endStarts();
             lists.onListOfNextLife(nowMilliseconds, list, output);
             return;
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
@@ -221,18 +221,18 @@
                         ledger,
                         calls,
                         firstLists,
-                        tokenFor(worker.id()),
+                        tokenOf(laterLives.getOrDefault(worker.id(), 0L)),
+                        tokenOf(laterLives.getOrDefault(worker.id(), 0L) + 1),
                         worker,
                         log,
                         nowMilliseconds));
     }
 
     /**
-     * Returns a token higher than those of calls to earlier lives of a worker, so that late copies
-     * of them take no effect once this life has been called.
+     * Returns the token of a life of a worker. It is higher than those of earlier lives, so that
+     * late copies of calls to them take no effect once this life has been called.
      */
-    private long tokenFor(WorkerId worker) {
-        long life = laterLives.getOrDefault(worker, 0L);
+    private long tokenOf(long life) {
         return fencingToken + Math.min(life, WorkflowDuty.FENCING_TOKENS - 1);
     }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetRandomisedTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetRandomisedTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -52,7 +51,6 @@
     }
 
     /** The next incarnation discards an end that only its predecessor's number acknowledged. */
-    @Tag("known-red")
     @ParameterizedTest(name = "seed {0}")
     @ValueSource(longs = 1725)
     void lateListForEarlierIncarnationDiscardsNoEnd(long seed) {
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/RunEndAcknowledgementTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/RunEndAcknowledgementTest.java
@@ -42,16 +42,25 @@
         play();
     }
 
-    // A lease by the clock of an earlier life lasted longer than the leader counted.
+    // A run of the next life was given up by its predecessor's lease.
     @ParameterizedTest
     @ValueSource(longs = {27, 36, 158, 636, 1_245})
-    @Tag("known-red")
     void nextLifeThatCarriesOutCallsForTheEarlierOneRunsNothingTwice(long seed) {
         useCell(seed);
         cell.nextLifeCarriesOutCalls = true;
         play();
     }
 
+    // A lease by the clock of an earlier life lasted longer than the leader counted.
+    @ParameterizedTest
+    @ValueSource(longs = {350, 534, 748, 873, 965})
+    @Tag("known-red")
+    void leaseByTheClockOfAnEarlierLifeIsOutlasted(long seed) {
+        useCell(seed);
+        cell.nextLifeCarriesOutCalls = true;
+        play();
+    }
+
     // A list counted as later than the answer to a start of the same millisecond.
     @ParameterizedTest
     @ValueSource(longs = {10, 36, 57, 192})
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTestCase.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTestCase.java
@@ -81,6 +81,7 @@
                         new CallRegistry(1),
                         new FirstListLimiter(),
                         1,
+                        2,
                         worker,
                         new RunLog(ledger, 1, RunMetricsListener.NONE),
                         0);
