--- a/library/src/test/java/org/marjoramnotch/logic/workflow/NextLifeEvidenceTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/NextLifeEvidenceTest.java
@@ -140,4 +140,18 @@
         assertThat(startsAgainAt(40)).isFalse();
         assertThat(startsAgainAt(LEASE_CERTAINLY_OVER)).isTrue();
     }
+
+    // A call that was meant for a dismissed life was carried out late by the next one.
+    @Test
+    void lifeAfterDismissedOneIsCalledWithHigherToken() {
+        startRun();
+        dismissAfterListOfNextLife();
+        EnrollWorker enroll = new EnrollWorker(next);
+        duty.onApplied(40, enroll, ledger.apply(enroll), output);
+        duty.onTick(40, output);
+
+        assertThat(calls).extracting(WorkerCall::worker).containsExactly(next);
+        // The duty of this test begins with token 2.
+        assertThat(calls.get(0).fencingToken()).isGreaterThan(2);
+    }
 }
