--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListComparator.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListComparator.java
@@ -85,12 +85,15 @@
     /**
      * Returns whether a run recorded as lapsed had completed its work and no other run followed it.
      */
-    private boolean isCompletedLapsedRun(RunEnd end) {
-        RunId run = end.run();
-        return end.outcome() == RunOutcome.DONE
-                && ledger.workflow(run.task().step().workflow())
-                        .flatMap(workflow -> workflow.task(run.task()))
-                        .map(task -> task.isWaiting() && task.run() == run.number())
-                        .orElse(false);
+    boolean isCompletedLapsedRun(RunEnd end) {
+        return end.outcome() == RunOutcome.DONE && isLastRunOfWaitingTask(end.run());
+    }
+
+    /** Returns whether the task of a run waits and no other run followed. */
+    boolean isLastRunOfWaitingTask(RunId run) {
+        return ledger.workflow(run.task().step().workflow())
+                .flatMap(workflow -> workflow.task(run.task()))
+                .map(task -> task.isWaiting() && task.run() == run.number())
+                .orElse(false);
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
@@ -191,12 +191,12 @@
     void onListOfNextLife(long nowMilliseconds, CallOutcome.Listed list, LeaderOutput output) {
         list.running().stream()
                 .map(RunStatus::run)
-                .filter(this::hasRun)
+                .filter(run -> hasRun(run) || comparator.isLastRunOfWaitingTask(run))
                 .forEach(run -> tasksOfNextLife.add(run.task()));
         List<RunEnd> ends =
                 list.ended().stream()
                         .map(RunEndReport::end)
-                        .filter(end -> hasRun(end.run()))
+                        .filter(end -> hasRun(end.run()) || comparator.isCompletedLapsedRun(end))
                         .toList();
         if (!ends.isEmpty()) {
             proposer.proposeListedByNextLife(list, ends, output);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
@@ -71,7 +71,7 @@
      * may have received an order of an earlier leader.
      */
     private void blockTasksEndedUnseen(long nowMilliseconds, Predicate<WorkerId> restarted) {
-        long until = nowMilliseconds + settings.leaseMilliseconds();
+        long until = nowMilliseconds + settings.outlasting(settings.leaseMilliseconds());
         for (WorkflowEntry entry : ledger.active()) {
             entry.endedUnseen()
                     .forEach(
@@ -147,11 +147,11 @@
     private void blockTasks(long nowMilliseconds, WorkerSession ended) {
         WorkerId worker = ended.worker().id();
         BlockedTasks blocked = blockedOn(worker);
-        long until = nowMilliseconds + settings.leaseMilliseconds();
+        long until = nowMilliseconds + settings.outlasting(settings.leaseMilliseconds());
         Set.copyOf(blocked.untilByTask().keySet()).forEach(task -> blocked.add(task, until));
         ended.possiblyStartedTasks().forEach(task -> blocked.add(task, until));
         // Their leases end by the clock of another incarnation, so only the worker limits them.
-        long longest = nowMilliseconds + settings.longestLeaseMilliseconds();
+        long longest = nowMilliseconds + settings.outlasting(settings.longestLeaseMilliseconds());
         ended.tasksOfNextLife().forEach(task -> blocked.add(task, longest));
     }
 
@@ -170,17 +170,24 @@
     void tick(long nowMilliseconds, LeaderOutput output) {
         blockedTasks
                 .entrySet()
-                .removeIf(
-                        blocked ->
-                                of(blocked.getKey())
-                                        .map(session -> session.isSettled(nowMilliseconds))
-                                        .orElseGet(
-                                                () -> blocked.getValue().isOver(nowMilliseconds)));
+                .removeIf(blocked -> isOver(nowMilliseconds, blocked.getKey(), blocked.getValue()));
         calls.overdue(nowMilliseconds)
                 .forEach(id -> onOutcome(nowMilliseconds, new CallOutcome.Unanswered(id), output));
         sessions.values().forEach(session -> session.tick(nowMilliseconds, output));
     }
 
+    /**
+     * Returns whether no task is blocked any more, since the worker has listed or was waited for.
+     */
+    private boolean isOver(long nowMilliseconds, WorkerId worker, BlockedTasks blocked) {
+        WorkerSession session = sessions.get(worker);
+        if (session != null && session.hasList()) {
+            return true;
+        }
+        return (session == null || session.isSettled(nowMilliseconds))
+                && blocked.isOver(nowMilliseconds);
+    }
+
     void onOutcome(long nowMilliseconds, CallOutcome outcome, LeaderOutput output) {
         calls.remove(outcome.id())
                 .ifPresent(
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
@@ -21,6 +21,16 @@
         long reportTimeoutMilliseconds,
         long retentionMilliseconds,
         long feasibilityDelayMilliseconds) {
+    private static final int PERCENT = 100;
+
+    /** Allows for the resolution of both clocks. */
+    private static final long EXPIRY_MARGIN_MILLISECONDS = 50;
+
+    /** Returns the time after which a lease is over on the slowest clock of a worker. */
+    long outlasting(long lease) {
+        return lease * PERCENT / (PERCENT - workerClockDriftPercent) + EXPIRY_MARGIN_MILLISECONDS;
+    }
+
     /** Returns the default settings. */
     public static WorkflowSettings defaults() {
         return builder().build();
