--- a/library/src/main/java/org/marjoramnotch/logic/cell/FencingTokens.java
+++ b/library/src/main/java/org/marjoramnotch/logic/cell/FencingTokens.java
@@ -13,8 +13,8 @@
     private long startsInTerm;
 
     /**
-     * Returns the first token of new duties. It is higher than those of all earlier duties,
-     * including those of the same term.
+     * Returns the first token of new duties. It is higher than those of all earlier duties; duties
+     * beyond the last start of a term share its token.
      */
     long next(long newTerm) {
         startsInTerm = newTerm == term ? Math.min(startsInTerm + 1, STARTS_PER_TERM - 1) : 0;
