--- a/review/stand/harness.py
+++ b/review/stand/harness.py
@@ -113,10 +113,13 @@
         self.advice = f"{self.worker_ip}:{free_port([self.worker_ip])}"
         self.processes = {}
         self.bootstrap = True
+        # Other link ports of edge machines, at which proxies before the core machines listen.
+        self.link_ports = {}
 
     def settings(self, ip, seeds=None):
         core = ip in self.core_ips
-        fields = {"node_name": f"node-{ip}", "ip": ip, "zone": "zone-a", "region": "region-a", "internal_ports": [self.link_port, self.link_port + 3],
+        port = self.link_ports.get(ip, self.link_port)
+        fields = {"node_name": f"node-{ip}", "ip": ip, "zone": "zone-a", "region": "region-a", "internal_ports": [port, port + 3],
                   "seeds": [f"{seed}:{self.control_port}" for seed in (seeds or self.core_ips[:3])], "bootstrap": self.bootstrap,
                   "fault_counted": core, "heartbeat_ms": HEARTBEAT_MS, "advice": self.advice, "bounds": BOUNDS, "zones": {"zone-a": "region-a"},
                   "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
@@ -126,6 +129,12 @@
             fields["data_dir"] = os.path.join(self.folder, f"data-{ip}")
         return fields
 
+    def interpose(self, edge):
+        """Puts proxies between an edge machine that isn't started yet and the core; returns them."""
+        port = free_port(self.core_ips)
+        self.link_ports[edge] = port
+        return [Proxy(f"{ip}:{port}", f"{ip}:{self.link_port}") for ip in self.core_ips]
+
     def start(self, ip):
         role = "replica" if ip in self.core_ips else "entry"
         definition = self.deploy["roles"][role]
@@ -229,10 +238,10 @@
     def __init__(self, cell, record, queue="q1"):
         self.cell, self.record, self.queue = cell, record, queue
 
-    def request(self, method, name="", body=None):
-        edge = random.choice(self.cell.edge_ips)
+    def request(self, method, name="", body=None, edge=None):
+        edge = edge or random.choice(self.cell.edge_ips)
         status, text = call(f"{edge}:{self.cell.front_port}", method, f"/{self.queue}/{name}", body, self.HEADERS, timeout=3.2)
-        self.record("consumer", method, name, "->", status, text[:100])
+        self.record("consumer", method, name, "at", edge, "->", status, text[:100])
         return status, text
 
     def submit(self, body, name=None, until=15):
@@ -559,7 +568,7 @@
         time.sleep(0.02)
 
 
-def main(folder, play):
+def main(folder, play, edges=1):
     """Runs a case and exits with 1 if it says that the rule was broken, 0 if it held, 2 if the case couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
@@ -572,7 +581,7 @@
     signal.signal(signal.SIGTERM, give_up)
     signal.signal(signal.SIGINT, give_up)
     try:
-        cell = Cell(record)
+        cell = Cell(record, edges=edges)
         broken = play(cell, record, trouble)
         record("RULE BROKEN" if broken else "the rule held")
         print("rule broken" if broken else "the rule held")
