--- a/review/stand/harness.py
+++ b/review/stand/harness.py
@@ -98,8 +98,9 @@
 class Cell:
     """The daemons of a small deployment, each on a loopback address of its own."""
 
-    def __init__(self, record, cores=3, edges=1):
+    def __init__(self, record, cores=3, edges=1, losses=1):
         self.record = record
+        self.losses = losses
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.deploy = tomllib.load(open(os.path.join(ROOT, "deploy", "system.toml"), "rb"))
         if not os.path.exists(os.path.join(ROOT, "target", "marjoramnotch.jar")):
@@ -122,7 +123,7 @@
         fields = {"node_name": f"node-{ip}", "ip": ip, "zone": "zone-a", "region": "region-a", "internal_ports": [port, port + 3],
                   "seeds": [f"{seed}:{self.control_port}" for seed in (seeds or self.core_ips[:3])], "bootstrap": self.bootstrap,
                   "fault_counted": core, "heartbeat_ms": HEARTBEAT_MS, "advice": self.advice, "bounds": BOUNDS, "zones": {"zone-a": "region-a"},
-                  "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
+                  "fault_tolerance": {"machines": self.losses, "zones": 0, "regions": 0},
                   "listen": {"control": f"{ip}:{self.control_port}"} if core
                   else {"front": f"{ip}:{self.front_port}", "ready": f"{ip}:{self.ready_port}"}}
         if core:
@@ -292,6 +293,7 @@
         self.before_call = None
         self.before_answer = None
         self.acked_upto = 0
+        self.channels = set()
         self.listener = self.listen(listen or address)
         threading.Thread(target=self.keep_time, daemon=True).start()
         if heartbeat:
@@ -310,6 +312,14 @@
             def log_message(self, *words):
                 pass
 
+            def setup(self):
+                super().setup()
+                executor.channels.add(self.connection)
+
+            def finish(self):
+                executor.channels.discard(self.connection)
+                super().finish()
+
             def do_GET(self):
                 self.answer(200 if executor.state == "ready" else 503, {})
 
@@ -475,6 +485,11 @@
         self.record("executor", self.name, "born", self.born, "life ends")
         self.listener.shutdown()
         self.listener.server_close()
+        for channel in list(self.channels):
+            try:
+                channel.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
 
 
 class Proxy:
@@ -568,7 +583,7 @@
         time.sleep(0.02)
 
 
-def main(folder, play, edges=1):
+def main(folder, play, **deployment):
     """Runs a case and exits with 1 if it says that the rule was broken, 0 if it held, 2 if the case couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
@@ -581,7 +596,7 @@
     signal.signal(signal.SIGTERM, give_up)
     signal.signal(signal.SIGINT, give_up)
     try:
-        cell = Cell(record, edges=edges)
+        cell = Cell(record, **deployment)
         broken = play(cell, record, trouble)
         record("RULE BROKEN" if broken else "the rule held")
         print("rule broken" if broken else "the rule held")
