--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,10 +1,10 @@
-import json, os, sys, time
+import json, os, sys, threading, time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand"))
-from harness import BOUNDS, Consumer, Executor, Operator, Proxy, configuration, free_port, main, now, overlaps, wait_for
+from harness import Consumer, Executor, Operator, Proxy, configuration, free_port, main, now, overlaps, wait_for
 
-# How long the cut has lasted when the executor deregisters.
-CUT_BEFORE_S = 1.0
+# How long the executor is down, when its next life sends its first status report, and how long the cut lasts.
+DOWN_S, FIRST_REPORT_S, CUT_S = 0.3, 0.7, 8.0
 
 
 def play(cell, record, trouble):
@@ -13,28 +13,44 @@
     history = []
     addresses = [f"{cell.worker_ip}:{free_port([cell.worker_ip])}" for _ in range(3)]
     proxy = Proxy(addresses[0], addresses[1])
-    leaving = Executor(record, history, cell, "i-leaving", addresses[0], listen=addresses[1])
+    # It has been up for ten minutes by its own clock.
+    earlier = Executor(record, history, cell, "i-again", addresses[0], listen=addresses[1], cpu=4000, clock_base=600_000)
+    Executor(record, history, cell, "i-other", addresses[2], cpu=16000)
     consumer = Consumer(cell, record)
-    time.sleep(1)
-    steps = [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 8000}]
-    name = consumer.submit({"spec": json.dumps({"seconds": 8}), "steps": steps})
-    wait_for(lambda: leaving.running, 10, "the task didn't begin")
-    Executor(record, history, cell, "i-other", addresses[2])
+    time.sleep(4)
+
+    def submit(seconds):
+        steps = [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 1000 * seconds}]
+        return consumer.submit({"spec": json.dumps({"seconds": seconds}), "steps": steps})
+
+    reported = earlier.sequence
+    wait_for(lambda: earlier.sequence > reported, 5, "no status report")
+    executor = earlier
+    if trouble:
+        earlier.crash()
+        time.sleep(DOWN_S)
+        executor = Executor(record, history, cell, "i-again", addresses[0], listen=addresses[1], cpu=4000, clock_base=0, heartbeat=False)
+
+        def report():
+            time.sleep(FIRST_REPORT_S)
+            executor.report_often()
+
+        threading.Thread(target=report, daemon=True).start()
+    submit(2)
     time.sleep(1.5)
-    leaving.state = "draining"
-    wait_for(lambda: leaving.report(quiet=False), 5, "no confirmation of the draining")
-    time.sleep(BOUNDS["drain_ms"] / 1000 + 0.3)
+    name = submit(12)
+    wait_for(lambda: any(run.task.startswith(name) for run in history), 10, "the task didn't begin")
+    time.sleep(0.5)
     if trouble:
-        leader = cell.leader()
-        record("cut: the leader", leader, "loses the path to the executor, its calls are refused; the other machines keep theirs")
-        proxy.refuse()
-        leaving.control = [ip for ip in leaving.control if ip != leader]
-        time.sleep(CUT_BEFORE_S)
-    # It ends at the confirmation, or some seconds later without one.
-    if not leaving.deregister():
-        time.sleep(3)
-    leaving.crash()
-    wait_for(lambda: any(run.how == "done" for run in history), 30, "no run was done")
+        record("cut: i-again is cut off from the core and from control for", CUT_S, "s; its lease goes on for",
+               f"{(executor.until - executor.clock()) / 1000:.1f} s")
+        executor.control = []
+        proxy.mode = "silent"
+        time.sleep(CUT_S)
+        proxy.mode = "pass"
+        executor.control = list(cell.core_ips)
+        record("the cut has healed")
+    time.sleep(5)
     found = overlaps(history, now())
     for one, two, span in found:
         record(f"TWICE: {one.task}: run {one.number} on {one.executor} and run {two.number} on {two.executor} were both at work for {span:.3f} s")
