--- a/review/stand/harness.py
+++ b/review/stand/harness.py
@@ -263,8 +263,8 @@
 # --- executors --------------------------------------------------------------------------------------------------------------------
 
 class Run:
-    def __init__(self, executor, task, number, seconds, last):
-        self.executor, self.task, self.number, self.seconds, self.last = executor, task, number, seconds, last
+    def __init__(self, executor, task, number, seconds, last, ends="done"):
+        self.executor, self.task, self.number, self.seconds, self.last, self.ends = executor, task, number, seconds, last, ends
         self.began = now()
         self.ended = None
         self.how = ""
@@ -294,6 +294,7 @@
         self.before_answer = None
         self.acked_upto = 0
         self.channels = set()
+        self.noted = []
         self.listener = self.listen(listen or address)
         threading.Thread(target=self.keep_time, daemon=True).start()
         if heartbeat:
@@ -392,7 +393,7 @@
         if number <= self.blocked.get(task, 0) or (present and present.number >= number):
             return 409, {"clock_ms": self.clock(), "reason": "old"}
         spec = json.loads(body["spec"] or "{}")
-        run = Run(self.name, task, number, spec.get("seconds", 1), spec.get("last", False))
+        run = Run(self.name, task, number, spec.get("seconds", 1), spec.get("last", False), spec.get("ends", "done"))
         self.running[task] = run
         self.history.append(run)
         self.record("executor", self.name, "born", self.born, "BEGINS", task, "run", number, "token", body["fencing_token"], "spec", body["spec"])
@@ -418,7 +419,12 @@
         self.changed.notify_all()
 
     def hold(self, body):
-        self.acked_upto = max(self.acked_upto, body.get("acked_upto", 0))
+        upto = body.get("acked_upto", 0)
+        for number, task, run, how, _ in self.ends:
+            if self.acked_upto < number <= upto:
+                self.record("executor", self.name, "born", self.born, "end number", number, "is taken note of:", task, "run", run, how)
+                self.noted.append((task, run, how))
+        self.acked_upto = max(self.acked_upto, upto)
         self.ends = [end for end in self.ends if end[0] > body.get("acked_upto", 0)]
         if "until_ms" in body:
             self.extend(body["until_ms"])
@@ -440,8 +446,8 @@
                         self.end(run, "lapsed")
                     elif run.stop_at is not None and now() >= run.stop_at:
                         self.end(run, "stopped")
-                    elif run.stop_at is None and not run.last and now() - run.began >= run.seconds:
-                        self.end(run, "done")
+                    elif not run.last and now() - run.began >= run.seconds:
+                        self.end(run, run.ends)
 
     def report(self, state=None, addresses=None, quiet=True, sequence=None):
         """Sends one status report; returns whether it was acknowledged."""
