--- a/review/10/play.py
+++ b/review/10/play.py
@@ -1,10 +1,10 @@
 import json, os, sys, threading, time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand"))
-from harness import Consumer, Executor, Operator, configuration, free_port, main, wait_for
+from harness import Consumer, Executor, Operator, configuration, free_port, main, now, wait_for
 
-# How long the executor is down, and when its next life sends its first status report.
-DOWN_S, FIRST_REPORT_S = 0.3, 0.25
+# How long the executor is down; its next life sends its first status report this long after a task has begun there, 1.5 s after its start at the latest.
+DOWN_S, FIRST_REPORT_S, LATEST_REPORT_S = 0.3, 0.2, 1.5
 ATTEMPTS = 2
 
 
@@ -27,6 +27,9 @@
         executors.append(later)
 
         def report():
+            latest = now() + LATEST_REPORT_S
+            while not later.running and now() < latest:
+                time.sleep(0.01)
             time.sleep(FIRST_REPORT_S)
             later.report_often()
 
--- a/review/6/play.py
+++ b/review/6/play.py
@@ -3,8 +3,9 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand"))
 from harness import Consumer, Executor, Operator, Proxy, configuration, free_port, main, now, overlaps, wait_for
 
-# How long the executor is down, when its next life sends its first status report, and how long the cut lasts.
-DOWN_S, FIRST_REPORT_S, CUT_S = 0.3, 0.7, 8.0
+# How long the executor is down, and how long the cut lasts. The next life sends its first status report this long after a task has begun there, 1.5 s
+# after its start at the latest.
+DOWN_S, CUT_S, FIRST_REPORT_S, LATEST_REPORT_S = 0.3, 8.0, 0.4, 1.5
 
 
 def play(cell, record, trouble):
@@ -32,6 +33,9 @@
         executor = Executor(record, history, cell, "i-again", addresses[0], listen=addresses[1], cpu=4000, clock_base=0, heartbeat=False)
 
         def report():
+            latest = now() + LATEST_REPORT_S
+            while not executor.running and now() < latest:
+                time.sleep(0.01)
             time.sleep(FIRST_REPORT_S)
             executor.report_often()
 
--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,10 +1,16 @@
-import json, os, sys, time
+import json, os, socket, sys, time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand"))
 from harness import BOUNDS, Consumer, Executor, Operator, Proxy, configuration, free_port, main, now, overlaps, wait_for
 
-# How long the cut has lasted when the executor deregisters.
-CUT_BEFORE_S = 1.0
+# How long the cut has lasted when the executor deregisters, and when it ends without a confirmation.
+CUT_BEFORE_S, ENDS_AFTER_S = 1.0, 3.0
+
+
+def post(channel, path, body):
+    """Sends a call on an open channel and doesn't wait for its answer."""
+    data = json.dumps(body).encode()
+    channel.sendall(f"POST {path} HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n".encode() + data)
 
 
 def play(cell, record, trouble):
@@ -23,16 +29,20 @@
     time.sleep(1.5)
     leaving.state = "draining"
     wait_for(lambda: leaving.report(quiet=False), 5, "no confirmation of the draining")
+    # The executor has a channel to a core machine that stays open.
+    channel = socket.create_connection((cell.core_ips[0], cell.control_port))
     time.sleep(BOUNDS["drain_ms"] / 1000 + 0.3)
     if trouble:
-        leader = cell.leader()
-        record("cut: the leader", leader, "loses the path to the executor, its calls are refused; the other machines keep theirs")
+        record("cut: i-leaving is cut off one way; calls to it are refused, answers to it are lost, what it sends on open channels arrives")
         proxy.refuse()
-        leaving.control = [ip for ip in leaving.control if ip != leader]
+        leaving.control = []
         time.sleep(CUT_BEFORE_S)
-    # It ends at the confirmation, or some seconds later without one.
-    if not leaving.deregister():
-        time.sleep(3)
+        record("executor i-leaving deregisters at", cell.core_ips[0], "on the open channel")
+        post(channel, f"/Instances.Deregister/{leaving.name}", {"born": leaving.born})
+        # Without a confirmation it ends some seconds later.
+        time.sleep(ENDS_AFTER_S)
+    elif not leaving.deregister():
+        time.sleep(ENDS_AFTER_S)
     leaving.crash()
     wait_for(lambda: any(run.how == "done" for run in history), 30, "no run was done")
     found = overlaps(history, now())
