--- a/review/10/play.py
+++ b/review/10/play.py
@@ -1,7 +1,7 @@
 import json, os, sys, threading, time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand"))
-from harness import Consumer, Executor, Operator, configuration, free_port, main, now, wait_for
+from harness import Consumer, Executor, Operator, configuration, free_port, main, now, others, wait_for
 
 # How long the executor is down; its next life sends its first status report this long after a task has begun there, 1.5 s after its start at the latest.
 DOWN_S, FIRST_REPORT_S, LATEST_REPORT_S = 0.3, 0.2, 1.5
@@ -12,10 +12,9 @@
     cell.start_all()
     Operator(cell, record).replace(configuration(attempts=ATTEMPTS))
     history = []
-    addresses = [f"{cell.worker_ip}:{free_port([cell.worker_ip])}" for _ in range(2)]
-    earlier = Executor(record, history, cell, "i-again", addresses[0], cpu=4000, clock_base=600_000)
-    other = Executor(record, history, cell, "i-other", addresses[1], cpu=16000)
-    executors = [earlier, other]
+    address = f"{cell.worker_ip}:{free_port([cell.worker_ip])}"
+    earlier = Executor(record, history, cell, "i-again", address, cpu=4000, clock_base=600_000)
+    executors = [earlier, *others(record, history, cell, cpu=16000)]
     consumer = Consumer(cell, record)
     time.sleep(4)
     reported = earlier.sequence
@@ -23,7 +22,7 @@
     if trouble:
         earlier.crash()
         time.sleep(DOWN_S)
-        later = Executor(record, history, cell, "i-again", addresses[0], cpu=4000, clock_base=0, heartbeat=False)
+        later = Executor(record, history, cell, "i-again", address, cpu=4000, clock_base=0, heartbeat=False)
         executors.append(later)
 
         def report():
--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,7 +1,7 @@
 import json, os, sys, threading, time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand"))
-from harness import Consumer, Executor, Operator, Proxy, configuration, free_port, main, now, overlaps, wait_for
+from harness import Consumer, Executor, Operator, Proxy, configuration, free_port, main, now, others, overlaps, wait_for
 
 # How long the executor is down, and how long the cut lasts. The next life sends its first status report this long after a task has begun there, 1.5 s
 # after its start at the latest.
@@ -12,11 +12,11 @@
     cell.start_all()
     Operator(cell, record).replace(configuration())
     history = []
-    addresses = [f"{cell.worker_ip}:{free_port([cell.worker_ip])}" for _ in range(3)]
+    addresses = [f"{cell.worker_ip}:{free_port([cell.worker_ip])}" for _ in range(2)]
     proxy = Proxy(addresses[0], addresses[1])
     # It has been up for ten minutes by its own clock.
     earlier = Executor(record, history, cell, "i-again", addresses[0], listen=addresses[1], cpu=4000, clock_base=600_000)
-    Executor(record, history, cell, "i-other", addresses[2], cpu=16000)
+    others(record, history, cell, cpu=16000)
     consumer = Consumer(cell, record)
     time.sleep(4)
 
--- a/review/9/play.py
+++ b/review/9/play.py
@@ -1,7 +1,7 @@
 import json, os, socket, sys, time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "stand"))
-from harness import BOUNDS, Consumer, Executor, Operator, Proxy, configuration, free_port, main, now, overlaps, wait_for
+from harness import BOUNDS, Consumer, Executor, Operator, Proxy, configuration, free_port, main, now, others, overlaps, wait_for
 
 # How long the cut has lasted when the executor deregisters, and when it ends without a confirmation.
 CUT_BEFORE_S, ENDS_AFTER_S = 1.0, 3.0
@@ -17,7 +17,7 @@
     cell.start_all()
     Operator(cell, record).replace(configuration())
     history = []
-    addresses = [f"{cell.worker_ip}:{free_port([cell.worker_ip])}" for _ in range(3)]
+    addresses = [f"{cell.worker_ip}:{free_port([cell.worker_ip])}" for _ in range(2)]
     proxy = Proxy(addresses[0], addresses[1])
     leaving = Executor(record, history, cell, "i-leaving", addresses[0], listen=addresses[1])
     consumer = Consumer(cell, record)
@@ -25,7 +25,7 @@
     steps = [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 8000}]
     name = consumer.submit({"spec": json.dumps({"seconds": 8}), "steps": steps})
     wait_for(lambda: leaving.running, 10, "the task didn't begin")
-    Executor(record, history, cell, "i-other", addresses[2])
+    others(record, history, cell, cpu=4000)
     time.sleep(1.5)
     leaving.state = "draining"
     wait_for(lambda: leaving.report(quiet=False), 5, "no confirmation of the draining")
--- a/review/stand/harness.py
+++ b/review/stand/harness.py
@@ -498,6 +498,11 @@
                 pass
 
 
+def others(record, history, cell, cpu):
+    """Starts the other executors of a deployment of 16."""
+    return [Executor(record, history, cell, f"i-other-{number}", f"{cell.worker_ip}:{free_port([cell.worker_ip])}", cpu=cpu) for number in range(1, 16)]
+
+
 class Proxy:
     """A TCP proxy before one address: it passes, delays, refuses or stays silent."""
 
