--- a/review/10/play.py
+++ b/review/10/play.py
@@ -16,6 +16,12 @@
     earlier = Executor(record, history, cell, "i-again", address, cpu=4000, clock_base=600_000)
     executors = [earlier, *others(record, history, cell, cpu=16000)]
     consumer = Consumer(cell, record)
+    time.sleep(1)
+    # The submission that can't be done is one of 25.
+    steps = [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 400}]
+    for _ in range(24):
+        consumer.submit({"spec": json.dumps({"seconds": 0.2}), "steps": steps})
+    wait_for(lambda: sum(run.how == "done" for run in history) >= 24, 20, "the other submissions weren't done")
     time.sleep(4)
     reported = earlier.sequence
     wait_for(lambda: earlier.sequence > reported, 5, "no status report")
@@ -34,7 +40,6 @@
 
         threading.Thread(target=report, daemon=True).start()
     # A task that fails each time.
-    steps = [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 400}]
     name = consumer.submit({"spec": json.dumps({"seconds": 0.4, "ends": "failed"}), "steps": steps})
     wait_for(lambda: consumer.state(name) == "failed", 30, "the submission isn't shown as failed")
     time.sleep(3)
