Simulate faults that follow one another on a worker, and tasks that fail

Cause: it had no fault that follows another on the same worker within one lease, no cut that refuses or resets, no release by a worker that runs on, and no task that fails. Change: FleetFault.successive() has a restart that is followed by a cut, cuts that are silent, refuse or reset, one way or both, and leaving behind a cut; one of four workflows fails each time, with two attempts. StartOnceChecker judges ends failed by what the workers saw acknowledged.

--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetCalls.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetCalls.java
@@ -76,6 +76,9 @@
         FleetWorkerNode worker = cell.worker(call.worker().id());
         boolean cut = cell.network.isCut(open.host.machine, worker.machine);
         boolean faulty = random.nextDouble() < worker.lossShare;
+        if (cut && isCutNoticed(open, worker)) {
+            return;
+        }
         if (!cut && !faulty) {
             arriveLater(open, worker, true);
             return;
@@ -90,6 +93,29 @@
         }
     }
 
+    /** Completes a call if its caller notices the cut; one that meets a reset may arrive. */
+    private boolean isCutNoticed(OpenCall open, FleetWorkerNode worker) {
+        FleetNetwork.CutResponse response =
+                cell.network.cutResponse(open.host.machine, worker.machine);
+        if (response == FleetNetwork.CutResponse.SILENCE) {
+            return false;
+        }
+        boolean refused = response == FleetNetwork.CutResponse.REFUSED_CONNECTION;
+        cell.count(refused ? "connection refused by a cut" : "connection reset by a cut");
+        if (!refused && random.nextBoolean()) {
+            arriveLater(open, worker, false);
+        }
+        long id = open.call.id();
+        open.host.runLater(
+                2 * cell.network.delay(open.host.machine, worker.machine),
+                () ->
+                        open.complete(
+                                refused
+                                        ? new CallOutcome.ConnectionRefused(id)
+                                        : new CallOutcome.Unanswered(id)));
+        return true;
+    }
+
     /** Lets a call arrive seconds later; it is lost if the worker has restarted since. */
     private void executeLate(OpenCall open, FleetWorkerNode worker) {
         cell.count("call carried out late");
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetFault.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetFault.java
@@ -1,5 +1,7 @@
 package org.marjoramnotch.logic.cell;
 
+import java.util.List;
+
 /** A kind of fault of a simulated fleet. */
 enum FleetFault {
     FROZEN_STEP,
@@ -17,5 +19,28 @@
     WORKER_RESTART,
     MANY_WORKERS_RESTART,
     REPORTS_LOST,
-    WORKER_LEAVES
+    WORKER_LEAVES,
+    WORKER_CUT_OFF,
+    WORKER_RESTARTS_AND_IS_CUT_OFF,
+    WORKER_LEAVES_BEHIND_CUT;
+
+    /** Returns faults of which each is over before the next one of the same worker. */
+    static List<FleetFault> single() {
+        return List.of(values()).subList(0, WORKER_LEAVES.ordinal() + 1);
+    }
+
+    /** Returns faults that follow another on the same worker, and some that meet them. */
+    static List<FleetFault> successive() {
+        return List.of(
+                FROZEN_LEADER,
+                STALLED_DISKS,
+                POWER_LOSS,
+                CALLS_LOST,
+                WORKER_RESTART,
+                MANY_WORKERS_RESTART,
+                REPORTS_LOST,
+                WORKER_CUT_OFF,
+                WORKER_RESTARTS_AND_IS_CUT_OFF,
+                WORKER_LEAVES_BEHIND_CUT);
+    }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetFaultInjector.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetFaultInjector.java
@@ -23,10 +23,10 @@
     private final long meanInterval;
     private boolean ended;
 
-    FleetFaultInjector(FleetSimulation cell) {
+    FleetFaultInjector(FleetSimulation cell, List<FleetFault> possible) {
         this.cell = cell;
         this.random = cell.random;
-        List<FleetFault> all = new ArrayList<>(List.of(FleetFault.values()));
+        List<FleetFault> all = new ArrayList<>(possible);
         Collections.shuffle(all, new Random(random.nextLong()));
         this.kinds = new ArrayList<>(all.subList(0, 1 + random.nextInt(MAXIMUM_KINDS)));
         if (random.nextInt(3) == 0) {
@@ -116,6 +116,9 @@
                             .forEach(each -> crash(each, random.nextLong(20, duration)));
             case REPORTS_LOST -> loseReports(random.nextBoolean() ? List.of(worker) : cell.workers);
             case WORKER_LEAVES -> leave(worker, duration);
+            case WORKER_CUT_OFF -> cutOff(worker, 2 * duration);
+            case WORKER_RESTARTS_AND_IS_CUT_OFF -> restartAndCutOff(worker);
+            case WORKER_LEAVES_BEHIND_CUT -> leaveBehindCut(worker);
             default -> throw new IllegalStateException("unknown fault " + fault);
         }
     }
@@ -176,6 +179,43 @@
         cut(worker.machine, machines, way != 0, way != 1, duration);
     }
 
+    /** Cuts a worker off from all hosts, in both ways or one, with one of the responses. */
+    private void cutOff(FleetWorkerNode worker, long duration) {
+        FleetNetwork.CutResponse[] responses = FleetNetwork.CutResponse.values();
+        FleetNetwork.CutResponse response = responses[random.nextInt(responses.length)];
+        boolean fromWorker = random.nextInt(3) > 0;
+        for (FleetHost host : cell.hosts) {
+            cell.network.cut(host.machine, worker.machine, response);
+            after(duration, () -> cell.network.heal(host.machine, worker.machine));
+            if (fromWorker) {
+                cell.network.cut(worker.machine, host.machine);
+                after(duration, () -> cell.network.heal(worker.machine, host.machine));
+            }
+        }
+    }
+
+    /** Lets a worker crash, start again within a second, and be cut off within one lease. */
+    private void restartAndCutOff(FleetWorkerNode worker) {
+        crash(worker, 20 + random.nextLong(1_000));
+        after(1_000 + random.nextLong(4_000), () -> cutOff(worker, 4_000 + random.nextLong(6_000)));
+    }
+
+    /** Lets a worker drain, announce its end behind a cut and run on for some seconds. */
+    private void leaveBehindCut(FleetWorkerNode worker) {
+        worker.drain();
+        cell.reportNow(worker);
+        after(
+                1_000 + random.nextLong(1_500),
+                () -> {
+                    long duration = 2_000 + random.nextLong(4_000);
+                    cutOff(worker, duration);
+                    after(
+                            random.nextLong(1_000),
+                            () -> cell.request(new ReleaseWorker(worker.id(), worker.started())));
+                    after(duration, () -> crash(worker, 1 + random.nextLong(2_000)));
+                });
+    }
+
     private void cut(
             FleetNetwork.Machine machine,
             List<FleetNetwork.Machine> others,
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetNetwork.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetNetwork.java
@@ -1,7 +1,8 @@
 package org.marjoramnotch.logic.cell;
 
-import java.util.HashSet;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** The delays and cuts between the machines of three availability zones. */
@@ -20,17 +21,28 @@
      */
     record Machine(String name, int zone) {}
 
+    /** What a caller sees of a cut. */
+    enum CutResponse {
+        SILENCE,
+        REFUSED_CONNECTION,
+        RESET_CONNECTION
+    }
+
     private record Link(Machine from, Machine to) {}
 
     private final UniformRandomProvider random;
-    private final Set<Link> cuts = new HashSet<>();
+    private final Map<Link, CutResponse> cuts = new HashMap<>();
 
     FleetNetwork(UniformRandomProvider random) {
         this.random = random;
     }
 
     void cut(Machine from, Machine to) {
-        cuts.add(new Link(from, to));
+        cut(from, to, CutResponse.SILENCE);
+    }
+
+    void cut(Machine from, Machine to, CutResponse response) {
+        cuts.put(new Link(from, to), response);
     }
 
     void heal(Machine from, Machine to) {
@@ -42,7 +54,12 @@
     }
 
     boolean isCut(Machine from, Machine to) {
-        return cuts.contains(new Link(from, to));
+        return cuts.containsKey(new Link(from, to));
+    }
+
+    /** Returns what a caller sees of a link that is cut. */
+    CutResponse cutResponse(Machine from, Machine to) {
+        return Objects.requireNonNull(cuts.get(new Link(from, to)));
     }
 
     /** Returns the delay of a message, in microseconds. */
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetSimulation.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetSimulation.java
@@ -62,11 +62,20 @@
     private long requests;
 
     FleetSimulation(long seed, int replicas, int workerCount, boolean traced) {
+        this(seed, replicas, workerCount, traced, TestFleet.configuration(1));
+    }
+
+    FleetSimulation(
+            long seed,
+            int replicas,
+            int workerCount,
+            boolean traced,
+            FleetConfiguration configuration) {
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         trace = new FleetTrace(traced, timeline::now);
         network = new FleetNetwork(random);
         calls = new FleetCalls(this);
-        checker = new StartOnceChecker(trace);
+        checker = new StartOnceChecker(trace, configuration.queues().get(0).mostFailures());
         List<ReplicaId> founders =
                 CellGroup.fixed(replicas).vms().stream()
                         .sorted()
@@ -81,11 +90,10 @@
             hostsByVm.put(founder.vm(), host);
         }
         hosts.forEach(this::start);
-        addWorkers(workerCount);
+        addWorkers(workerCount, configuration);
     }
 
-    private void addWorkers(int count) {
-        FleetConfiguration configuration = TestFleet.configuration(1);
+    private void addWorkers(int count, FleetConfiguration configuration) {
         sendUntilAnswered(CLIENT, new ApplyConfiguration(configuration), Long.MAX_VALUE);
         for (int index = 0; index < count; index++) {
             FleetNetwork.Machine machine =
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetSimulationRun.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetSimulationRun.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.marjoramnotch.logic.workflow.SimulatedFleetWorker;
 import org.marjoramnotch.logic.workflow.TestFleet;
+import org.marjoramnotch.model.fleet.FleetConfiguration;
 import org.marjoramnotch.model.message.CancelWorkflowRequest;
 import org.marjoramnotch.model.message.SubmitWorkflowRequest;
 import org.marjoramnotch.model.resource.Resources;
@@ -19,15 +21,50 @@
     /** Outlasts the latest call that is carried out late. */
     private static final long RECOVERY_MILLISECONDS = 13_000;
 
+    private static final int FEW_FAILURES = 2;
+
+    /** The faults that a run meets, and its work. */
+    enum Scenario {
+        /** Faults that are over before the next one of the same worker. */
+        SINGLE_FAULTS(FleetFault.single(), 0, TestFleet.configuration(1)),
+        /** Faults that follow one another on a worker, and tasks that fail each time. */
+        SUCCESSIVE_FAULTS(
+                FleetFault.successive(),
+                4,
+                TestFleet.withMostFailures(TestFleet.configuration(1), FEW_FAILURES));
+
+        private final List<FleetFault> faults;
+        private final int failingWorkflows;
+        private final FleetConfiguration configuration;
+
+        /**
+         * Creates a scenario.
+         *
+         * @param failingWorkflows one of how many workflows fails; 0 for none
+         */
+        Scenario(List<FleetFault> faults, int failingWorkflows, FleetConfiguration configuration) {
+            this.faults = faults;
+            this.failingWorkflows = failingWorkflows;
+            this.configuration = configuration;
+        }
+    }
+
     private final long seed;
+    private final Scenario scenario;
     private final FleetSimulation cell;
     private final UniformRandomProvider random;
     private boolean loaded = true;
     private int workflows;
 
     FleetSimulationRun(long seed, boolean traced) {
+        this(seed, Scenario.SINGLE_FAULTS, traced);
+    }
+
+    FleetSimulationRun(long seed, Scenario scenario, boolean traced) {
         this.seed = seed;
-        this.cell = new FleetSimulation(seed, seed % 2 == 0 ? 3 : 5, 6, traced);
+        this.scenario = scenario;
+        int replicas = seed % 2 == 0 ? 3 : 5;
+        this.cell = new FleetSimulation(seed, replicas, 6, traced, scenario.configuration);
         this.random = cell.random;
     }
 
@@ -35,7 +72,7 @@
     FleetSimulation run() {
         submitLater(CALM_MILLISECONDS / 2);
         cell.run(CALM_MILLISECONDS);
-        FleetFaultInjector faults = new FleetFaultInjector(cell);
+        FleetFaultInjector faults = new FleetFaultInjector(cell, scenario.faults);
         faults.begin();
         cell.run(FAULTS_MILLISECONDS);
         faults.end();
@@ -71,6 +108,8 @@
     private WorkflowDraft draft() {
         List<StepDefinition> steps = new ArrayList<>();
         int count = 1 + random.nextInt(2);
+        boolean fails =
+                scenario.failingWorkflows > 0 && random.nextInt(scenario.failingWorkflows) == 0;
         for (int step = 0; step < count; step++) {
             steps.add(
                     StepDefinition.builder()
@@ -78,6 +117,7 @@
                             .demand(new Resources(300 + random.nextInt(900), 100, 0))
                             .estimateMilliseconds(random.nextInt(6) == 0 ? 2_000 : 400)
                             .after(step == 0 ? List.of() : List.of(step - 1))
+                            .image(fails ? SimulatedFleetWorker.FAILING_IMAGE : "")
                             .build());
         }
         return new WorkflowDraft("payload", steps, Optional.empty());
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetSoak.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetSoak.java
@@ -6,7 +6,8 @@
 
 /**
  * Runs simulations of replicas with workers from the command line: {@code --seed FIRST --runs
- * COUNT}, with {@code --trace 1} to print the events.
+ * COUNT}, with {@code --successive 1} for faults that follow one another on a worker, and {@code
+ * --trace 1} to print the events.
  */
 public final class FleetSoak {
     private FleetSoak() {}
@@ -17,11 +18,15 @@
         long first = CellSoak.option(options, "--seed", 1);
         long runs = CellSoak.option(options, "--runs", 1);
         boolean traced = CellSoak.option(options, "--trace", 0) > 0;
+        FleetSimulationRun.Scenario scenario =
+                CellSoak.option(options, "--successive", 0) > 0
+                        ? FleetSimulationRun.Scenario.SUCCESSIVE_FAULTS
+                        : FleetSimulationRun.Scenario.SINGLE_FAULTS;
         Map<String, Integer> total = new TreeMap<>();
         long starts = 0;
         long failed = 0;
         for (long seed = first; seed < first + runs; seed++) {
-            FleetSimulation cell = new FleetSimulationRun(seed, traced).run();
+            FleetSimulation cell = new FleetSimulationRun(seed, scenario, traced).run();
             cell.trace.lines().forEach(System.out::println);
             starts += cell.checker.starts();
             cell.occurrences().forEach((what, times) -> total.merge(what, times, Integer::sum));
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetWorkerNode.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetWorkerNode.java
@@ -29,6 +29,9 @@
     private static final long SHORT_RUN_MILLISECONDS = 600;
     private static final long LONG_RUN_MILLISECONDS = 3_500;
 
+    /** Runs with an estimate from this on last as long as it says. */
+    private static final long EXACT_ESTIMATE_MILLISECONDS = 10_000;
+
     private record WaitingList(ListRuns call, long until, Consumer<CallOutcome> answer) {}
 
     final FleetNetwork.Machine machine;
@@ -98,6 +101,9 @@
     }
 
     private static long runTime(UniformRandomProvider random, StepDefinition step) {
+        if (step.estimateMilliseconds() >= EXACT_ESTIMATE_MILLISECONDS) {
+            return step.estimateMilliseconds();
+        }
         long longest =
                 step.estimateMilliseconds() > SHORT_RUN_MILLISECONDS
                         ? LONG_RUN_MILLISECONDS
--- a/library/src/test/java/org/marjoramnotch/logic/cell/StartOnceChecker.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/StartOnceChecker.java
@@ -11,8 +11,9 @@
 
 /**
  * Checks, from what the workers saw, that no task runs twice at the same time, and that none starts
- * after a run of it was done and that end was acknowledged, before or later. The lapse of the
- * worker's lease between the end and the acknowledgement makes the end void.
+ * after a run of it was done, or after as many runs of it failed as its queue allows, and these
+ * ends were acknowledged, before or later. The lapse of the worker's lease between an end and its
+ * acknowledgement makes the end void.
  */
 final class StartOnceChecker {
     /** What became of an end. */
@@ -22,29 +23,41 @@
         VOID
     }
 
-    private static final class DoneRun {
+    private static final class EndedRun {
         final RunId run;
         final String worker;
         final long number;
         Acknowledgement acknowledgement = Acknowledgement.PENDING;
         final List<String> laterStarts = new ArrayList<>();
 
-        DoneRun(RunId run, String worker, long number) {
+        EndedRun(RunId run, String worker, long number) {
             this.run = run;
             this.worker = worker;
             this.number = number;
         }
     }
 
+    /**
+     * A start of a task.
+     *
+     * @param description the run and its worker
+     * @param failures the runs that had failed before
+     */
+    private record StartAfterFailures(String description, List<EndedRun> failures) {}
+
     private final FleetTrace trace;
     private final Map<WorkflowTaskId, Map<RunId, String>> live = new HashMap<>();
-    private final Map<WorkflowTaskId, List<DoneRun>> done = new HashMap<>();
-    private final Map<String, List<DoneRun>> pending = new HashMap<>();
+    private final int mostFailures;
+    private final Map<WorkflowTaskId, List<EndedRun>> done = new HashMap<>();
+    private final Map<WorkflowTaskId, List<EndedRun>> failed = new HashMap<>();
+    private final List<StartAfterFailures> startsAfterFailures = new ArrayList<>();
+    private final Map<String, List<EndedRun>> pending = new HashMap<>();
     private final List<String> violations = new ArrayList<>();
     private long starts;
 
-    StartOnceChecker(FleetTrace trace) {
+    StartOnceChecker(FleetTrace trace, int mostFailures) {
         this.trace = trace;
+        this.mostFailures = mostFailures;
     }
 
     List<String> violations() {
@@ -90,7 +103,12 @@
         String started = run + " started on " + worker;
         others.forEach((other, at) -> violate(started + " while " + other + " runs on " + at));
         others.put(run, worker);
-        for (DoneRun earlier : done.getOrDefault(run.task(), List.of())) {
+        List<EndedRun> failures = failed.getOrDefault(run.task(), List.of());
+        if (failures.size() >= mostFailures) {
+            startsAfterFailures.add(new StartAfterFailures(started, List.copyOf(failures)));
+            checkFailures();
+        }
+        for (EndedRun earlier : done.getOrDefault(run.task(), List.of())) {
             if (earlier.acknowledgement == Acknowledgement.RECEIVED) {
                 violate(started + " after an acknowledged end of " + describe(earlier));
             } else if (earlier.acknowledgement == Acknowledgement.PENDING) {
@@ -105,16 +123,18 @@
                         "run_ends run=%s worker=%s number=%d outcome=%s"
                                 .formatted(run, worker, number, outcome));
         live.getOrDefault(run.task(), new HashMap<>()).remove(run, worker);
-        if (outcome == RunOutcome.DONE) {
-            DoneRun ended = new DoneRun(run, worker, number);
-            done.computeIfAbsent(run.task(), task -> new ArrayList<>()).add(ended);
+        if (outcome == RunOutcome.DONE || outcome == RunOutcome.FAILED) {
+            EndedRun ended = new EndedRun(run, worker, number);
+            (outcome == RunOutcome.DONE ? done : failed)
+                    .computeIfAbsent(run.task(), task -> new ArrayList<>())
+                    .add(ended);
             pending.computeIfAbsent(worker, name -> new ArrayList<>()).add(ended);
         }
     }
 
     private void acknowledge(String worker, long number) {
-        List<DoneRun> ends = pending.getOrDefault(worker, new ArrayList<>());
-        for (DoneRun end : ends) {
+        List<EndedRun> ends = pending.getOrDefault(worker, new ArrayList<>());
+        for (EndedRun end : ends) {
             if (end.number <= number) {
                 end.acknowledgement = Acknowledgement.RECEIVED;
                 trace.add(() -> "end_acknowledged " + describe(end));
@@ -122,7 +142,24 @@
                         started -> violate(started + " after the end of " + describe(end)));
             }
         }
-        ends.removeIf(end -> end.acknowledgement != Acknowledgement.PENDING);
+        if (ends.removeIf(end -> end.acknowledgement != Acknowledgement.PENDING)) {
+            checkFailures();
+        }
+    }
+
+    /** Checks the starts that followed failed runs, whose ends may be acknowledged only now. */
+    private void checkFailures() {
+        startsAfterFailures.removeIf(
+                start -> {
+                    long counted =
+                            start.failures().stream()
+                                    .filter(end -> end.acknowledgement == Acknowledgement.RECEIVED)
+                                    .count();
+                    if (counted >= mostFailures) {
+                        violate(start.description() + " after " + counted + " failed runs");
+                    }
+                    return counted >= mostFailures;
+                });
     }
 
     /** Handles the end of a worker with all that runs on it. */
@@ -134,12 +171,12 @@
 
     private void lapse(String worker) {
         trace.add(() -> "lease_lapses worker=" + worker);
-        List<DoneRun> ends = pending.getOrDefault(worker, new ArrayList<>());
+        List<EndedRun> ends = pending.getOrDefault(worker, new ArrayList<>());
         ends.forEach(end -> end.acknowledgement = Acknowledgement.VOID);
         ends.clear();
     }
 
-    private static String describe(DoneRun end) {
+    private static String describe(EndedRun end) {
         return end.run + " on " + end.worker + ", number " + end.number;
     }
 
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedFleetWorker.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/SimulatedFleetWorker.java
@@ -31,6 +31,9 @@
  * Simulates a worker in virtual time, with leases, fencing, late orders and reports of run ends.
  */
 public final class SimulatedFleetWorker {
+    /** The image of steps whose runs all fail. */
+    public static final String FAILING_IMAGE = "failing";
+
     private static final long STOP_MILLISECONDS = 200;
 
     private static final int MAXIMUM_ENDS_PER_LIST = 500;
@@ -250,7 +253,7 @@
             return rejected(now, start, RejectionReason.LEASE_OVER);
         }
         StepDefinition step = steps.apply(run);
-        boolean fails = random.nextDouble() < failureShare;
+        boolean fails = random.nextDouble() < failureShare || step.image().equals(FAILING_IMAGE);
         long duration = runTimes.applyAsLong(step);
         live.put(
                 run.task(),
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/TestFleet.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/TestFleet.java
@@ -58,6 +58,29 @@
                 advice);
     }
 
+    /** Returns a configuration whose quick queue allows some failed runs of a task. */
+    public static FleetConfiguration withMostFailures(FleetConfiguration usual, int mostFailures) {
+        QueueDefinition quick = usual.queues().get(0);
+        QueueDefinition limited =
+                new QueueDefinition(
+                        quick.name(),
+                        quick.host(),
+                        quick.pathPrefix(),
+                        quick.pool(),
+                        quick.priority(),
+                        mostFailures,
+                        quick.stretch(),
+                        quick.slackMilliseconds(),
+                        quick.open(),
+                        quick.advice());
+        return new FleetConfiguration(
+                usual.version(),
+                usual.document(),
+                List.of(limited, usual.queues().get(1)),
+                usual.pools(),
+                usual.teams());
+    }
+
     /** Returns a configuration that sends the quick queue to another pool. */
     static FleetConfiguration movedQueue(long version) {
         return movedQueue(version, Resources.NONE);
