Don't take a refused connection for the end of a worker that was released

Cause: IncarnationState.hasExited took a release with a refused connection for the end. A release is sent before the end, and a cut may refuse. Ruled out: lists (none came), the lease (it had 5 s to go). Change: hasExited and the source WORKER_EXITED are gone; lists, the lease or an answer of another life decide.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/EndProposer.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/EndProposer.java
@@ -79,11 +79,10 @@
         propose(List.of(end), 0, origin, output);
     }
 
-    /** Proposes the ends of all runs of a worker. */
-    void proposeLapsed(
-            List<RunEnd> ends, RunEndSource source, LeaseEvidence lease, LeaderOutput output) {
-        listLog.onLeaseOver(ends.size(), source, lease, output);
-        propose(ends, 0, EndOrigin.of(source), output);
+    /** Proposes the ends of all runs of a worker whose lease is over. */
+    void proposeLapsed(List<RunEnd> ends, LeaseEvidence lease, LeaderOutput output) {
+        listLog.onLeaseOver(ends.size(), lease, output);
+        propose(ends, 0, EndOrigin.of(RunEndSource.LEASE_OVER), output);
     }
 
     private void logNotStarted(
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/IncarnationState.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/IncarnationState.java
@@ -8,8 +8,8 @@
  *
  * <ul>
  *   <li>An answer of another incarnation shows that this one has ended.
- *   <li>A release announces the end and shows nothing, since its reply may be lost. Together with a
- *       refused connection it does.
+ *   <li>A release announces the end and shows nothing, since a worker sends it before it ends.
+ *   <li>A refused or reset connection shows nothing, since a cut may cause it.
  *   <li>Silence shows nothing until each lease that this or an earlier leader granted is over.
  *   <li>A higher fencing token shows nothing, since its holder may renew the lease.
  * </ul>
@@ -30,7 +30,6 @@
     private boolean namesakeAnswered;
     private boolean successorExpected;
     private boolean released;
-    private boolean connectionRefused;
 
     IncarnationState(WorkerLease lease) {
         this.lease = lease;
@@ -85,12 +84,6 @@
         released = true;
     }
 
-    /** Handles a call that was not delivered because the worker's port is closed. */
-    void onConnectionRefused() {
-        // A released worker does not open its port again.
-        connectionRefused |= released;
-    }
-
     boolean acceptsOrders() {
         return !fenced && !replaced;
     }
@@ -113,23 +106,13 @@
         return !replaced || namesakeAnswered;
     }
 
-    /** Returns whether the worker was released and has exited. */
-    boolean hasExited() {
-        return released && connectionRefused;
-    }
-
     /**
      * Returns whether the runs of the worker are over without a list that shows their ends.
      *
      * @param leaseRenewed whether the lease may be renewed, since the worker answers
      */
     boolean areRunsOver(long nowMilliseconds, boolean leaseRenewed) {
-        return hasExited() || (!leaseRenewed && lease.isOver(nowMilliseconds));
-    }
-
-    /** Returns on what the runs of the worker are over, for logs. */
-    RunEndSource endSource() {
-        return hasExited() ? RunEndSource.WORKER_EXITED : RunEndSource.LEASE_OVER;
+        return !leaseRenewed && lease.isOver(nowMilliseconds);
     }
 
     /**
@@ -137,6 +120,6 @@
      * its lease is renewed.
      */
     boolean canRunNothing(long nowMilliseconds) {
-        return hasExited() || lease.isOwnOver(nowMilliseconds);
+        return lease.isOwnOver(nowMilliseconds);
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunEndSource.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunEndSource.java
@@ -10,8 +10,6 @@
     REFUSAL,
     /** The worker's lease is over. */
     LEASE_OVER,
-    /** The worker was released and has closed its port. */
-    WORKER_EXITED,
     /** The worker was dismissed. */
     WORKER_DISMISSED,
     /** The next incarnation of the worker enrolled. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListLog.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListLog.java
@@ -136,8 +136,8 @@
                 output);
     }
 
-    /** Logs that the runs of the worker are over since its lease is, or since it has exited. */
-    void onLeaseOver(int runs, RunEndSource source, LeaseEvidence lease, LeaderOutput output) {
+    /** Logs that the runs of the worker are over since its lease is. */
+    void onLeaseOver(int runs, LeaseEvidence lease, LeaderOutput output) {
         log.log(
                 DecisionLogEntry.of(
                         "worker_lease_over",
@@ -146,7 +146,7 @@
                         "runs",
                         runs,
                         "source",
-                        source,
+                        RunEndSource.LEASE_OVER,
                         "clock",
                         RunLog.orNone(lease.reading()),
                         "reading_ms",
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
@@ -192,10 +192,10 @@
     }
 
     /**
-     * Ends all runs because the worker's lease is over or the worker has exited. The worker needs a
-     * new list before it gets runs.
+     * Ends all runs because the worker's lease is over. The worker needs a new list before it gets
+     * runs.
      */
-    void lapseAll(RunEndSource source, LeaseEvidence lease, LeaderOutput output) {
+    void lapseAll(LeaseEvidence lease, LeaderOutput output) {
         listed = false;
         List<RunEnd> lapsed =
                 ledgerRuns().stream()
@@ -205,7 +205,7 @@
         orders.clear();
         statuses.clear();
         if (!lapsed.isEmpty()) {
-            proposer.proposeLapsed(lapsed, source, lease, output);
+            proposer.proposeLapsed(lapsed, lease, output);
         }
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerOutcomeHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerOutcomeHandler.java
@@ -49,9 +49,6 @@
         if (call instanceof ListRuns) {
             lists.onOutcome();
         }
-        if (outcome instanceof CallOutcome.ConnectionRefused) {
-            incarnation.onConnectionRefused();
-        }
         if (outcome instanceof CallOutcome.ConnectionRefused
                 || outcome instanceof CallOutcome.Unanswered) {
             onUnanswered(nowMilliseconds, call, output);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -235,7 +235,7 @@
         listCalls.sendIfDue(nowMilliseconds, output);
         if (incarnation.areRunsOver(nowMilliseconds, listCalls.isReporting())
                 && !lists.isAwaitingCommit()) {
-            lists.lapseAll(incarnation.endSource(), lease.evidence(nowMilliseconds), output);
+            lists.lapseAll(lease.evidence(nowMilliseconds), output);
         }
     }
 
