Count each failed run as an attempt, also one that was recorded as over before

The next life of an executor ran a start for the earlier one; its failed end was acknowledged and not counted. Cause: whether a failure counted hung on the ledger still having the run when its end was listed; RunTransitions.effectOf called it ALREADY_ENDED or LATER_RUN. Ruled out: the acknowledgement (the number may rise), the lease (none lapsed). Change: tasks keep the runs that were recorded as over without a list that showed their ends; a failure of one counts once, whoever lists it and whenever, unless the lease of the worker that lists it was over in between. Gang members count once a run. The ledger alone decides what counts; run_ended has the number of attempts.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/NextLifeRuns.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/NextLifeRuns.java
@@ -46,7 +46,7 @@
         List<RunEnd> ends =
                 list.ended().stream()
                         .map(RunEndReport::end)
-                        .filter(end -> hasRun(end.run()) || comparator.isCompletedLapsedRun(end))
+                        .filter(end -> ledger.effectOf(worker, end).isEffective())
                         .toList();
         if (!ends.isEmpty()) {
             proposer.proposeListedByNextLife(list, ends, output);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListComparator.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListComparator.java
@@ -56,7 +56,8 @@
         for (RunEndReport report : list.ended()) {
             RunEnd end = report.end();
             ended.add(end.run());
-            boolean counts = known.contains(end.run()) || isCompletedLapsedRun(end);
+            boolean counts =
+                    known.contains(end.run()) || ledger.effectOf(worker, end).isEffective();
             if (report.number() > acknowledged && counts) {
                 ends.add(end);
             }
@@ -82,13 +83,6 @@
                 .orElse(true);
     }
 
-    /**
-     * Returns whether a run recorded as lapsed had completed its work and no other run followed it.
-     */
-    boolean isCompletedLapsedRun(RunEnd end) {
-        return end.outcome() == RunOutcome.DONE && isLastRunOfWaitingTask(end.run());
-    }
-
     /** Returns whether the task of a run waits and no other run followed. */
     boolean isLastRunOfWaitingTask(RunId run) {
         return ledger.workflow(run.task().step().workflow())
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunLog.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunLog.java
@@ -96,6 +96,8 @@
                         source,
                         "effect",
                         applied.effect(),
+                        "failures",
+                        applied.failures(),
                         "number",
                         orNone(origin.numberOf(end.run())),
                         "call",
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunTransitions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunTransitions.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.marjoramnotch.model.command.EndRuns;
 import org.marjoramnotch.model.command.StartRuns;
+import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.resource.Resources;
 import org.marjoramnotch.model.workflow.AppliedEnd;
@@ -43,7 +44,9 @@
         List<WorkflowTaskId> lapsed = new ArrayList<>();
         for (ActiveRun run : List.copyOf(worker.runs())) {
             lapsed.add(run.run().task());
-            end(Optional.of(worker), new RunEnd(run.run(), RunOutcome.LAPSED, ""), applied);
+            RunEnd end = new RunEnd(run.run(), RunOutcome.LAPSED, "");
+            addUnlistedRun(end, 0);
+            end(worker.worker().incarnation(), Optional.of(worker), end, applied);
         }
         NextLifeStarts starts = nextLifeStarts.orElse(new NextLifeStarts(lapsed, List.of()));
         WorkerId id = worker.worker().id();
@@ -123,12 +126,37 @@
         // A worker that was dismissed in the meantime may have completed work before.
         Optional<WorkerEntry> worker = ledger.worker(ends.worker());
         List<AppliedEnd> applied = new ArrayList<>();
-        ends.ends().forEach(end -> end(worker, end, applied));
+        for (RunEnd end : ends.ends()) {
+            if (effectOf(ends.worker(), worker, end) == RunEndEffect.ENDED) {
+                if (end.outcome() == RunOutcome.LAPSED) {
+                    addUnlistedRun(end, ends.worker().startedEpochMilliseconds());
+                } else if (end.outcome() == RunOutcome.NOT_STARTED) {
+                    addUnlistedRun(end, 0);
+                }
+            }
+            end(ends.worker(), worker, end, applied);
+        }
         return applied;
     }
 
-    /** Returns what an end would change now. */
-    RunEndEffect effectOf(Optional<WorkerEntry> worker, RunEnd end) {
+    /** Notes a run whose end no list has shown, while it is the last one of its task. */
+    private void addUnlistedRun(RunEnd end, long lapsedEpochMilliseconds) {
+        WorkflowTaskId id = end.run().task();
+        ledger.workflow(id.step().workflow())
+                .flatMap(entry -> entry.step(id.step()))
+                .ifPresent(
+                        step ->
+                                step.addUnlistedRun(
+                                        step.tasks().get(id.index()), lapsedEpochMilliseconds));
+    }
+
+    /**
+     * Returns what an end would change now.
+     *
+     * @param lister the incarnation that lists the end
+     * @param worker its entry, unless it was dismissed
+     */
+    RunEndEffect effectOf(WorkerIncarnation lister, Optional<WorkerEntry> worker, RunEnd end) {
         RunId run = end.run();
         WorkflowEntry entry = ledger.workflow(run.task().step().workflow()).orElse(null);
         if (entry == null) {
@@ -140,12 +168,19 @@
                     ? RunEndEffect.WORKFLOW_ENDED
                     : RunEndEffect.UNKNOWN_TASK;
         }
+        boolean running = task.isRunning() && task.run() == run.number();
+        if (!running
+                && end.outcome() == RunOutcome.FAILED
+                && !entry.state().isFinal()
+                && task.countsLateFailure(run.number(), lister)) {
+            return RunEndEffect.FAILURE_COUNTED;
+        }
         if (task.run() != run.number()) {
             return task.run() > run.number() ? RunEndEffect.LATER_RUN : RunEndEffect.NEVER_STARTED;
         }
-        if (task.isRunning()) {
-            boolean running = worker.map(present -> present.has(run)).orElse(false);
-            return running ? RunEndEffect.ENDED : RunEndEffect.OTHER_WORKER;
+        if (running) {
+            boolean here = worker.map(present -> present.has(run)).orElse(false);
+            return here ? RunEndEffect.ENDED : RunEndEffect.OTHER_WORKER;
         }
         if (!task.isWaiting()) {
             return RunEndEffect.TASK_COMPLETE;
@@ -156,10 +191,14 @@
                 : RunEndEffect.ALREADY_ENDED;
     }
 
-    private void end(Optional<WorkerEntry> worker, RunEnd end, List<AppliedEnd> applied) {
-        RunEndEffect effect = effectOf(worker, end);
-        applied.add(new AppliedEnd(end, effect));
+    private void end(
+            WorkerIncarnation lister,
+            Optional<WorkerEntry> worker,
+            RunEnd end,
+            List<AppliedEnd> applied) {
+        RunEndEffect effect = effectOf(lister, worker, end);
         if (!effect.isEffective()) {
+            applied.add(new AppliedEnd(end, effect));
             return;
         }
         RunId run = end.run();
@@ -171,10 +210,15 @@
             task.returnToWaiting(end.checkpoint());
             release(worker.orElseThrow(), entry, step, run);
         }
+        int failures =
+                end.outcome() == RunOutcome.FAILED ? step.countFailure(task, run.number()) : 0;
+        applied.add(new AppliedEnd(end, effect, failures));
         if (end.outcome() == RunOutcome.DONE) {
             completeTasks(entry, step, run, applied);
-        } else if (end.outcome() == RunOutcome.FAILED) {
-            recordFailure(entry, step, task);
+        } else if (failures > 0
+                && failures >= entry.queue().mostFailures()
+                && !step.definition().standing()) {
+            entry.end(WorkflowState.FAILED);
         }
         if (running) {
             entry.countEnd();
@@ -217,13 +261,6 @@
         }
     }
 
-    private static void recordFailure(WorkflowEntry entry, StepTasks step, TaskState task) {
-        int failures = step.countFailure(task);
-        if (!step.definition().standing() && failures >= entry.queue().mostFailures()) {
-            entry.end(WorkflowState.FAILED);
-        }
-    }
-
     /** Accounts for the resources of the runs of a restored workflow. */
     void restore(WorkflowEntry entry) {
         entry.running()
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/StepTasks.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/StepTasks.java
@@ -7,6 +7,7 @@
 import org.marjoramnotch.model.workflow.StepDefinition;
 import org.marjoramnotch.model.workflow.StepId;
 import org.marjoramnotch.model.workflow.TaskRecord;
+import org.marjoramnotch.model.workflow.UnlistedRun;
 import org.marjoramnotch.model.workflow.WorkflowTaskId;
 
 /** The tasks of a step in one occurrence of its workflow. */
@@ -75,19 +76,28 @@
      * Counts a failed run and returns how often the task has failed. Failures of several gang
      * members in the same run count as one failure of the gang.
      */
-    int countFailure(TaskState task) {
+    int countFailure(TaskState task, long run) {
         if (!definition.gang()) {
-            task.countFailure();
+            task.countFailure(run);
             return task.failures();
         }
-        if (task.run() != lastFailedRun) {
-            lastFailedRun = task.run();
+        if (run != lastFailedRun) {
+            lastFailedRun = Math.max(lastFailedRun, run);
             gangFailures++;
-            task.countFailure();
+            task.countFailure(run);
         }
+        tasks.forEach(member -> member.forgetUnlistedRun(run));
         return gangFailures;
     }
 
+    /** Notes that the last run of a task is recorded as over although no list has shown its end. */
+    void addUnlistedRun(TaskState task, long lapsedEpochMilliseconds) {
+        boolean counted = definition.gang() && task.run() == lastFailedRun;
+        if (!counted) {
+            task.addUnlistedRun(new UnlistedRun(task.run(), lapsedEpochMilliseconds));
+        }
+    }
+
     /** Adds the running tasks to a map by their runs. */
     void addRunning(StepId id, Map<RunId, TaskState> runs) {
         for (int index = 0; index < tasks.size(); index++) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/TaskState.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/TaskState.java
@@ -1,9 +1,13 @@
 package org.marjoramnotch.logic.workflow;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.workflow.TaskRecord;
+import org.marjoramnotch.model.workflow.UnlistedRun;
 
 /** State of a task in the ledger. */
 final class TaskState {
@@ -14,6 +18,8 @@
         DONE
     }
 
+    private static final int MAXIMUM_UNLISTED_RUNS = 8;
+
     private Phase phase = Phase.WAITING;
     private long run;
     private int failures;
@@ -22,6 +28,7 @@
     private @Nullable WorkerId worker;
     private boolean endedUnseen;
     private boolean startedByNextLife;
+    private final List<UnlistedRun> unlistedRuns = new ArrayList<>();
 
     static TaskState of(TaskRecord task) {
         TaskState state = new TaskState();
@@ -38,6 +45,7 @@
         state.worker = task.worker().orElse(null);
         state.endedUnseen = task.endedUnseen();
         state.startedByNextLife = task.startedByNextLife();
+        state.unlistedRuns.addAll(task.unlistedRuns());
         return state;
     }
 
@@ -51,7 +59,8 @@
                 checkpoint,
                 Optional.ofNullable(worker),
                 endedUnseen,
-                startedByNextLife);
+                startedByNextLife,
+                List.copyOf(unlistedRuns));
     }
 
     Phase phase() {
@@ -135,12 +144,41 @@
         }
     }
 
-    void countFailure() {
+    /** Notes a run that is recorded as over although no list has shown its end. */
+    void addUnlistedRun(UnlistedRun unlisted) {
+        unlistedRuns.add(unlisted);
+        if (unlistedRuns.size() > MAXIMUM_UNLISTED_RUNS) {
+            unlistedRuns.remove(0);
+        }
+    }
+
+    /**
+     * Returns whether the failure of a run that was recorded as over counts as an attempt.
+     *
+     * @param lister the incarnation that lists its end
+     */
+    boolean countsLateFailure(long number, WorkerIncarnation lister) {
+        return phase != Phase.DONE
+                && unlistedRuns.stream()
+                        .anyMatch(
+                                unlisted ->
+                                        unlisted.number() == number
+                                                && unlisted.lapsedEpochMilliseconds()
+                                                        != lister.startedEpochMilliseconds());
+    }
+
+    /** Counts the failure of a run; it is not counted again. */
+    void countFailure(long number) {
         failures++;
-        failedRun = run;
+        failedRun = Math.max(failedRun, number);
+        forgetUnlistedRun(number);
+    }
+
+    void forgetUnlistedRun(long number) {
+        unlistedRuns.removeIf(unlisted -> unlisted.number() == number);
     }
 
-    /** Returns the number of the last run whose failure was counted; 0 for none. */
+    /** Returns the highest number of a run whose failure was counted; 0 for none. */
     long failedRun() {
         return failedRun;
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -184,7 +184,7 @@
 
     /** Returns what the end of a run of a worker would change now. */
     RunEndEffect effectOf(WorkerIncarnation worker, RunEnd end) {
-        return runs.effectOf(worker(worker), end);
+        return runs.effectOf(worker, worker(worker), end);
     }
 
     Resources usageOf(TeamName team) {
--- a/library/src/main/java/org/marjoramnotch/model/workflow/RunEndEffect.java
+++ b/library/src/main/java/org/marjoramnotch/model/workflow/RunEndEffect.java
@@ -8,6 +8,8 @@
     ENDED_WITH_GANG,
     /** The run was recorded as over without result, and no other run followed it. */
     COMPLETED,
+    /** The run was recorded as over without result; its failure counts as an attempt. */
+    FAILURE_COUNTED,
     /** No effect: the workflow is forgotten or has no such task. */
     UNKNOWN_TASK,
     /** No effect: the workflow has ended. */
@@ -25,6 +27,9 @@
 
     /** Returns whether the end changed the ledger. */
     public boolean isEffective() {
-        return this == ENDED || this == ENDED_WITH_GANG || this == COMPLETED;
+        return this == ENDED
+                || this == ENDED_WITH_GANG
+                || this == COMPLETED
+                || this == FAILURE_COUNTED;
     }
 }
--- a/library/src/main/java/org/marjoramnotch/model/workflow/TaskRecord.java
+++ b/library/src/main/java/org/marjoramnotch/model/workflow/TaskRecord.java
@@ -1,5 +1,6 @@
 package org.marjoramnotch.model.workflow;
 
+import java.util.List;
 import java.util.Optional;
 import org.marjoramnotch.model.identifier.WorkerId;
 
@@ -16,6 +17,8 @@
  *     have carried out its start; false in records of earlier releases
  * @param startedByNextLife whether the next incarnation has certainly carried out its start; false
  *     in records of earlier releases
+ * @param unlistedRuns runs that were recorded as over although no list had shown their ends, oldest
+ *     first; absent in records of earlier releases
  */
 public record TaskRecord(
         char phase,
@@ -25,4 +28,13 @@
         String checkpoint,
         Optional<WorkerId> worker,
         boolean endedUnseen,
-        boolean startedByNextLife) {}
+        boolean startedByNextLife,
+        List<UnlistedRun> unlistedRuns) {
+    /** Replaces the absent list in a record of an earlier release. */
+    public TaskRecord {
+        unlistedRuns =
+                unlistedRuns != null
+                        ? List.copyOf(unlistedRuns)
+                        : endedUnseen ? List.of(new UnlistedRun(run, 0)) : List.of();
+    }
+}
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetRandomisedTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetRandomisedTest.java
@@ -22,6 +22,20 @@
         assertThat(cell.checker.doneRuns()).isPositive();
     }
 
+    /**
+     * A restart is followed by a cut, a worker leaves behind one, and tasks fail each time: guards
+     * against a task at work twice and against a run beyond the failures that the queue allows.
+     */
+    @ParameterizedTest(name = "seed {0}")
+    @ValueSource(longs = {36, 96, 114, 164, 222, 462, 470, 532, 536, 575, 586, 612, 631, 948, 949})
+    void noRuleIsBrokenByFaultsThatFollowOneAnother(long seed) {
+        FleetSimulation cell =
+                new FleetSimulationRun(seed, FleetSimulationRun.Scenario.SUCCESSIVE_FAULTS, false)
+                        .run();
+        assertThat(cell.checker.violations()).isEmpty();
+        assertThat(cell.checker.doneRuns()).isPositive();
+    }
+
     /** A list overtakes the start of a run and is judged to be later within one millisecond. */
     @ParameterizedTest(name = "seed {0}")
     @ValueSource(longs = {1026, 2174, 2661, 3323})
--- a/wire/src/test/java/org/marjoramnotch/wire/WorkflowSnapshotTest.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/WorkflowSnapshotTest.java
@@ -88,6 +88,7 @@
         ObjectNode task =
                 (ObjectNode) tree.path("workflows").get(0).path("tasks").get(0).get(0).get(0);
         assertThat(task.remove("startedByNextLife")).isNotNull();
+        assertThat(task.remove("unlistedRuns")).isNotNull();
 
         WorkflowSnapshot read = mapper.read(WorkflowSnapshot.class, trees.writeValueAsBytes(tree));
 
