Record how long an inherited lease may go on, so that a change of leader doesn't lengthen it

Cause: the ledger had only whether a worker may hold an inherited lease. Change: it has the latest end on the worker's own clock, from the first answer on, and that it goes on for 6.5 s at most, from which on the worker gets runs; the next leader begins with that. InheritedLeases decides what is recorded.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/EnrolledWorkers.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/EnrolledWorkers.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import org.marjoramnotch.model.command.EnrollWorker;
 import org.marjoramnotch.model.fleet.FleetWorker;
+import org.marjoramnotch.model.fleet.InheritedLease;
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.workflow.WorkflowSnapshot;
@@ -28,8 +29,12 @@
 
     void restore(WorkflowSnapshot snapshot) {
         snapshot.workers().forEach(worker -> entries.put(worker.id(), new WorkerEntry(worker)));
-        snapshot.inheritedLeases()
-                .forEach(worker -> of(worker).ifPresent(WorkerEntry::inheritLease));
+        for (WorkerIncarnation worker : snapshot.followers()) {
+            of(worker).ifPresent(WorkerEntry::inheritLease);
+        }
+        for (InheritedLease lease : snapshot.inheritedLeases()) {
+            of(lease.worker()).ifPresent(entry -> entry.updateInheritedLease(lease));
+        }
         dismissed.addAll(snapshot.dismissedWorkers());
     }
 
@@ -47,13 +52,17 @@
     }
 
     /** Returns the incarnations that may hold an inherited lease. */
-    List<WorkerIncarnation> inheritedLeases() {
+    List<WorkerIncarnation> followers() {
         return entries.values().stream()
                 .filter(WorkerEntry::mayHoldInheritedLease)
                 .map(entry -> entry.worker().incarnation())
                 .toList();
     }
 
+    List<InheritedLease> inheritedLeases() {
+        return entries.values().stream().flatMap(entry -> entry.inheritedLease().stream()).toList();
+    }
+
     List<WorkerId> dismissed() {
         return List.copyOf(dismissed);
     }
@@ -76,6 +85,8 @@
             known.update(worker);
             if (enroll.inheritedLeaseOver()) {
                 known.endInheritedLease();
+            } else {
+                enroll.inheritedLease().ifPresent(known::updateInheritedLease);
             }
         }
         return Optional.empty();
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerEntry.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerEntry.java
@@ -4,7 +4,10 @@
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.marjoramnotch.model.fleet.FleetWorker;
+import org.marjoramnotch.model.fleet.InheritedLease;
 import org.marjoramnotch.model.resource.Resources;
 import org.marjoramnotch.model.workflow.RunId;
 
@@ -13,7 +16,8 @@
     private FleetWorker worker;
     private final Map<RunId, ActiveRun> runs = new LinkedHashMap<>();
     private Resources reserved = Resources.NONE;
-    private boolean inheritedLease;
+    private boolean mayHoldInheritedLease;
+    private @Nullable InheritedLease inheritedLease;
 
     WorkerEntry(FleetWorker worker) {
         this.worker = worker;
@@ -28,21 +32,34 @@
     }
 
     /**
-     * Notes that a call to an earlier incarnation may have granted this one a lease, by the clock
-     * of the earlier one.
+     * Notes that the worker follows another one under its name, so that a call to that one may have
+     * granted it a lease by the clock of the earlier one.
      */
     void inheritLease() {
-        inheritedLease = true;
+        mayHoldInheritedLease = true;
+    }
+
+    /** Notes what is newly known of such a lease. */
+    void updateInheritedLease(InheritedLease lease) {
+        if (mayHoldInheritedLease) {
+            inheritedLease = lease;
+        }
     }
 
     /** Notes that such a lease is over. */
     void endInheritedLease() {
-        inheritedLease = false;
+        mayHoldInheritedLease = false;
+        inheritedLease = null;
     }
 
     /** Returns whether the worker may hold a lease that was granted to an earlier incarnation. */
     boolean mayHoldInheritedLease() {
-        return inheritedLease;
+        return mayHoldInheritedLease;
+    }
+
+    /** Returns what is known of such a lease; empty while no leader has read the worker's clock. */
+    Optional<InheritedLease> inheritedLease() {
+        return Optional.ofNullable(inheritedLease);
     }
 
     /** Returns the runs that reserve capacity, oldest first. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerLease.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerLease.java
@@ -1,6 +1,8 @@
 package org.marjoramnotch.logic.workflow;
 
+import java.util.Optional;
 import java.util.OptionalLong;
+import org.marjoramnotch.model.fleet.InheritedLease;
 
 /**
  * Grants leases to a worker and tracks an upper bound of the time until which it may continue its
@@ -30,6 +32,7 @@
 
     private final long leaseMilliseconds;
     private final long earlierGrantMilliseconds;
+    private final OptionalLong inheritedUntil;
     private final int driftPercent;
     private final long startedAt;
     private boolean hasClockSample;
@@ -41,33 +44,51 @@
     private OptionalLong lastGrantAt = OptionalLong.empty();
 
     private WorkerLease(
-            WorkflowSettings settings, long earlierGrantMilliseconds, long nowMilliseconds) {
+            WorkflowSettings settings,
+            long earlierGrantMilliseconds,
+            OptionalLong inheritedUntil,
+            long nowMilliseconds) {
         this.leaseMilliseconds = settings.leaseMilliseconds();
         this.earlierGrantMilliseconds = earlierGrantMilliseconds;
+        this.inheritedUntil = inheritedUntil;
         this.driftPercent = settings.workerClockDriftPercent();
         this.startedAt = nowMilliseconds;
     }
 
     /** Returns the lease of a worker that only got grants by its own clock. */
     static WorkerLease byOwnClock(WorkflowSettings settings, long nowMilliseconds) {
-        return new WorkerLease(settings, settings.leaseMilliseconds(), nowMilliseconds);
+        return new WorkerLease(
+                settings, settings.leaseMilliseconds(), OptionalLong.empty(), nowMilliseconds);
     }
 
     /**
      * Returns the lease of a worker that may have got a grant by the clock of its earlier
      * incarnation, before the first call with a token of its own. Only the worker limits its
      * length.
+     *
+     * @param known what an earlier leader, or this one in earlier duties, has recorded of it
      */
-    static WorkerLease possiblyInherited(WorkflowSettings settings, long nowMilliseconds) {
-        return new WorkerLease(settings, settings.longestLeaseMilliseconds(), nowMilliseconds);
+    static WorkerLease possiblyInherited(
+            WorkflowSettings settings, Optional<InheritedLease> known, long nowMilliseconds) {
+        long longest =
+                known.map(InheritedLease::longestMilliseconds)
+                        .orElse(settings.longestLeaseMilliseconds());
+        OptionalLong until =
+                known.map(lease -> OptionalLong.of(lease.until())).orElse(OptionalLong.empty());
+        return new WorkerLease(
+                settings, Math.max(longest, settings.leaseMilliseconds()), until, nowMilliseconds);
     }
 
     /** Learns the worker's clock from an answer. */
     void onAnswer(long sentAt, long receivedAt, long workerClock) {
         if (!hasClockSample) {
+            long byOwnClock = workerClock + leaseMilliseconds + EARLIER_GRANT_MARGIN_MILLISECONDS;
             earlierGrantsUntil =
-                    workerClock + earlierGrantMilliseconds + EARLIER_GRANT_MARGIN_MILLISECONDS;
-            grantedUntil = earlierGrantsUntil;
+                    inheritedUntil.orElse(
+                            workerClock
+                                    + earlierGrantMilliseconds
+                                    + EARLIER_GRANT_MARGIN_MILLISECONDS);
+            grantedUntil = Math.max(byOwnClock, earlierGrantsUntil);
         }
         if (!hasClockSample || sentAt >= sampleSentAt) {
             hasClockSample = true;
@@ -116,6 +137,16 @@
                         + EXPIRY_MARGIN_MILLISECONDS;
     }
 
+    /** Returns the longest lease that the worker may have held at the first answer. */
+    long longestEarlierGrant() {
+        return earlierGrantMilliseconds;
+    }
+
+    /** Returns the latest end of an inherited lease on the worker's clock, once that was read. */
+    OptionalLong inheritedUntil() {
+        return hasClockSample ? OptionalLong.of(earlierGrantsUntil) : OptionalLong.empty();
+    }
+
     /** Returns whether every lease that was granted before the first answer has expired. */
     boolean areEarlierGrantsOver(long nowMilliseconds) {
         return hasClockSample && isPast(nowMilliseconds, earlierGrantsUntil);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReportHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReportHandler.java
@@ -42,7 +42,7 @@
     private final PendingReplies<WorkerIncarnation> pendingReleases = new PendingReplies<>();
     private final Map<WorkerIncarnation, Long> releasedAt = new HashMap<>();
     private final Set<WorkerIncarnation> proposedDismissals = new HashSet<>();
-    private final Set<WorkerIncarnation> proposedLeaseEnds = new HashSet<>();
+    private final Set<WorkerIncarnation> proposedLeaseRecords = new HashSet<>();
 
     /**
      * Highest sequence numbers of reports whose enrollment is not applied yet; no session has them.
@@ -87,8 +87,7 @@
             Optional<WorkerSession> earlier =
                     start > knownStart ? sessions.of(worker.id()) : Optional.empty();
             earlier.ifPresent(WorkerSession::expectSuccessor);
-            output.propose(
-                    new EnrollWorker(worker, earlier.map(WorkerSession::nextLifeStarts), false));
+            output.propose(new EnrollWorker(worker, earlier.map(WorkerSession::nextLifeStarts)));
         }
     }
 
@@ -130,7 +129,7 @@
     void onApplied(long nowMilliseconds, WorkflowCommand command, LeaderOutput output) {
         if (command instanceof EnrollWorker enroll) {
             FleetWorker worker = enroll.worker();
-            proposedLeaseEnds.remove(worker.incarnation());
+            proposedLeaseRecords.remove(worker.incarnation());
             Optional<WorkerIncarnation> earlier =
                     sessions.of(worker.id())
                             .map(session -> session.worker().incarnation())
@@ -175,7 +174,7 @@
     void tick(long nowMilliseconds, LeaderOutput output) {
         for (WorkerSession session : sessions.all()) {
             settle(nowMilliseconds, session, output);
-            endInheritedLease(nowMilliseconds, session, output);
+            recordInheritedLease(nowMilliseconds, session, output);
         }
         releasedAt.values().removeIf(at -> nowMilliseconds - at >= IGNORE_RELEASED_MILLISECONDS);
     }
@@ -198,17 +197,22 @@
         }
     }
 
-    /** Records that a lease which was granted to an earlier incarnation is over. */
-    private void endInheritedLease(
+    /** Records what is newly known of an inherited lease, unless another update is under way. */
+    private void recordInheritedLease(
             long nowMilliseconds, WorkerSession session, LeaderOutput output) {
-        FleetWorker worker = session.worker();
-        WorkerIncarnation incarnation = worker.incarnation();
-        if (mayHoldInheritedLease(incarnation)
-                && session.isInheritedLeaseOver(nowMilliseconds)
-                && !pendingEnrollments.isAnyPending(other -> other.id().equals(worker.id()))
-                && proposedLeaseEnds.add(incarnation)) {
-            output.propose(new EnrollWorker(worker, Optional.empty(), true));
+        WorkerIncarnation incarnation = session.worker().incarnation();
+        if (!mayHoldInheritedLease(incarnation)
+                || proposedLeaseRecords.contains(incarnation)
+                || pendingEnrollments.isAnyPending(
+                        other -> other.id().equals(incarnation.worker()))) {
+            return;
         }
+        session.recordInheritedLease(nowMilliseconds)
+                .ifPresent(
+                        record -> {
+                            proposedLeaseRecords.add(incarnation);
+                            output.propose(record);
+                        });
     }
 
     private boolean mayHoldInheritedLease(WorkerIncarnation incarnation) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.command.EndRuns;
+import org.marjoramnotch.model.command.EnrollWorker;
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.WorkerCall;
@@ -25,14 +26,9 @@
 final class WorkerSession {
     private static final int UNUSABLE_AFTER_UNANSWERED_CALLS = 2;
 
-    /**
-     * The longest lease with which a worker gets runs, so that they do not wait for more than 7 s
-     * if it is lost.
-     */
-    private static final long LONGEST_USABLE_LEASE_MILLISECONDS = 6_500;
-
     private final WorkflowSettings settings;
     private final WorkerLease lease;
+    private final InheritedLeases inheritedLeases;
     private final IncarnationState incarnation;
     private final RunOrderTracker orders;
     private final WorkerHealth health;
@@ -56,10 +52,15 @@
             long nowMilliseconds) {
         this.settings = settings;
         this.worker = worker;
+        Optional<WorkerEntry> entry = ledger.worker(worker.incarnation());
         this.lease =
-                mayHoldInheritedLease(ledger, worker)
-                        ? WorkerLease.possiblyInherited(settings, nowMilliseconds)
+                entry.map(WorkerEntry::mayHoldInheritedLease).orElse(false)
+                        ? WorkerLease.possiblyInherited(
+                                settings,
+                                entry.flatMap(WorkerEntry::inheritedLease),
+                                nowMilliseconds)
                         : WorkerLease.byOwnClock(settings, nowMilliseconds);
+        this.inheritedLeases = new InheritedLeases(ledger);
         this.incarnation = new IncarnationState(lease);
         this.health = new WorkerHealth(worker.id());
         this.orders =
@@ -94,12 +95,6 @@
         this.lastHeardAt = nowMilliseconds;
     }
 
-    private static boolean mayHoldInheritedLease(WorkflowLedger ledger, FleetWorker worker) {
-        return ledger.worker(worker.incarnation())
-                .map(WorkerEntry::mayHoldInheritedLease)
-                .orElse(false);
-    }
-
     FleetWorker worker() {
         return worker;
     }
@@ -123,8 +118,7 @@
         return lists.hasList()
                 && incarnation.acceptsStarts()
                 && !worker.draining()
-                && !lease.mayEarlierGrantsOutlast(
-                        nowMilliseconds, LONGEST_USABLE_LEASE_MILLISECONDS)
+                && !inheritedLeases.isLong(worker.incarnation())
                 && lists.unknownRuns().isEmpty()
                 && answers.consecutiveUnanswered() < UNUSABLE_AFTER_UNANSWERED_CALLS
                 && !health.isQuarantined(nowMilliseconds)
@@ -145,9 +139,9 @@
         return incarnation.isReplaced();
     }
 
-    /** Returns whether each lease that was granted to an earlier incarnation is over. */
-    boolean isInheritedLeaseOver(long nowMilliseconds) {
-        return lease.areEarlierGrantsOver(nowMilliseconds);
+    /** Returns what is newly known of a lease that the worker may have inherited. */
+    Optional<EnrollWorker> recordInheritedLease(long nowMilliseconds) {
+        return inheritedLeases.record(nowMilliseconds, worker, lease);
     }
 
     /** Sends no more starts, since the next incarnation is about to enroll and would get them. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -81,6 +81,7 @@
                 workflows.values().stream().map(WorkflowEntry::snapshot).toList(),
                 history.snapshot(),
                 configurationProposedEpochMilliseconds,
+                workers.followers(),
                 workers.inheritedLeases(),
                 workers.dismissed());
     }
--- a/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowSnapshot.java
+++ b/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowSnapshot.java
@@ -6,6 +6,7 @@
 import org.marjoramnotch.model.fleet.FleetConfiguration;
 import org.marjoramnotch.model.fleet.FleetHistoryRecord;
 import org.marjoramnotch.model.fleet.FleetWorker;
+import org.marjoramnotch.model.fleet.InheritedLease;
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.WorkerId;
 
@@ -18,8 +19,9 @@
  * @param history what the fleet could run at some time; absent in snapshots of earlier releases
  * @param configurationProposedEpochMilliseconds when a leader proposed the configuration, in Unix
  *     time; 0 if there is none, and in snapshots of earlier releases
- * @param inheritedLeases incarnations that may hold a lease which a call to an earlier one granted;
+ * @param followers incarnations that follow others under their names and may hold inherited leases;
  *     absent in snapshots of earlier releases
+ * @param inheritedLeases what is known of these leases; absent in snapshots of earlier releases
  * @param dismissedWorkers names of the workers that were dismissed last, oldest first; absent in
  *     snapshots of earlier releases
  */
@@ -29,7 +31,8 @@
         List<WorkflowRecord> workflows,
         FleetHistoryRecord history,
         long configurationProposedEpochMilliseconds,
-        List<WorkerIncarnation> inheritedLeases,
+        List<WorkerIncarnation> followers,
+        List<InheritedLease> inheritedLeases,
         List<WorkerId> dismissedWorkers) {
     /** The state before the first command. */
     public static final WorkflowSnapshot EMPTY =
@@ -40,11 +43,13 @@
                     FleetHistoryRecord.EMPTY,
                     0,
                     List.of(),
+                    List.of(),
                     List.of());
 
     /** Replaces what is absent in a snapshot of an earlier release by empty values. */
     public WorkflowSnapshot {
         history = Objects.requireNonNullElse(history, FleetHistoryRecord.EMPTY);
+        followers = Objects.requireNonNullElse(followers, List.of());
         inheritedLeases = Objects.requireNonNullElse(inheritedLeases, List.of());
         dismissedWorkers = Objects.requireNonNullElse(dismissedWorkers, List.of());
     }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/EnrolledWorkersTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/EnrolledWorkersTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
-import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -12,6 +11,7 @@
 import org.marjoramnotch.model.command.EnrollWorker;
 import org.marjoramnotch.model.command.WorkflowCommand;
 import org.marjoramnotch.model.fleet.FleetWorker;
+import org.marjoramnotch.model.fleet.InheritedLease;
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.AvailabilityZone;
 import org.marjoramnotch.model.identifier.WorkerId;
@@ -23,6 +23,10 @@
     private static final FleetWorker SECOND = life(2);
     private static final FleetWorker THIRD = life(3);
 
+    private static final EnrollWorker READ =
+            EnrollWorker.withInheritedLease(
+                    SECOND, new InheritedLease(SECOND.incarnation(), 10_300, 10_000));
+
     private static FleetWorker life(long started) {
         return new FleetWorker(
                 new WorkerIncarnation(new WorkerId("w-1"), started),
@@ -35,11 +39,11 @@
     }
 
     private static EnrollWorker enroll(FleetWorker worker) {
-        return new EnrollWorker(worker, Optional.empty(), false);
+        return new EnrollWorker(worker);
     }
 
     private static EnrollWorker endLease(FleetWorker worker) {
-        return new EnrollWorker(worker, Optional.empty(), true);
+        return EnrollWorker.withoutInheritedLease(worker);
     }
 
     static Stream<Arguments> histories() {
@@ -57,6 +61,14 @@
                         "update of the next life",
                         List.of(enroll(FIRST), enroll(SECOND), enroll(SECOND)),
                         true),
+                Arguments.of(
+                        "end of the inherited lease read",
+                        List.of(enroll(FIRST), enroll(SECOND), READ),
+                        true),
+                Arguments.of(
+                        "end of a lease read after it was over",
+                        List.of(enroll(FIRST), enroll(SECOND), endLease(SECOND), READ),
+                        false),
                 Arguments.of(
                         "inherited lease over",
                         List.of(enroll(FIRST), enroll(SECOND), endLease(SECOND)),
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerLeaseTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerLeaseTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -11,6 +12,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.marjoramnotch.model.fleet.InheritedLease;
+import org.marjoramnotch.model.fleet.WorkerIncarnation;
+import org.marjoramnotch.model.identifier.WorkerId;
 
 class WorkerLeaseTest {
     private static final WorkflowSettings SETTINGS =
@@ -45,7 +49,7 @@
     @ParameterizedTest
     @ValueSource(doubles = {0.98, 1.0, 1.02})
     void inheritedLeaseIsOverAfterTheLongestLeaseFromTheFirstAnswer(double rate) {
-        WorkerLease lease = WorkerLease.possiblyInherited(SETTINGS, 0);
+        WorkerLease lease = WorkerLease.possiblyInherited(SETTINGS, Optional.empty(), 0);
         lease.onAnswer(1_000, 1_040, clock(rate, 1_020));
         long inherited = clock(rate, 1_020) + SETTINGS.longestLeaseMilliseconds();
         long now = 1_040;
@@ -57,9 +61,33 @@
         assertThat(now).isLessThan(1_040 + 10_650);
     }
 
+    /** A change of leader does not lengthen the wait. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.98, 1.0, 1.02})
+    void nextLeaderWaitsForTheInheritedLeaseThatTheEarlierOneRead(double rate) {
+        WorkerLease earlier = WorkerLease.possiblyInherited(SETTINGS, Optional.empty(), 0);
+        earlier.onAnswer(1_000, 1_040, clock(rate, 1_020));
+        WorkerLease later =
+                WorkerLease.possiblyInherited(
+                        SETTINGS,
+                        Optional.of(
+                                new InheritedLease(
+                                        new WorkerIncarnation(new WorkerId("w-1"), 2),
+                                        earlier.inheritedUntil().orElseThrow(),
+                                        10_000)),
+                        6_000);
+        later.onAnswer(6_000, 6_040, clock(rate, 6_020));
+        long now = 6_040;
+        while (!later.isOver(now)) {
+            now++;
+        }
+        assertThat(clock(rate, now)).isGreaterThanOrEqualTo(clock(rate, 1_020) + 10_000);
+        assertThat(now).isLessThan(1_040 + 10_650);
+    }
+
     @Test
     void inheritedLeaseWithUnknownClockLastsTheLongestLease() {
-        WorkerLease lease = WorkerLease.possiblyInherited(SETTINGS, 10_000);
+        WorkerLease lease = WorkerLease.possiblyInherited(SETTINGS, Optional.empty(), 10_000);
         assertThat(lease.isOver(10_000 + 10_200)).isFalse();
         assertThat(lease.areEarlierGrantsOver(10_000 + 20_000)).isFalse();
         assertThat(lease.isOver(10_000 + 10_600)).isTrue();
--- a/wire/src/test/java/org/marjoramnotch/wire/WorkflowExamples.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/WorkflowExamples.java
@@ -17,6 +17,7 @@
 import org.marjoramnotch.model.fleet.AdviceTiming;
 import org.marjoramnotch.model.fleet.FleetConfiguration;
 import org.marjoramnotch.model.fleet.FleetWorker;
+import org.marjoramnotch.model.fleet.InheritedLease;
 import org.marjoramnotch.model.fleet.PoolDefinition;
 import org.marjoramnotch.model.fleet.QueueDefinition;
 import org.marjoramnotch.model.fleet.TeamDefinition;
@@ -128,6 +129,7 @@
                             WORKER,
                             Optional.of(
                                     new NextLifeStarts(List.of(RUN.task()), List.of(RUN.task()))),
+                            Optional.of(new InheritedLease(INCARNATION, 10_300, 10_000)),
                             true),
                     new SubmitWorkflow(WORKFLOW),
                     new StartRuns(List.of(new RunPlacement(RUN, INCARNATION, "checkpoint"))),
--- a/wire/src/test/java/org/marjoramnotch/wire/WorkflowSnapshotTest.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/WorkflowSnapshotTest.java
@@ -83,6 +83,7 @@
         JsonNode tree =
                 trees.readTree(mapper.write(LedgerSnapshot.class, ledger.snapshot()))
                         .path("workflow");
+        assertThat(((ObjectNode) tree).remove("followers")).isNotNull();
         assertThat(((ObjectNode) tree).remove("inheritedLeases")).isNotNull();
         assertThat(((ObjectNode) tree).remove("dismissedWorkers")).isNotNull();
         ObjectNode task =
@@ -103,6 +104,7 @@
         ObjectNode tree = (ObjectNode) trees.readTree(mapper.write(Command.class, command));
         assertThat(tree.remove("nextLifeStarts")).isNotNull();
         tree.remove("inheritedLeaseOver");
+        tree.remove("inheritedLease");
 
         assertThat(mapper.read(Command.class, trees.writeValueAsBytes(tree))).isEqualTo(expected);
     }
