Don't renew the lease of a draining worker

Cause: the lease was renewed until the release, so that it outlasted the end by 5 s. A lease that is not renewed shortens every wait and lengthens none.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListCalls.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListCalls.java
@@ -94,9 +94,9 @@
         boolean longPoll =
                 lists.mayLongPoll() && isReporting() && lease.isReadingRecent(nowMilliseconds);
         // Don't renew the lease of a worker that leaves calls unanswered or rejects list calls, so
-        // that the lease can expire.
+        // that the lease can expire, nor that of one that is about to exit unseen.
         OptionalLong until =
-                isReporting() && !incarnation.isReleased()
+                isReporting() && !incarnation.isReleased() && !session.worker().draining()
                         ? lease.grant(nowMilliseconds)
                         : OptionalLong.empty();
         long wait = longPoll ? settings.listWaitMilliseconds() : 0;
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTest.java
@@ -9,8 +9,12 @@
 import java.util.Set;
 import java.util.function.Function;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramnotch.model.command.EndRuns;
+import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.order.CallOutcome;
+import org.marjoramnotch.model.order.ListRuns;
 import org.marjoramnotch.model.order.RejectionReason;
 import org.marjoramnotch.model.order.RunStatus;
 import org.marjoramnotch.model.order.StopRun;
@@ -44,6 +48,26 @@
         }
     }
 
+    /** A draining worker may exit at any moment; its tasks would wait for a renewed lease. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void leaseOfDrainingWorkerIsNotRenewed(boolean draining) {
+        RunId run = new RunId(TASK, 1);
+        startWorkflow(new RunPlacement(run, worker.incarnation(), ""));
+        answerList(List.of(new RunStatus(run, "", 10, -1)));
+        session.update(
+                new FleetWorker(
+                        worker.incarnation(),
+                        worker.pool(),
+                        worker.address(),
+                        worker.availabilityZone(),
+                        worker.capacity(),
+                        worker.labels(),
+                        draining));
+        session.tick(20, output);
+        assertThat(((ListRuns) calls.get(0)).leaseUntil().isPresent()).isEqualTo(!draining);
+    }
+
     @Test
     void runsOfWorkerThatRejectsListsLapseAfterTheLease() {
         RunId run = new RunId(TASK, 1);
