Count a lease as possibly inherited only where a grant had no answer

Cause: each life after another one counted as one that may hold an inherited lease. Change: leaders record with the dismissal or the next enrolment whether each call that grants a lease was answered by the earlier life, for lives that no other leader called.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/EnrolledWorkers.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/EnrolledWorkers.java
@@ -8,11 +8,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import org.marjoramnotch.model.command.DismissWorker;
 import org.marjoramnotch.model.command.EnrollWorker;
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.fleet.InheritedLease;
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.WorkerId;
+import org.marjoramnotch.model.workflow.NextLifeEvidence;
 import org.marjoramnotch.model.workflow.WorkflowSnapshot;
 
 /**
@@ -24,7 +26,7 @@
 
     private final Map<WorkerId, WorkerEntry> entries = new TreeMap<>();
 
-    /** The names of the workers that were dismissed last, oldest first. */
+    /** The names of the workers dismissed last whose next life may get a lease, oldest first. */
     private final Set<WorkerId> dismissed = new LinkedHashSet<>();
 
     void restore(WorkflowSnapshot snapshot) {
@@ -78,7 +80,7 @@
         long knownStart = known.worker().incarnation().startedEpochMilliseconds();
         long start = worker.incarnation().startedEpochMilliseconds();
         if (start > knownStart) {
-            add(worker, true);
+            add(worker, isLeasePossible(enroll.nextLifeEvidence()));
             return Optional.of(known);
         }
         if (start == knownStart) {
@@ -92,22 +94,28 @@
         return Optional.empty();
     }
 
-    private void add(FleetWorker worker, boolean followsAnother) {
+    private static boolean isLeasePossible(Optional<NextLifeEvidence> evidence) {
+        return evidence.map(NextLifeEvidence::leasePossible).orElse(true);
+    }
+
+    private void add(FleetWorker worker, boolean leasePossible) {
         WorkerEntry entry = new WorkerEntry(worker);
-        if (followsAnother) {
+        if (leasePossible) {
             entry.inheritLease();
         }
         entries.put(worker.id(), entry);
     }
 
     /** Removes a worker and returns its entry. */
-    Optional<WorkerEntry> dismiss(WorkerIncarnation worker) {
-        Optional<WorkerEntry> entry = of(worker);
-        entry.ifPresent(
-                known -> {
-                    entries.remove(worker.worker());
-                    rememberDismissed(worker.worker());
-                });
+    Optional<WorkerEntry> dismiss(DismissWorker dismiss) {
+        WorkerId id = dismiss.worker().worker();
+        Optional<WorkerEntry> entry = of(dismiss.worker());
+        if (entry.isPresent()) {
+            entries.remove(id);
+            if (isLeasePossible(dismiss.nextLifeEvidence())) {
+                rememberDismissed(id);
+            }
+        }
         return entry;
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/NextLifeRuns.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/NextLifeRuns.java
@@ -10,7 +10,7 @@
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.RunEndReport;
 import org.marjoramnotch.model.order.RunStatus;
-import org.marjoramnotch.model.workflow.NextLifeStarts;
+import org.marjoramnotch.model.workflow.NextLifeEvidence;
 import org.marjoramnotch.model.workflow.RunEnd;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.WorkflowTaskId;
@@ -63,8 +63,9 @@
      * that sent it; a list does.
      *
      * @param shown whether the latest list of this life showed a run
+     * @param leasePossible whether the next life may have got a lease
      */
-    NextLifeStarts starts(Predicate<RunId> shown) {
+    NextLifeEvidence evidence(Predicate<RunId> shown, boolean leasePossible) {
         Set<WorkflowTaskId> possible = new LinkedHashSet<>(orders.possiblyStartedTasks(shown));
         entry().stream()
                 .flatMap(known -> known.runs().stream())
@@ -72,7 +73,7 @@
                 .filter(run -> !shown.test(run))
                 .forEach(run -> possible.add(run.task()));
         possible.removeAll(tasksAtWork);
-        return new NextLifeStarts(List.copyOf(possible), List.copyOf(tasksAtWork));
+        return new NextLifeEvidence(List.copyOf(possible), List.copyOf(tasksAtWork), leasePossible);
     }
 
     private boolean hasRun(RunId run) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunOrderTracker.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunOrderTracker.java
@@ -253,14 +253,17 @@
         RunPlacement placement = order.placement();
         Optional<WorkflowEntry> workflow =
                 ledger.workflow(placement.run().task().step().workflow());
-        OptionalLong until = lease.grant(nowMilliseconds);
-        if (until.isEmpty() || workflow.isEmpty()) {
+        if (workflow.isEmpty()) {
             return;
         }
         if (workflow.get().state().isFinal()) {
             stop(nowMilliseconds, placement.run(), output);
             return;
         }
+        OptionalLong until = lease.grant(nowMilliseconds);
+        if (until.isEmpty()) {
+            return;
+        }
         long call = calls.nextId();
         order.onStartSent(nowMilliseconds, call, until.getAsLong());
         calls.send(
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunTransitions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunTransitions.java
@@ -9,7 +9,7 @@
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.resource.Resources;
 import org.marjoramnotch.model.workflow.AppliedEnd;
-import org.marjoramnotch.model.workflow.NextLifeStarts;
+import org.marjoramnotch.model.workflow.NextLifeEvidence;
 import org.marjoramnotch.model.workflow.RunEnd;
 import org.marjoramnotch.model.workflow.RunEndEffect;
 import org.marjoramnotch.model.workflow.RunId;
@@ -36,10 +36,10 @@
     /**
      * Ends all runs of a worker incarnation that is over.
      *
-     * @param nextLifeStarts what the next incarnation may have carried out; empty if this is not
+     * @param nextLifeEvidence what the next incarnation may have carried out; empty if this is not
      *     known
      */
-    List<AppliedEnd> lapseAll(WorkerEntry worker, Optional<NextLifeStarts> nextLifeStarts) {
+    List<AppliedEnd> lapseAll(WorkerEntry worker, Optional<NextLifeEvidence> nextLifeEvidence) {
         List<AppliedEnd> applied = new ArrayList<>();
         List<WorkflowTaskId> lapsed = new ArrayList<>();
         for (ActiveRun run : List.copyOf(worker.runs())) {
@@ -48,7 +48,8 @@
             addUnlistedRun(end, 0);
             end(worker.worker().incarnation(), Optional.of(worker), end, applied);
         }
-        NextLifeStarts starts = nextLifeStarts.orElse(new NextLifeStarts(lapsed, List.of()));
+        NextLifeEvidence starts =
+                nextLifeEvidence.orElse(new NextLifeEvidence(lapsed, List.of(), true));
         WorkerId id = worker.worker().id();
         starts.possible()
                 .forEach(task -> waitingAfterRunOn(id, task).ifPresent(TaskState::endUnseen));
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerLease.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerLease.java
@@ -33,6 +33,7 @@
     private final long leaseMilliseconds;
     private final long earlierGrantMilliseconds;
     private final OptionalLong inheritedUntil;
+    private final boolean firstCaller;
     private final int driftPercent;
     private final long startedAt;
     private boolean hasClockSample;
@@ -42,15 +43,18 @@
     private long earlierGrantsUntil;
     private long grantedUntil;
     private OptionalLong lastGrantAt = OptionalLong.empty();
+    private int openGrants;
 
     private WorkerLease(
             WorkflowSettings settings,
             long earlierGrantMilliseconds,
             OptionalLong inheritedUntil,
+            boolean firstCaller,
             long nowMilliseconds) {
         this.leaseMilliseconds = settings.leaseMilliseconds();
         this.earlierGrantMilliseconds = earlierGrantMilliseconds;
         this.inheritedUntil = inheritedUntil;
+        this.firstCaller = firstCaller;
         this.driftPercent = settings.workerClockDriftPercent();
         this.startedAt = nowMilliseconds;
     }
@@ -58,7 +62,21 @@
     /** Returns the lease of a worker that only got grants by its own clock. */
     static WorkerLease byOwnClock(WorkflowSettings settings, long nowMilliseconds) {
         return new WorkerLease(
-                settings, settings.leaseMilliseconds(), OptionalLong.empty(), nowMilliseconds);
+                settings,
+                settings.leaseMilliseconds(),
+                OptionalLong.empty(),
+                false,
+                nowMilliseconds);
+    }
+
+    /** Returns the lease of a worker that nobody has called under its name before. */
+    static WorkerLease ofFirstCaller(WorkflowSettings settings, long nowMilliseconds) {
+        return new WorkerLease(
+                settings,
+                settings.leaseMilliseconds(),
+                OptionalLong.empty(),
+                true,
+                nowMilliseconds);
     }
 
     /**
@@ -76,7 +94,11 @@
         OptionalLong until =
                 known.map(lease -> OptionalLong.of(lease.until())).orElse(OptionalLong.empty());
         return new WorkerLease(
-                settings, Math.max(longest, settings.leaseMilliseconds()), until, nowMilliseconds);
+                settings,
+                Math.max(longest, settings.leaseMilliseconds()),
+                until,
+                false,
+                nowMilliseconds);
     }
 
     /** Learns the worker's clock from an answer. */
@@ -109,9 +131,20 @@
         long until = earliestClock(nowMilliseconds) + leaseMilliseconds;
         grantedUntil = Math.max(grantedUntil, until);
         lastGrantAt = OptionalLong.of(nowMilliseconds);
+        openGrants++;
         return OptionalLong.of(until);
     }
 
+    /** Handles the answer of the worker to a call that grants a lease. */
+    void onGrantAnswered() {
+        openGrants--;
+    }
+
+    /** Returns whether a grant may have reached another incarnation instead of this one. */
+    boolean hasOpenGrants() {
+        return !firstCaller || openGrants > 0;
+    }
+
     /** Returns whether every granted lease has certainly expired. */
     boolean isOver(long nowMilliseconds) {
         if (hasClockSample) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerOutcomeHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerOutcomeHandler.java
@@ -89,6 +89,10 @@
             return false;
         }
         workerClock.ifPresent(clock -> lease.onAnswer(sentAt, nowMilliseconds, clock));
+        if (call instanceof StartRun
+                || (call instanceof ListRuns list && list.leaseUntil().isPresent())) {
+            lease.onGrantAnswered();
+        }
         return true;
     }
 
@@ -139,6 +143,9 @@
             return;
         }
         lease.onAnswer(sentAt, nowMilliseconds, list.workerClockMilliseconds());
+        if (call.leaseUntil().isPresent()) {
+            lease.onGrantAnswered();
+        }
         incarnation.onListed(nowMilliseconds);
         listCalls.onListed();
         lists.onList(nowMilliseconds, call, list, output);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReportHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReportHandler.java
@@ -87,7 +87,7 @@
             Optional<WorkerSession> earlier =
                     start > knownStart ? sessions.of(worker.id()) : Optional.empty();
             earlier.ifPresent(WorkerSession::expectSuccessor);
-            output.propose(new EnrollWorker(worker, earlier.map(WorkerSession::nextLifeStarts)));
+            output.propose(new EnrollWorker(worker, earlier.map(WorkerSession::nextLifeEvidence)));
         }
     }
 
@@ -155,8 +155,8 @@
                             worker.draining(),
                             "inherited_lease",
                             mayHoldInheritedLease(worker.incarnation()),
-                            "next_life_starts",
-                            enroll.nextLifeStarts().map(Object::toString).orElse("none")));
+                            "next_life",
+                            enroll.nextLifeEvidence().map(Object::toString).orElse("none")));
             pendingEnrollments.answer(worker, new Done(), output);
         } else if (command instanceof DismissWorker dismiss) {
             sessions.onDismissed(nowMilliseconds, dismiss.worker());
@@ -189,7 +189,7 @@
                                 .orElse(false);
         boolean dismissible = ended || silent || session.isVacated(nowMilliseconds);
         if (dismissible && proposedDismissals.add(incarnation)) {
-            output.propose(new DismissWorker(incarnation, Optional.of(session.nextLifeStarts())));
+            output.propose(new DismissWorker(incarnation, Optional.of(session.nextLifeEvidence())));
         }
         Long since = releasedAt.get(incarnation);
         if (since != null && nowMilliseconds - since >= RELEASE_ANSWER_MILLISECONDS) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -9,7 +9,7 @@
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.WorkerCall;
-import org.marjoramnotch.model.workflow.NextLifeStarts;
+import org.marjoramnotch.model.workflow.NextLifeEvidence;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunPlacement;
 import org.marjoramnotch.model.workflow.WorkflowTaskId;
@@ -43,6 +43,7 @@
     WorkerSession(
             WorkflowSettings settings,
             WorkflowLedger ledger,
+            SessionStart start,
             CallRegistry calls,
             FirstListLimiter firstLists,
             long fencingToken,
@@ -52,14 +53,7 @@
             long nowMilliseconds) {
         this.settings = settings;
         this.worker = worker;
-        Optional<WorkerEntry> entry = ledger.worker(worker.incarnation());
-        this.lease =
-                entry.map(WorkerEntry::mayHoldInheritedLease).orElse(false)
-                        ? WorkerLease.possiblyInherited(
-                                settings,
-                                entry.flatMap(WorkerEntry::inheritedLease),
-                                nowMilliseconds)
-                        : WorkerLease.byOwnClock(settings, nowMilliseconds);
+        this.lease = start.lease(settings, ledger, worker.incarnation(), nowMilliseconds);
         this.inheritedLeases = new InheritedLeases(ledger);
         this.incarnation = new IncarnationState(lease);
         this.health = new WorkerHealth(worker.id());
@@ -180,10 +174,11 @@
     }
 
     /** Returns what the worker's next incarnation may have carried out of the starts for this. */
-    NextLifeStarts nextLifeStarts() {
+    NextLifeEvidence nextLifeEvidence() {
         return incarnation.mayNextHaveReceivedOrders()
-                ? lists.nextLife().starts(run -> lists.status(run).isPresent())
-                : new NextLifeStarts(List.of(), List.of());
+                ? lists.nextLife()
+                        .evidence(run -> lists.status(run).isPresent(), lease.hasOpenGrants())
+                : new NextLifeEvidence(List.of(), List.of(), lease.hasOpenGrants());
     }
 
     /** Adds the tasks of runs that the worker lists but the ledger does not have on it. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
@@ -63,7 +63,9 @@
         this.log = log;
         this.calls = new CallRegistry(fencingToken);
         blockTasksEndedUnseen(nowMilliseconds, worker -> true);
-        ledger.workers().forEach(entry -> openSession(entry.worker(), nowMilliseconds));
+        ledger.workers()
+                .forEach(
+                        entry -> openSession(entry.worker(), SessionStart.DUTIES, nowMilliseconds));
     }
 
     /**
@@ -124,14 +126,14 @@
     void onEnrolled(long nowMilliseconds, FleetWorker worker) {
         WorkerSession session = sessions.get(worker.id());
         if (session == null) {
-            openSession(worker, nowMilliseconds);
+            openSession(worker, SessionStart.ENROLLMENT, nowMilliseconds);
         } else if (session.worker().incarnation().equals(worker.incarnation())) {
             session.update(worker);
         } else if (worker.incarnation().startedEpochMilliseconds()
                 > session.worker().incarnation().startedEpochMilliseconds()) {
             blockTasks(nowMilliseconds, session);
             laterLives.merge(worker.id(), 1L, Long::sum);
-            openSession(worker, nowMilliseconds);
+            openSession(worker, SessionStart.ENROLLMENT, nowMilliseconds);
         }
     }
 
@@ -156,7 +158,7 @@
         blockTasksEndedUnseen(nowMilliseconds, worker::equals);
         // A list of the next incarnation may have come after the evidence that is in the ledger.
         long longest = nowMilliseconds + settings.outlasting(settings.longestLeaseMilliseconds());
-        ended.nextLifeStarts().certain().forEach(task -> blocked.add(task, longest));
+        ended.nextLifeEvidence().certain().forEach(task -> blocked.add(task, longest));
     }
 
     private BlockedTasks blockedOn(WorkerId worker) {
@@ -224,12 +226,13 @@
         }
     }
 
-    private void openSession(FleetWorker worker, long nowMilliseconds) {
+    private void openSession(FleetWorker worker, SessionStart start, long nowMilliseconds) {
         sessions.put(
                 worker.id(),
                 new WorkerSession(
                         settings,
                         ledger,
+                        start,
                         calls,
                         firstLists,
                         tokenOf(laterLives.getOrDefault(worker.id(), 0L)),
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -273,13 +273,13 @@
     private List<AppliedEnd> enroll(EnrollWorker enroll) {
         history.record(enroll.worker());
         return workers.enroll(enroll)
-                .map(earlier -> runs.lapseAll(earlier, enroll.nextLifeStarts()))
+                .map(earlier -> runs.lapseAll(earlier, enroll.nextLifeEvidence()))
                 .orElse(List.of());
     }
 
     private List<AppliedEnd> dismiss(DismissWorker dismiss) {
-        return workers.dismiss(dismiss.worker())
-                .map(entry -> runs.lapseAll(entry, dismiss.nextLifeStarts()))
+        return workers.dismiss(dismiss)
+                .map(entry -> runs.lapseAll(entry, dismiss.nextLifeEvidence()))
                 .orElse(List.of());
     }
 }
--- a/library/src/main/java/org/marjoramnotch/model/command/DismissWorker.java
+++ b/library/src/main/java/org/marjoramnotch/model/command/DismissWorker.java
@@ -2,16 +2,16 @@
 
 import java.util.Optional;
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
-import org.marjoramnotch.model.workflow.NextLifeStarts;
+import org.marjoramnotch.model.workflow.NextLifeEvidence;
 
 /**
  * Removes a worker that is permanently gone; its runs lapse.
  *
  * @param worker the incarnation of the worker
- * @param nextLifeStarts what the next incarnation may have carried out of the starts for this one;
- *     empty if this is not known, as in commands of earlier releases
+ * @param nextLifeEvidence what the next incarnation may have carried out of the starts for this
+ *     one; empty if this is not known, as in commands of earlier releases
  */
-public record DismissWorker(WorkerIncarnation worker, Optional<NextLifeStarts> nextLifeStarts)
+public record DismissWorker(WorkerIncarnation worker, Optional<NextLifeEvidence> nextLifeEvidence)
         implements WorkflowCommand {
     /** Dismisses a worker without evidence about its next incarnation. */
     public DismissWorker(WorkerIncarnation worker) {
--- a/library/src/main/java/org/marjoramnotch/model/command/EnrollWorker.java
+++ b/library/src/main/java/org/marjoramnotch/model/command/EnrollWorker.java
@@ -3,13 +3,13 @@
 import java.util.Optional;
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.fleet.InheritedLease;
-import org.marjoramnotch.model.workflow.NextLifeStarts;
+import org.marjoramnotch.model.workflow.NextLifeEvidence;
 
 /**
  * Enrolls a worker or updates its condition. Runs of an earlier incarnation of the worker lapse.
  *
  * @param worker the worker
- * @param nextLifeStarts what this incarnation may have carried out of the starts for the earlier
+ * @param nextLifeEvidence what this incarnation may have carried out of the starts for the earlier
  *     one; empty if this is not known, as in commands of earlier releases
  * @param inheritedLease what is newly known of a lease that a call to an earlier incarnation may
  *     have granted to this one; empty leaves what is known
@@ -17,7 +17,7 @@
  */
 public record EnrollWorker(
         FleetWorker worker,
-        Optional<NextLifeStarts> nextLifeStarts,
+        Optional<NextLifeEvidence> nextLifeEvidence,
         Optional<InheritedLease> inheritedLease,
         boolean inheritedLeaseOver)
         implements WorkflowCommand {
@@ -27,8 +27,8 @@
     }
 
     /** Enrolls a worker with evidence about an earlier incarnation. */
-    public EnrollWorker(FleetWorker worker, Optional<NextLifeStarts> nextLifeStarts) {
-        this(worker, nextLifeStarts, Optional.empty(), false);
+    public EnrollWorker(FleetWorker worker, Optional<NextLifeEvidence> nextLifeEvidence) {
+        this(worker, nextLifeEvidence, Optional.empty(), false);
     }
 
     /** Records what is known of the lease that a worker may have inherited. */
--- a/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowSnapshot.java
+++ b/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowSnapshot.java
@@ -22,8 +22,8 @@
  * @param followers incarnations that follow others under their names and may hold inherited leases;
  *     absent in snapshots of earlier releases
  * @param inheritedLeases what is known of these leases; absent in snapshots of earlier releases
- * @param dismissedWorkers names of the workers that were dismissed last, oldest first; absent in
- *     snapshots of earlier releases
+ * @param dismissedWorkers names of the workers dismissed last whose next life may get an inherited
+ *     lease, oldest first; absent in snapshots of earlier releases
  */
 public record WorkflowSnapshot(
         Optional<FleetConfiguration> configuration,
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/EnrolledWorkersTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/EnrolledWorkersTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
@@ -16,6 +17,7 @@
 import org.marjoramnotch.model.identifier.AvailabilityZone;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.resource.Resources;
+import org.marjoramnotch.model.workflow.NextLifeEvidence;
 
 /** Guards against a next life that is taken for the first one, by this leader or a later one. */
 class EnrolledWorkersTest {
@@ -49,7 +51,22 @@
     static Stream<Arguments> histories() {
         WorkflowCommand dismissFirst = new DismissWorker(FIRST.incarnation());
         WorkflowCommand dismissSecond = new DismissWorker(SECOND.incarnation());
+        WorkflowCommand dismissIdle =
+                new DismissWorker(
+                        FIRST.incarnation(),
+                        Optional.of(new NextLifeEvidence(List.of(), List.of(), false)));
+        EnrollWorker enrollAfterIdle =
+                new EnrollWorker(
+                        SECOND, Optional.of(new NextLifeEvidence(List.of(), List.of(), false)));
         return Stream.of(
+                Arguments.of(
+                        "next life after a dismissal with all grants answered",
+                        List.of(enroll(FIRST), dismissIdle, enroll(SECOND)),
+                        false),
+                Arguments.of(
+                        "next life with all grants answered",
+                        List.of(enroll(FIRST), enrollAfterIdle),
+                        false),
                 Arguments.of("first life", List.of(enroll(FIRST)), false),
                 Arguments.of("first life again", List.of(enroll(FIRST), enroll(FIRST)), false),
                 Arguments.of("next life", List.of(enroll(FIRST), enroll(SECOND)), true),
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/IncarnationStateTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/IncarnationStateTest.java
@@ -18,7 +18,7 @@
 import org.marjoramnotch.model.order.StartRun;
 import org.marjoramnotch.model.order.StopRun;
 import org.marjoramnotch.model.order.WorkerCall;
-import org.marjoramnotch.model.workflow.NextLifeStarts;
+import org.marjoramnotch.model.workflow.NextLifeEvidence;
 import org.marjoramnotch.model.workflow.RunEnd;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunOutcome;
@@ -77,7 +77,8 @@
                         order.id(), OptionalLong.empty(), RejectionReason.OTHER_INCARNATION),
                 output);
         assertThat(session.isReplaced()).isTrue();
-        assertThat(session.nextLifeStarts()).isEqualTo(new NextLifeStarts(List.of(), List.of()));
+        assertThat(session.nextLifeEvidence())
+                .isEqualTo(new NextLifeEvidence(List.of(), List.of(), true));
     }
 
     /** Sends a start; then the next incarnation answers the list. */
@@ -103,8 +104,8 @@
     void listOfNextIncarnationDoesNotShowThatNothingWasStarted() {
         replaceIncarnation();
         assertThat(session.isReplaced()).isTrue();
-        assertThat(session.nextLifeStarts())
-                .isEqualTo(new NextLifeStarts(List.of(TASK), List.of()));
+        assertThat(session.nextLifeEvidence())
+                .isEqualTo(new NextLifeEvidence(List.of(TASK), List.of(), true));
     }
 
     // The next incarnation carried out a start that was committed for the earlier one.
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/NextLifeEvidenceTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/NextLifeEvidenceTest.java
@@ -18,7 +18,7 @@
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.RunStatus;
 import org.marjoramnotch.model.order.WorkerCall;
-import org.marjoramnotch.model.workflow.NextLifeStarts;
+import org.marjoramnotch.model.workflow.NextLifeEvidence;
 import org.marjoramnotch.model.workflow.RunEnd;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunOutcome;
@@ -75,7 +75,7 @@
         DismissWorker dismiss =
                 new DismissWorker(
                         worker.incarnation(),
-                        Optional.of(new NextLifeStarts(List.of(), List.of(TASK))));
+                        Optional.of(new NextLifeEvidence(List.of(), List.of(TASK), true)));
         assertThat(proposals).containsExactly(dismiss);
         duty.onApplied(30, dismiss, ledger.apply(dismiss), output);
     }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTest.java
@@ -19,7 +19,7 @@
 import org.marjoramnotch.model.order.RunStatus;
 import org.marjoramnotch.model.order.StopRun;
 import org.marjoramnotch.model.order.WorkerCall;
-import org.marjoramnotch.model.workflow.NextLifeStarts;
+import org.marjoramnotch.model.workflow.NextLifeEvidence;
 import org.marjoramnotch.model.workflow.RunEnd;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunOutcome;
@@ -109,7 +109,7 @@
         WorkerCall start = calls.remove(0);
         session.onOutcome(
                 30, start, 20, new CallOutcome.Accepted(start.id(), OptionalLong.of(30)), output);
-        assertThat(session.nextLifeStarts())
-                .isEqualTo(new NextLifeStarts(List.of(TASK), List.of()));
+        assertThat(session.nextLifeEvidence())
+                .isEqualTo(new NextLifeEvidence(List.of(TASK), List.of(), true));
     }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTestCase.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTestCase.java
@@ -78,6 +78,7 @@
                 new WorkerSession(
                         WorkflowSettings.defaults(),
                         ledger,
+                        SessionStart.DUTIES,
                         new CallRegistry(1),
                         new FirstListLimiter(),
                         1,
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionsTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionsTest.java
@@ -14,7 +14,7 @@
 import org.marjoramnotch.model.order.CallOutcome;
 import org.marjoramnotch.model.order.RunStatus;
 import org.marjoramnotch.model.order.WorkerCall;
-import org.marjoramnotch.model.workflow.NextLifeStarts;
+import org.marjoramnotch.model.workflow.NextLifeEvidence;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunPlacement;
 
@@ -53,7 +53,7 @@
         DismissWorker dismiss =
                 new DismissWorker(
                         worker.incarnation(),
-                        Optional.of(new NextLifeStarts(List.of(), List.of(TASK))));
+                        Optional.of(new NextLifeEvidence(List.of(), List.of(TASK), true)));
         assertThat(proposals).containsExactly(dismiss);
 
         duty.onApplied(30, dismiss, ledger.apply(dismiss), output);
--- a/wire/src/test/java/org/marjoramnotch/wire/WorkflowExamples.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/WorkflowExamples.java
@@ -46,7 +46,7 @@
 import org.marjoramnotch.model.message.TakeAdviceQuestion;
 import org.marjoramnotch.model.message.WorkflowAnswer;
 import org.marjoramnotch.model.resource.Resources;
-import org.marjoramnotch.model.workflow.NextLifeStarts;
+import org.marjoramnotch.model.workflow.NextLifeEvidence;
 import org.marjoramnotch.model.workflow.Recurrence;
 import org.marjoramnotch.model.workflow.RunEnd;
 import org.marjoramnotch.model.workflow.RunId;
@@ -128,7 +128,8 @@
                     new EnrollWorker(
                             WORKER,
                             Optional.of(
-                                    new NextLifeStarts(List.of(RUN.task()), List.of(RUN.task()))),
+                                    new NextLifeEvidence(
+                                            List.of(RUN.task()), List.of(RUN.task()), true)),
                             Optional.of(new InheritedLease(INCARNATION, 10_300, 10_000)),
                             true),
                     new SubmitWorkflow(WORKFLOW),
@@ -140,7 +141,8 @@
                     new DismissWorker(
                             new WorkerIncarnation(new WorkerId("w-2"), 1),
                             Optional.of(
-                                    new NextLifeStarts(List.of(RUN.task()), List.of(RUN.task())))));
+                                    new NextLifeEvidence(
+                                            List.of(RUN.task()), List.of(RUN.task()), true))));
 
     static final List<CellRequest> REQUESTS =
             List.of(
--- a/wire/src/test/java/org/marjoramnotch/wire/WorkflowSnapshotTest.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/WorkflowSnapshotTest.java
@@ -102,7 +102,7 @@
             throws IOException {
         CBORMapper trees = new CBORMapper();
         ObjectNode tree = (ObjectNode) trees.readTree(mapper.write(Command.class, command));
-        assertThat(tree.remove("nextLifeStarts")).isNotNull();
+        assertThat(tree.remove("nextLifeEvidence")).isNotNull();
         tree.remove("inheritedLeaseOver");
         tree.remove("inheritedLease");
 
