Grant no lease to a worker whose next life has reported

What callers could see: two runs of a task. Found by reading: a list could leave with a lease between the evidence for the next life and its application, and reach that life, which then counted as one without an inherited lease. Cause: only starts ended with the report of the next life. Change: lists carry no lease from then on. Measured: WorkerSessionTest.noLeaseIsGrantedOnceTheNextLifeHasReported 1 of 7 red without the change, green with it; the seven classes beside it, 201 tests, green.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListCalls.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListCalls.java
@@ -94,9 +94,10 @@
         boolean longPoll =
                 lists.mayLongPoll() && isReporting() && lease.isReadingRecent(nowMilliseconds);
         // Don't renew the lease of a worker that leaves calls unanswered or rejects list calls, so
-        // that the lease can expire, nor that of one that is about to exit unseen.
+        // that the lease can expire, nor that of one that is about to exit unseen, nor that of one
+        // whose next life may get the call.
         OptionalLong until =
-                isReporting() && !incarnation.isReleased() && !session.worker().draining()
+                isReporting() && incarnation.acceptsStarts() && !session.worker().draining()
                         ? lease.grant(nowMilliseconds)
                         : OptionalLong.empty();
         long wait = longPoll ? settings.listWaitMilliseconds() : 0;
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkerSessionTest.java
@@ -68,6 +68,17 @@
         assertThat(((ListRuns) calls.get(0)).leaseUntil().isPresent()).isEqualTo(!draining);
     }
 
+    // A list that was called after the evidence for the next life was taken granted it a lease.
+    @Test
+    void noLeaseIsGrantedOnceTheNextLifeHasReported() {
+        RunId run = new RunId(TASK, 1);
+        startWorkflow(new RunPlacement(run, worker.incarnation(), ""));
+        answerList(List.of(new RunStatus(run, "", 10, -1)));
+        session.expectSuccessor();
+        session.tick(20, output);
+        assertThat(((ListRuns) calls.get(0)).leaseUntil()).isEmpty();
+    }
+
     @Test
     void runsOfWorkerThatRejectsListsLapseAfterTheLease() {
         RunId run = new RunId(TASK, 1);
