--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -47,7 +47,7 @@
         this.speeds = speeds;
         this.capacity = new CapacityView(ledger);
         this.objectives = objectives;
-        this.stepOrdering = new LatencyStepOrdering();
+        this.stepOrdering = new LatencyStepOrdering(List.of());
         this.advice = advice;
         this.prefetchPolicy = new AdvicePrefetchPolicy();
         this.workerPreference = new BestFitPreference();
@@ -220,7 +220,7 @@
                 }
             }
         }
-        ready.sort(stepOrdering.at(nowMilliseconds));
+        stepOrdering.sort(nowMilliseconds, ready);
         return ready;
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/StepOrdering.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/StepOrdering.java
@@ -1,9 +1,9 @@
 package org.marjoramnotch.logic.workflow;
 
-import java.util.Comparator;
+import java.util.List;
 
 /** Defines the order in which ready steps are served. */
 interface StepOrdering {
-    /** Returns the comparator that applies at the given time; the first step is served first. */
-    Comparator<ReadyStep> at(long nowMilliseconds);
+    /** Sorts the steps that are ready in a scheduling round; the first one is served first. */
+    void sort(long nowMilliseconds, List<ReadyStep> ready);
 }
