Learn the speed of workers by kind, and name fast workers in questions for steps with a tight objective

Cause: speeds were learned worker by worker from comparisons with siblings that ended earlier. A worker that had run nothing counted as average, and each later sibling is slower than the ones before it, so that estimates rose with the number of runs. Questions to the placement advisor named workers in random order: two thirds of the tickets of a short step were for workers on which it could only be late where speeds are 0.7, 0.7 and 1.7. Change: package logic.speed: a speed for each kind of worker, learned from all of its workers, and a deviation for each worker; both sides of a comparison learn. AdviceWorkerSelector names workers of a faster class first if the stretch of the queue is below 2. Measured: WorkerSpeedsTest, SpeedEstimatorTest, BestFitPreferenceTest, AdviceReplayTest, AdmissionReplayTest, SchedulingWorkTest, WorkflowStarvationTest and OverdueStepTurnsTest pass.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/AdviceWorkerSelector.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/AdviceWorkerSelector.java
@@ -14,7 +14,8 @@
 /**
  * Selects the workers named in questions about a step. Each worker delays the answer, so a question
  * names only as many as the waiting tasks are likely to need. Different steps name different
- * workers so that they don't compete for the same ones.
+ * workers so that they don't compete for the same ones. Steps with a tight objective name fast
+ * workers first, since a ticket for a slow one would make them late.
  */
 final class AdviceWorkerSelector {
     /**
@@ -23,6 +24,12 @@
      */
     private static final double EXPECTED_FREED_TASKS = 0.2;
 
+    /**
+     * Width of a class of speeds. Wider than the error of an estimate after a few runs, so that
+     * steps still spread over all fast workers.
+     */
+    private static final double SPEED_CLASS = 0.3;
+
     private final AdviceBroker advice;
     private final CapacityView capacity;
 
@@ -122,6 +129,7 @@
 
     private static Comparator<Candidate> byPreference(ReadyStep step) {
         Optional<String> dataRack = step.tasks().definition().dataRack();
+        boolean tight = step.hasTightObjective();
         return Comparator.comparing((Candidate candidate) -> !candidate.granted())
                 .thenComparing(
                         candidate ->
@@ -134,10 +142,15 @@
                                                 .contains(dataRack.get()))
                 // The last free capacity of a worker is often taken before the answer arrives.
                 .thenComparing(candidate -> !candidate.fitsSeveral())
+                .thenComparingLong(candidate -> tight ? speedClass(candidate) : 0)
                 .thenComparingInt(candidate -> spreadHash(step, candidate.id()))
                 .thenComparing(candidate -> candidate.id().value());
     }
 
+    private static long speedClass(Candidate candidate) {
+        return Math.round(candidate.worker().slowness() / SPEED_CLASS);
+    }
+
     /** Returns a hash by which each step orders workers differently. */
     private static int spreadHash(ReadyStep step, WorkerId worker) {
         long mixed = (31L * step.id().hashCode() + worker.hashCode()) * 0x9E37_79B9_7F4A_7C15L;
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/BestFitPreference.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/BestFitPreference.java
@@ -17,9 +17,6 @@
      */
     private static final double SPEED_RESOLUTION = 0.1;
 
-    /** Queues with a smaller stretch leave no time for slow workers. */
-    private static final double TIGHT_STRETCH = 2;
-
     /** Slowness above which every task prefers another worker: 1.6 times the usual run time. */
     private static final double SLOW_THRESHOLD = 0.5;
 
@@ -27,7 +24,7 @@
     public Comparator<WorkerCapacity> forStep(ReadyStep step) {
         StepDefinition definition = step.tasks().definition();
         String dataRack = definition.dataRack().orElse(null);
-        boolean tightObjective = hasTightObjective(step);
+        boolean tightObjective = step.hasTightObjective();
         // Written out because a chain of comparators takes most of the time of a scheduling round
         // on a large fleet.
         return (one, other) -> {
@@ -74,13 +71,6 @@
         return Math.round(worker.slowness() / SPEED_RESOLUTION);
     }
 
-    /**
-     * Returns whether the queue of a step allows less than twice the length of the critical path.
-     */
-    private static boolean hasTightObjective(ReadyStep step) {
-        return step.workflow().queue().stretch() < TIGHT_STRETCH;
-    }
-
     /**
      * Counts the runs on a worker that would slow down a task of the step or be slowed down by it.
      */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/ReadyStep.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/ReadyStep.java
@@ -19,4 +19,14 @@
         StepTasks tasks,
         long dueAt,
         long latestStart,
-        long objectiveMilliseconds) {}
+        long objectiveMilliseconds) {
+    /** Queues with a smaller stretch leave no time for slow workers. */
+    private static final double TIGHT_STRETCH = 2;
+
+    /**
+     * Returns whether the queue of the step allows less than twice the length of the critical path.
+     */
+    boolean hasTightObjective() {
+        return workflow.queue().stretch() < TIGHT_STRETCH;
+    }
+}
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/SpeedEstimator.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/SpeedEstimator.java
@@ -5,6 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.Function;
+import org.marjoramnotch.logic.speed.TimedRun;
+import org.marjoramnotch.logic.speed.WorkerSpeeds;
 import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.workflow.RunEnd;
@@ -15,26 +18,29 @@
 /**
  * Estimates how slow each worker is by comparing runs of the same step, which do about the same
  * work. This covers heterogeneous fleets and workers that become slow. The estimate submitted with
- * a task is a poor reference; its sibling tasks on other workers are a good one.
+ * a task is a poor reference; its sibling tasks on other workers are a good one. Comparisons of a
+ * worker with itself tell nothing.
  */
 final class SpeedEstimator {
-    /** Weight of one comparison; twenty comparisons outweigh the differences between tasks. */
-    private static final double LEARNING_RATE = 0.15;
-
-    /** Largest deviation counted for a single run: a factor of eight from the expected time. */
-    private static final double MAXIMUM_DEVIATION = Math.log(8);
-
-    private record Sample(WorkerId worker, double logRunTime) {}
-
     /** Start times of the running tasks and run times of the finished tasks of a workflow. */
-    private record WorkflowTimes(Map<RunId, Long> started, Map<StepId, List<Sample>> samples) {
+    private record WorkflowTimes(Map<RunId, Long> started, Map<StepId, List<TimedRun>> timed) {
         WorkflowTimes() {
             this(new HashMap<>(), new HashMap<>());
         }
     }
 
     private final Map<JobId, WorkflowTimes> workflows = new HashMap<>();
-    private final Map<WorkerId, Double> slowness = new HashMap<>();
+    private final Function<WorkerId, String> kindOf;
+    private final WorkerSpeeds speeds = new WorkerSpeeds();
+
+    /**
+     * Creates an estimator.
+     *
+     * @param kindOf returns the kind of a worker; empty if it has none
+     */
+    SpeedEstimator(Function<WorkerId, String> kindOf) {
+        this.kindOf = kindOf;
+    }
 
     void onStarted(long nowMilliseconds, RunId run) {
         workflows
@@ -55,13 +61,12 @@
             return OptionalLong.empty();
         }
         long runTime = Math.max(1, nowMilliseconds - startedAt);
-        double logRunTime = Math.log(runTime);
-        List<Sample> siblings =
-                times.samples().computeIfAbsent(end.run().task().step(), step -> new ArrayList<>());
-        if (!siblings.isEmpty()) {
-            learn(worker, logRunTime, siblings);
-        }
-        siblings.add(new Sample(worker, logRunTime));
+        TimedRun run = new TimedRun(worker, kindOf.apply(worker), Math.log(runTime));
+        List<TimedRun> siblings =
+                times.timed().computeIfAbsent(end.run().task().step(), step -> new ArrayList<>());
+        speeds.compare(
+                run, siblings.stream().filter(other -> !other.worker().equals(worker)).toList());
+        siblings.add(run);
         return OptionalLong.of(runTime);
     }
 
@@ -70,22 +75,8 @@
         workflows.remove(workflow);
     }
 
-    /**
-     * Returns the natural logarithm of a worker's relative run time: 0 is average, 0.7 is twice the
-     * time, negative values are faster.
-     */
+    /** Returns how slow a worker is; see {@link WorkerSpeeds#slowness}. */
     double slowness(WorkerId worker) {
-        return slowness.getOrDefault(worker, 0.0);
-    }
-
-    private void learn(WorkerId worker, double logRunTime, List<Sample> siblings) {
-        double expected =
-                siblings.stream()
-                        .mapToDouble(sample -> sample.logRunTime() - slowness(sample.worker()))
-                        .average()
-                        .orElse(logRunTime);
-        double deviation = logRunTime - expected - slowness(worker);
-        double bounded = Math.max(-MAXIMUM_DEVIATION, Math.min(MAXIMUM_DEVIATION, deviation));
-        slowness.merge(worker, LEARNING_RATE * bounded, Double::sum);
+        return speeds.slowness(worker, kindOf.apply(worker));
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -111,7 +111,7 @@
         this.workers = new WorkerReportHandler(ledger, sessions);
         LatencyObjectives objectives =
                 new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
-        SpeedEstimator speeds = new SpeedEstimator();
+        SpeedEstimator speeds = new SpeedEstimator(ledger::kindOf);
         this.scheduler =
                 new RunScheduler(ledger, sessions, advice, objectives, speeds, load, feasibility);
         this.endedWorkflows = new EndedWorkflowCleaner(ledger, settings.retentionMilliseconds());
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -148,6 +148,11 @@
         return workers.of(id);
     }
 
+    /** Returns the kind of a worker, which is its first label; empty if it has none. */
+    String kindOf(WorkerId id) {
+        return worker(id).flatMap(entry -> entry.worker().labels().stream().findFirst()).orElse("");
+    }
+
     /** Returns the entry of a worker incarnation. */
     Optional<WorkerEntry> worker(WorkerIncarnation incarnation) {
         return workers.of(incarnation);
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/SpeedEstimatorTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/SpeedEstimatorTest.java
@@ -16,7 +16,7 @@
 import org.marjoramnotch.model.workflow.WorkflowTaskId;
 
 class SpeedEstimatorTest {
-    private final SpeedEstimator speeds = new SpeedEstimator();
+    private final SpeedEstimator speeds = new SpeedEstimator(worker -> "");
     private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(5);
 
     private void runStep(int number, Map<String, Double> factors) {
