Bound the share of the leader's time that scheduling rounds take

Cause: each applied command and each poll of a daemon for a question made a scheduling round due, and a round iterates over all workers and active workflows. With 246 workers in a rush, rounds took 675 ms of each second of a whole core (WorkflowDecisionBenchmark), more than a leader with 0.6 of a core has. Ruled out: the placement of tasks, which is a small part of a round; 28% of the samples were the list of usable workers, 25% the ready steps, 21% the selection of workers for questions. Change: logic.pacing.RoundPacing: the interval between rounds grows with the number of workers and active workflows, up to 30 ms. RoundPacingTest, AdviceReplayTest, AdmissionReplayTest, SchedulingWorkTest and WorkflowDutyTest pass.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -3,6 +3,7 @@
 import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
+import org.marjoramnotch.logic.pacing.RoundPacing;
 import org.marjoramnotch.model.command.CancelWorkflow;
 import org.marjoramnotch.model.command.Command;
 import org.marjoramnotch.model.command.CommandResult;
@@ -46,6 +47,7 @@
      */
     private static final long SCHEDULE_INTERVAL_MILLISECONDS = 150;
 
+    private final WorkflowLedger ledger;
     private final WorkerSessions sessions;
     private final ConfigurationRequestHandler configuration;
     private final WorkflowRequestHandler workflows;
@@ -55,6 +57,7 @@
     private final FeasibilityCheck feasibilityCheck;
     private final EndedWorkflowCleaner endedWorkflows;
     private final AppliedRunHandler runs;
+    private final RoundPacing roundPacing = new RoundPacing();
     private boolean scheduleDue = true;
     private long nextSlowTickAt;
     private long nextScheduleAt;
@@ -96,6 +99,7 @@
             long nowMilliseconds,
             ConfigurationMetricsListener metricsListener,
             RunMetricsListener runMetricsListener) {
+        this.ledger = ledger;
         RunLog log = new RunLog(ledger, fencingToken, runMetricsListener);
         this.sessions = new WorkerSessions(settings, ledger, fencingToken, log, nowMilliseconds);
         this.advice = new AdviceBroker(fencingToken);
@@ -186,10 +190,11 @@
 
     @Override
     public void onBatchEnd(long nowMilliseconds, LeaderOutput output) {
-        if (scheduleDue) {
+        if (scheduleDue && roundPacing.mayRun(nowMilliseconds)) {
             scheduleDue = false;
             nextScheduleAt = nowMilliseconds + SCHEDULE_INTERVAL_MILLISECONDS;
             scheduler.schedule(nowMilliseconds, output);
+            roundPacing.onRound(nowMilliseconds, ledger.workers().size() + ledger.active().size());
         }
     }
 
