Evacuate availability zones

An operator could not take an availability zone out of service: work went on being placed on workers that were about to lose their network or power.

Admission does not count the zone's capacity; feasibility still does.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/BestFitPreference.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/BestFitPreference.java
@@ -8,8 +8,8 @@
  * Prefers the worker with the least free processor capacity (best fit), so that large tasks find
  * empty workers later. Workers on the rack of the data come first. Filler tasks and tasks with a
  * latency target avoid each other's workers. A worker that may hold an inherited lease comes after
- * others, since its runs would have to wait for longer if it were lost. Steps with a tight
- * objective prefer a fast worker to a fuller one.
+ * others, since its runs would have to wait for longer if it were lost, and so does a worker that
+ * may be cold. Steps with a tight objective prefer a fast worker to a fuller one.
  */
 final class BestFitPreference implements WorkerPreference {
     /**
@@ -47,6 +47,9 @@
                         Boolean.compare(
                                 one.slowness() > SLOW_THRESHOLD, other.slowness() > SLOW_THRESHOLD);
             }
+            if (order == 0) {
+                order = Boolean.compare(one.isCold(), other.isCold());
+            }
             if (order == 0) {
                 order =
                         Integer.compare(
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunLog.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunLog.java
@@ -7,10 +7,12 @@
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.command.CommandResult;
 import org.marjoramnotch.model.command.EndRuns;
+import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.workflow.AppliedEnd;
 import org.marjoramnotch.model.workflow.RunEnd;
 import org.marjoramnotch.model.workflow.RunEndEffect;
+import org.marjoramnotch.model.workflow.RunId;
 
 /** Logs and counts the decisions about runs in one term of leadership. */
 final class RunLog {
@@ -31,9 +33,39 @@
     }
 
     /** Logs a start that its worker leaves unanswered and that is not sent again. */
-    void onStartGivenUp(DecisionLogEntry decision, LeaderOutput output) {
+    void onStartGivenUp(RunId run, FleetWorker worker, long ageMilliseconds, LeaderOutput output) {
         metrics.onStartGivenUp();
-        log(decision, output);
+        log(
+                DecisionLogEntry.of(
+                        "start_given_up",
+                        "run",
+                        run,
+                        "worker",
+                        worker.id(),
+                        "reason",
+                        "unanswered",
+                        "age_ms",
+                        ageMilliseconds),
+                output);
+    }
+
+    /** Logs a start that is not sent, or not sent again, because its zone is evacuated. */
+    void onStartWithheld(
+            RunId run, FleetWorker worker, OrderEvidence evidence, LeaderOutput output) {
+        log(
+                DecisionLogEntry.of(
+                        "start_withheld",
+                        "run",
+                        run,
+                        "worker",
+                        worker.id(),
+                        "reason",
+                        "zone_evacuated",
+                        "zone",
+                        worker.availabilityZone(),
+                        "sent",
+                        evidence.sentAt().isPresent()),
+                output);
     }
 
     /** Counts an end that is acknowledged without being proposed. */
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunOrderTracker.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunOrderTracker.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
-import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.order.RejectionReason;
 import org.marjoramnotch.model.order.StartRun;
@@ -234,18 +233,7 @@
         }
         RunId run = order.placement().run();
         health.onStartGivenUp(nowMilliseconds);
-        log.onStartGivenUp(
-                DecisionLogEntry.of(
-                        "start_given_up",
-                        "run",
-                        run,
-                        "worker",
-                        session.worker().id(),
-                        "reason",
-                        "unanswered",
-                        "age_ms",
-                        order.ageMilliseconds(nowMilliseconds)),
-                output);
+        log.onStartGivenUp(run, session.worker(), order.ageMilliseconds(nowMilliseconds), output);
         stop(nowMilliseconds, run, output);
     }
 
@@ -260,6 +248,12 @@
             stop(nowMilliseconds, placement.run(), output);
             return;
         }
+        if (ledger.evacuations().isEvacuated(session.worker())) {
+            // An earlier copy of the start may have been executed.
+            log.onStartWithheld(placement.run(), session.worker(), order.evidence(), output);
+            stop(nowMilliseconds, placement.run(), output);
+            return;
+        }
         OptionalLong until = lease.grant(nowMilliseconds);
         if (until.isEmpty()) {
             return;
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.marjoramnotch.logic.evacuation.ColdZones;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.command.StartRuns;
 import org.marjoramnotch.model.fleet.TeamDefinition;
@@ -29,6 +30,7 @@
     private final AdvicePrefetchPolicy prefetchPolicy;
     private final LoadMeter load;
     private final Feasibility feasibility;
+    private final ColdZones coldZones;
     private final OverdueStepTurns overdueTurns = new OverdueStepTurns();
     private final WaitingTaskLog waitingTasks = new WaitingTaskLog();
 
@@ -39,10 +41,12 @@
             LatencyObjectives objectives,
             SpeedEstimator speeds,
             LoadMeter load,
-            Feasibility feasibility) {
+            Feasibility feasibility,
+            ColdZones coldZones) {
         this.ledger = ledger;
         this.load = load;
         this.feasibility = feasibility;
+        this.coldZones = coldZones;
         this.sessions = sessions;
         this.speeds = speeds;
         this.capacity = new CapacityView(ledger);
@@ -193,7 +197,9 @@
         Map<ServiceName, PoolCapacity> usableWorkers = new HashMap<>();
         for (WorkerEntry entry : ledger.workers()) {
             WorkerSession session = sessions.of(entry.worker().incarnation()).orElse(null);
-            if (session != null && session.isUsable(nowMilliseconds)) {
+            if (session != null
+                    && session.isUsable(nowMilliseconds)
+                    && !ledger.evacuations().isEvacuated(entry.worker())) {
                 PoolCapacity pool =
                         usableWorkers.computeIfAbsent(
                                 entry.worker().pool(), name -> new PoolCapacity());
@@ -203,7 +209,9 @@
                                 pool.size(),
                                 capacity.reservedOn(entry),
                                 session.hasRecentFailures(nowMilliseconds),
-                                speeds.slowness(entry.worker().id())));
+                                speeds.slowness(entry.worker().id()),
+                                coldZones.isCold(
+                                        nowMilliseconds, entry.worker().availabilityZone())));
             }
         }
         return usableWorkers;
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunTransitions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunTransitions.java
@@ -90,7 +90,10 @@
         WorkflowTaskId id = placement.run().task();
         WorkflowEntry entry = ledger.activeWorkflow(id.step().workflow()).orElse(null);
         WorkerEntry worker = ledger.worker(placement.worker()).orElse(null);
-        if (entry == null || worker == null || worker.worker().draining()) {
+        if (entry == null
+                || worker == null
+                || worker.worker().draining()
+                || ledger.evacuations().isEvacuated(worker.worker())) {
             return false;
         }
         TaskState task = entry.task(id).orElse(null);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerCapacity.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerCapacity.java
@@ -15,6 +15,7 @@
     private final int position;
     private final boolean recentFailures;
     private final double slowness;
+    private final boolean cold;
     private long freeProcessorMillis;
     private long freeMemoryMegabytes;
     private long freeAccelerators;
@@ -29,17 +30,20 @@
      * @param taken capacity reserved by runs and decided starts
      * @param recentFailures whether runs on it failed recently
      * @param slowness how slow it is; see {@link SpeedEstimator#slowness}
+     * @param cold whether it may be cold after an evacuation of its zone
      */
     WorkerCapacity(
             WorkerEntry entry,
             int position,
             Resources taken,
             boolean recentFailures,
-            double slowness) {
+            double slowness,
+            boolean cold) {
         this.entry = entry;
         this.position = position;
         this.recentFailures = recentFailures;
         this.slowness = slowness;
+        this.cold = cold;
         Resources capacity = entry.worker().capacity();
         freeProcessorMillis = capacity.processorMillis() - taken.processorMillis();
         freeMemoryMegabytes = capacity.memoryMegabytes() - taken.memoryMegabytes();
@@ -66,6 +70,11 @@
         return slowness;
     }
 
+    /** Returns whether the worker may be cold after an evacuation of its zone. */
+    boolean isCold() {
+        return cold;
+    }
+
     /** Returns the free processor capacity in thousandths of a processor. */
     long freeProcessorMillis() {
         return freeProcessorMillis;
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -1,5 +1,7 @@
 package org.marjoramnotch.logic.workflow;
 
+import org.marjoramnotch.logic.evacuation.ColdZones;
+import org.marjoramnotch.logic.evacuation.ZoneCheck;
 import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.logic.leader.RequestHandle;
@@ -17,8 +19,10 @@
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
 import org.marjoramnotch.model.message.ApplyConfiguration;
+import org.marjoramnotch.model.message.BeginEvacuationRequest;
 import org.marjoramnotch.model.message.CancelWorkflowRequest;
 import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.FinishEvacuationRequest;
 import org.marjoramnotch.model.message.ReadConfiguration;
 import org.marjoramnotch.model.message.ReadWorkflow;
 import org.marjoramnotch.model.message.Refused;
@@ -50,6 +54,7 @@
     private final ConfigurationRequestHandler configuration;
     private final WorkflowRequestHandler workflows;
     private final WorkerReportHandler workers;
+    private final EvacuationRequestHandler evacuations;
     private final AdviceBroker advice;
     private final RunScheduler scheduler;
     private final FeasibilityCheck feasibilityCheck;
@@ -109,11 +114,20 @@
                 new WorkflowRequestHandler(
                         ledger, configuration, load, feasibility, feasibilityCheck, wallClock);
         this.workers = new WorkerReportHandler(ledger, sessions);
+        ColdZones coldZones =
+                new ColdZones(ledger.evacuations(), nowMilliseconds, wallClock.nowMilliseconds());
+        this.evacuations =
+                new EvacuationRequestHandler(
+                        ledger,
+                        coldZones,
+                        new ZoneCheck(settings.availabilityZones(), ledger.evacuations()),
+                        wallClock);
         LatencyObjectives objectives =
                 new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
         SpeedEstimator speeds = new SpeedEstimator();
         this.scheduler =
-                new RunScheduler(ledger, sessions, advice, objectives, speeds, load, feasibility);
+                new RunScheduler(
+                        ledger, sessions, advice, objectives, speeds, load, feasibility, coldZones);
         this.endedWorkflows = new EndedWorkflowCleaner(ledger, settings.retentionMilliseconds());
         this.runs =
                 new AppliedRunHandler(
@@ -160,6 +174,7 @@
         }
         workers.onApplied(nowMilliseconds, applied, output);
         workflows.onApplied(applied, result, output);
+        evacuations.onApplied(nowMilliseconds, applied, output);
         scheduleDue = true;
     }
 
@@ -227,6 +242,10 @@
         } else if (request instanceof TakeAdviceQuestion poll) {
             advice.onPoll(nowMilliseconds, handle, poll, output);
             scheduleDue = true;
+        } else if (request instanceof BeginEvacuationRequest begin) {
+            evacuations.begin(handle, begin, output);
+        } else if (request instanceof FinishEvacuationRequest finish) {
+            evacuations.finish(handle, finish, output);
         } else {
             throw new MarjoramnotchException(
                     ErrorCode.INVALID_REQUEST,
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.evacuation.Evacuations;
 import org.marjoramnotch.model.command.CancelWorkflow;
 import org.marjoramnotch.model.command.CommandResult;
 import org.marjoramnotch.model.command.DismissWorker;
@@ -55,6 +56,7 @@
     private final TeamConsumption consumption = new TeamConsumption();
     private final RunTransitions runs = new RunTransitions(this, consumption);
     private final FleetHistory history = new FleetHistory();
+    private final Evacuations evacuations = new Evacuations();
 
     /** Restores the state from a snapshot. */
     public void restore(WorkflowSnapshot snapshot) {
@@ -63,6 +65,7 @@
         configurationProposedEpochMilliseconds = snapshot.configurationProposedEpochMilliseconds();
         snapshot.workers().forEach(history::record);
         workers.restore(snapshot);
+        evacuations.restore(snapshot.evacuations(), snapshot.workers());
         for (WorkflowRecord stored : snapshot.workflows()) {
             WorkflowEntry entry = new WorkflowEntry(stored);
             workflows.put(entry.id(), entry);
@@ -83,11 +86,13 @@
                 configurationProposedEpochMilliseconds,
                 workers.followers(),
                 workers.inheritedLeases(),
-                workers.dismissed());
+                workers.dismissed(),
+                evacuations.snapshot());
     }
 
     /** Applies a command, with the same result on every replica. */
     public CommandResult apply(WorkflowCommand command) {
+        evacuations.apply(command);
         if (command instanceof StartRuns start) {
             runs.start(start);
         } else if (command instanceof EndRuns end) {
@@ -183,6 +188,11 @@
         return history;
     }
 
+    /** Returns the evacuations of availability zones. */
+    Evacuations evacuations() {
+        return evacuations;
+    }
+
     /** Returns what the end of a run of a worker would change now. */
     RunEndEffect effectOf(WorkerIncarnation worker, RunEnd end) {
         return runs.effectOf(worker, worker(worker), end);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
@@ -1,7 +1,10 @@
 package org.marjoramnotch.logic.workflow;
 
+import java.util.List;
+import org.marjoramnotch.model.identifier.AvailabilityZone;
+
 /**
- * Timing settings of the workflow duty.
+ * Settings of the workflow duty.
  *
  * @param leaseMilliseconds how long runs continue without a renewal of the worker's lease
  * @param longestLeaseMilliseconds the longest lease that a worker accepts
@@ -11,6 +14,7 @@
  * @param reportTimeoutMilliseconds time without contact after which a worker gets no new runs
  * @param retentionMilliseconds how long the state of an ended workflow is kept
  * @param feasibilityDelayMilliseconds how long a workflow must be infeasible before it fails
+ * @param availabilityZones the availability zones of the workers; may be empty
  */
 public record WorkflowSettings(
         long leaseMilliseconds,
@@ -20,12 +24,18 @@
         int workerClockDriftPercent,
         long reportTimeoutMilliseconds,
         long retentionMilliseconds,
-        long feasibilityDelayMilliseconds) {
+        long feasibilityDelayMilliseconds,
+        List<AvailabilityZone> availabilityZones) {
     private static final int PERCENT = 100;
 
     /** Allows for the resolution of both clocks. */
     private static final long EXPIRY_MARGIN_MILLISECONDS = 50;
 
+    /** Creates immutable settings by copying the list. */
+    public WorkflowSettings {
+        availabilityZones = List.copyOf(availabilityZones);
+    }
+
     /** Returns the time after which a lease is over on the slowest clock of a worker. */
     long outlasting(long lease) {
         return lease * PERCENT / (PERCENT - workerClockDriftPercent) + EXPIRY_MARGIN_MILLISECONDS;
@@ -55,6 +65,7 @@
         private long retentionMilliseconds = 130_000;
         // Workers report every 1.5 s; all workers of a new fleet are known after two reports.
         private long feasibilityDelayMilliseconds = 3_000;
+        private List<AvailabilityZone> availabilityZones = List.of();
 
         private Builder() {}
 
@@ -82,6 +93,12 @@
             return this;
         }
 
+        /** Sets the availability zones of the workers. */
+        public Builder availabilityZones(List<AvailabilityZone> value) {
+            availabilityZones = value;
+            return this;
+        }
+
         /** Returns the settings. */
         public WorkflowSettings build() {
             return new WorkflowSettings(
@@ -92,7 +109,8 @@
                     workerClockDriftPercent,
                     reportTimeoutMilliseconds,
                     retentionMilliseconds,
-                    feasibilityDelayMilliseconds);
+                    feasibilityDelayMilliseconds,
+                    availabilityZones);
         }
     }
 }
--- a/library/src/main/java/org/marjoramnotch/model/command/WorkflowCommand.java
+++ b/library/src/main/java/org/marjoramnotch/model/command/WorkflowCommand.java
@@ -14,7 +14,9 @@
     @JsonSubTypes.Type(value = EnrollWorker.class, name = "enroll-worker"),
     @JsonSubTypes.Type(value = DismissWorker.class, name = "dismiss-worker"),
     @JsonSubTypes.Type(value = StartRuns.class, name = "start-runs"),
-    @JsonSubTypes.Type(value = EndRuns.class, name = "end-runs")
+    @JsonSubTypes.Type(value = EndRuns.class, name = "end-runs"),
+    @JsonSubTypes.Type(value = BeginEvacuation.class, name = "begin-evacuation"),
+    @JsonSubTypes.Type(value = FinishEvacuation.class, name = "finish-evacuation")
 })
 public sealed interface WorkflowCommand extends Command
         permits ReplaceConfiguration,
@@ -25,4 +27,6 @@
                 EnrollWorker,
                 DismissWorker,
                 StartRuns,
-                EndRuns {}
+                EndRuns,
+                BeginEvacuation,
+                FinishEvacuation {}
--- a/library/src/main/java/org/marjoramnotch/model/message/WorkflowRequest.java
+++ b/library/src/main/java/org/marjoramnotch/model/message/WorkflowRequest.java
@@ -3,7 +3,9 @@
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 
-/** A request about workflows, their configuration, their workers or placement advice. */
+/**
+ * A request about workflows, their configuration, their workers, placement advice or evacuations.
+ */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
 @JsonSubTypes({
     @JsonSubTypes.Type(value = SubmitWorkflowRequest.class, name = "submit-workflow-request"),
@@ -13,7 +15,9 @@
     @JsonSubTypes.Type(value = ReadConfiguration.class, name = "read-configuration"),
     @JsonSubTypes.Type(value = ReportWorker.class, name = "report-worker"),
     @JsonSubTypes.Type(value = ReleaseWorker.class, name = "release-worker"),
-    @JsonSubTypes.Type(value = TakeAdviceQuestion.class, name = "take-advice-question")
+    @JsonSubTypes.Type(value = TakeAdviceQuestion.class, name = "take-advice-question"),
+    @JsonSubTypes.Type(value = BeginEvacuationRequest.class, name = "begin-evacuation-request"),
+    @JsonSubTypes.Type(value = FinishEvacuationRequest.class, name = "finish-evacuation-request")
 })
 public sealed interface WorkflowRequest extends CellRequest
         permits SubmitWorkflowRequest,
@@ -23,4 +27,6 @@
                 ReadConfiguration,
                 ReportWorker,
                 ReleaseWorker,
-                TakeAdviceQuestion {}
+                TakeAdviceQuestion,
+                BeginEvacuationRequest,
+                FinishEvacuationRequest {}
--- a/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowSnapshot.java
+++ b/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowSnapshot.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import org.marjoramnotch.model.fleet.EvacuationRecord;
 import org.marjoramnotch.model.fleet.FleetConfiguration;
 import org.marjoramnotch.model.fleet.FleetHistoryRecord;
 import org.marjoramnotch.model.fleet.FleetWorker;
@@ -24,6 +25,7 @@
  * @param inheritedLeases what is known of these leases; absent in snapshots of earlier releases
  * @param dismissedWorkers names of the workers dismissed last whose next life may get an inherited
  *     lease, oldest first; absent in snapshots of earlier releases
+ * @param evacuations the evacuations of availability zones; absent in snapshots of earlier releases
  */
 public record WorkflowSnapshot(
         Optional<FleetConfiguration> configuration,
@@ -33,7 +35,8 @@
         long configurationProposedEpochMilliseconds,
         List<WorkerIncarnation> followers,
         List<InheritedLease> inheritedLeases,
-        List<WorkerId> dismissedWorkers) {
+        List<WorkerId> dismissedWorkers,
+        EvacuationRecord evacuations) {
     /** The state before the first command. */
     public static final WorkflowSnapshot EMPTY =
             new WorkflowSnapshot(
@@ -44,7 +47,8 @@
                     0,
                     List.of(),
                     List.of(),
-                    List.of());
+                    List.of(),
+                    EvacuationRecord.EMPTY);
 
     /** Replaces what is absent in a snapshot of an earlier release by empty values. */
     public WorkflowSnapshot {
@@ -52,5 +56,6 @@
         followers = Objects.requireNonNullElse(followers, List.of());
         inheritedLeases = Objects.requireNonNullElse(inheritedLeases, List.of());
         dismissedWorkers = Objects.requireNonNullElse(dismissedWorkers, List.of());
+        evacuations = Objects.requireNonNullElse(evacuations, EvacuationRecord.EMPTY);
     }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/BestFitPreferenceTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/BestFitPreferenceTest.java
@@ -61,6 +61,7 @@
                 .thenComparing(WorkerCapacity::hasRecentFailures)
                 .thenComparing(worker -> worker.entry().mayHoldInheritedLease())
                 .thenComparing(worker -> worker.slowness() > 0.5)
+                .thenComparing(WorkerCapacity::isCold)
                 .thenComparing(worker -> interferingRuns(worker, definition))
                 .thenComparing(worker -> definition.standing() ? worker.entry().runs().size() : 0)
                 .thenComparing(worker -> tightObjective ? Math.round(worker.slowness() / 0.1) : 0)
@@ -147,6 +148,7 @@
                 position,
                 entry.reserved(),
                 random.nextInt(4) == 0,
-                speeds[random.nextInt(speeds.length)]);
+                speeds[random.nextInt(speeds.length)],
+                random.nextInt(4) == 0);
     }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/PoolCapacityTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/PoolCapacityTest.java
@@ -60,6 +60,7 @@
                         new Resources(freeProcessorMillis, 1_000, 0),
                         List.of("a", "rack-1"),
                         false);
-        return new WorkerCapacity(new WorkerEntry(worker), position, Resources.NONE, false, 0);
+        return new WorkerCapacity(
+                new WorkerEntry(worker), position, Resources.NONE, false, 0, false);
     }
 }
--- a/wire/src/test/java/org/marjoramnotch/wire/WorkflowExamples.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/WorkflowExamples.java
@@ -4,12 +4,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import org.marjoramnotch.model.command.BeginEvacuation;
 import org.marjoramnotch.model.command.CancelWorkflow;
 import org.marjoramnotch.model.command.Command;
 import org.marjoramnotch.model.command.DismissWorker;
 import org.marjoramnotch.model.command.EndRuns;
 import org.marjoramnotch.model.command.EnrollWorker;
 import org.marjoramnotch.model.command.FailWorkflow;
+import org.marjoramnotch.model.command.FinishEvacuation;
 import org.marjoramnotch.model.command.ForgetWorkflows;
 import org.marjoramnotch.model.command.ReplaceConfiguration;
 import org.marjoramnotch.model.command.StartRuns;
@@ -32,11 +34,13 @@
 import org.marjoramnotch.model.message.AdviceAnswer;
 import org.marjoramnotch.model.message.AdviceQuestion;
 import org.marjoramnotch.model.message.ApplyConfiguration;
+import org.marjoramnotch.model.message.BeginEvacuationRequest;
 import org.marjoramnotch.model.message.CallTarget;
 import org.marjoramnotch.model.message.CancelWorkflowRequest;
 import org.marjoramnotch.model.message.CellReply;
 import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.ConfigurationAnswer;
+import org.marjoramnotch.model.message.FinishEvacuationRequest;
 import org.marjoramnotch.model.message.QueueAnswer;
 import org.marjoramnotch.model.message.ReadConfiguration;
 import org.marjoramnotch.model.message.ReadWorkflow;
@@ -109,12 +113,13 @@
                                     new Resources(9, 8, 7))));
     private static final WorkerIncarnation INCARNATION =
             new WorkerIncarnation(new WorkerId("w-1"), 5);
+    private static final AvailabilityZone ZONE = new AvailabilityZone("zone");
     private static final FleetWorker WORKER =
             new FleetWorker(
                     INCARNATION,
                     new ServiceName("pool"),
                     "10.0.0.1:80",
-                    new AvailabilityZone("zone"),
+                    ZONE,
                     new Resources(64_000, 64_000, 0),
                     List.of("a", "r1-3"),
                     false);
@@ -142,7 +147,10 @@
                             new WorkerIncarnation(new WorkerId("w-2"), 1),
                             Optional.of(
                                     new NextLifeEvidence(
-                                            List.of(RUN.task()), List.of(RUN.task()), true))));
+                                            List.of(RUN.task()), List.of(RUN.task()), true))),
+                    new BeginEvacuation(ZONE, 1_700_000_000_001L),
+                    new FinishEvacuation(ZONE, 1_700_000_000_002L),
+                    new BeginEvacuation(new AvailabilityZone("zone-b"), 1_700_000_000_003L));
 
     static final List<CellRequest> REQUESTS =
             List.of(
@@ -161,7 +169,9 @@
                                             3,
                                             Optional.of(Map.of(new WorkerId("w-1"), "ticket")),
                                             2_500)),
-                            2_000));
+                            2_000),
+                    new BeginEvacuationRequest(ZONE),
+                    new FinishEvacuationRequest(ZONE));
 
     static final List<CellReply> REPLIES =
             List.of(
--- a/wire/src/test/java/org/marjoramnotch/wire/WorkflowSnapshotTest.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/WorkflowSnapshotTest.java
@@ -18,7 +18,9 @@
 import org.marjoramnotch.model.command.Command;
 import org.marjoramnotch.model.command.DismissWorker;
 import org.marjoramnotch.model.command.EnrollWorker;
+import org.marjoramnotch.model.fleet.EvacuationRecord;
 import org.marjoramnotch.model.fleet.FleetHistoryRecord;
+import org.marjoramnotch.model.fleet.ZoneEvacuation;
 import org.marjoramnotch.model.identifier.ServiceName;
 import org.marjoramnotch.model.workflow.WorkflowRecord;
 import org.marjoramnotch.model.workflow.WorkflowSnapshot;
@@ -96,6 +98,38 @@
         assertThat(read).isEqualTo(ledger.snapshot().workflow());
     }
 
+    /** Guards against an evacuation that ends with a restore from a snapshot. */
+    @Test
+    void evacuationsSurviveRoundTrip() {
+        CborCodec codec = new CborCodec(mapper);
+        Ledger ledger = new Ledger();
+        WorkflowExamples.COMMANDS.forEach(ledger::apply);
+
+        LedgerSnapshot read = codec.decodeSnapshot(codec.encodeSnapshot(ledger.snapshot()));
+
+        assertThat(read.workflow().evacuations().zones())
+                .extracting(ZoneEvacuation::active)
+                .containsExactly(false, true);
+        assertThat(Ledger.restore(read).snapshot().workflow().evacuations())
+                .isEqualTo(ledger.snapshot().workflow().evacuations());
+    }
+
+    /** The release before evacuations wrote snapshots without them; the zones are those in use. */
+    @Test
+    void snapshotWithoutEvacuationsIsRead() throws IOException {
+        Ledger ledger = new Ledger();
+        WorkflowExamples.COMMANDS.subList(0, 4).forEach(ledger::apply);
+        CBORMapper trees = new CBORMapper();
+        JsonNode tree = trees.readTree(mapper.write(LedgerSnapshot.class, ledger.snapshot()));
+        assertThat(((ObjectNode) tree.path("workflow")).remove("evacuations")).isNotNull();
+
+        LedgerSnapshot read = mapper.read(LedgerSnapshot.class, trees.writeValueAsBytes(tree));
+
+        assertThat(read.workflow().evacuations()).isEqualTo(EvacuationRecord.EMPTY);
+        assertThat(Ledger.restore(read).snapshot().workflow())
+                .isEqualTo(ledger.snapshot().workflow());
+    }
+
     @ParameterizedTest
     @MethodSource("commandsWithoutEvidence")
     void commandOfEarlierReleaseHasNoEvidence(Command command, Command expected)
