--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -37,6 +37,7 @@
 import org.marjoramnotch.logic.job.QueueOrder;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.logic.placement.PlacementSettings;
+import org.marjoramnotch.model.identifier.AvailabilityZone;
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.time.Clock;
 
@@ -122,17 +123,21 @@
     /** Starts a process with the log level and the decision logic of its settings. */
     static Daemon startConfigured(DaemonSettings settings, DaemonExtension extension, long begun) {
         LogSetup.configure(settings.logLevel());
-        LeaderDutyFactory parts = standardParts(settings.jobOrder(), settings.workflow());
+        LeaderDutyFactory parts =
+                standardParts(
+                        settings.jobOrder(), settings.workflow(), settings.availabilityZones());
         return new Daemon(settings, parts, extension, begun);
     }
 
     /** Returns the decision logic of the leader with its default settings. */
     public static LeaderDutyFactory standardParts() {
-        return standardParts(JobSettings.defaults().order(), Optional.empty());
+        return standardParts(JobSettings.defaults().order(), Optional.empty(), List.of());
     }
 
     private static LeaderDutyFactory standardParts(
-            QueueOrder jobOrder, Optional<WorkflowDaemonSettings> workflow) {
+            QueueOrder jobOrder,
+            Optional<WorkflowDaemonSettings> workflow,
+            List<AvailabilityZone> availabilityZones) {
         return new StandardLeaderDutyFactory(
                 PlacementSettings.defaults(),
                 JobSettings.builder().order(jobOrder).build(),
@@ -140,7 +145,8 @@
                 workflow.map(
                         workers ->
                                 new WorkflowDutySettings(
-                                        workers.workflowSettings(), System::currentTimeMillis)),
+                                        workers.workflowSettings(availabilityZones),
+                                        System::currentTimeMillis)),
                 Optional.empty());
     }
 
--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/DaemonSettings.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/DaemonSettings.java
@@ -35,6 +35,8 @@
  * @param formation how replicas find one another if the settings do not list them
  * @param workflow properties of the workers that accept orders, if there are any
  * @param adapter the addresses of an adapter to an outside platform
+ * @param availabilityZones the availability zones of the workers that accept orders; empty if they
+ *     are not listed
  */
 @JsonDeserialize(builder = DaemonSettings.Builder.class)
 public record DaemonSettings(
@@ -53,12 +55,14 @@
         DaemonLimits limits,
         Optional<FormationSettings> formation,
         Optional<WorkflowDaemonSettings> workflow,
-        AdapterAddresses adapter) {
+        AdapterAddresses adapter,
+        List<AvailabilityZone> availabilityZones) {
 
     /** Copies the collections, so that the settings are immutable. */
     public DaemonSettings {
         roles = Set.copyOf(roles);
         replicas = List.copyOf(replicas);
+        availabilityZones = List.copyOf(availabilityZones);
     }
 
     /** Returns whether the daemon has this role. */
@@ -91,6 +95,7 @@
         private @Nullable FormationSettings formation;
         private @Nullable WorkflowDaemonSettings workflow;
         private AdapterAddresses adapter = AdapterAddresses.none();
+        private List<AvailabilityZone> availabilityZones = List.of();
 
         private Builder() {}
 
@@ -190,6 +195,12 @@
             return this;
         }
 
+        /** Sets the availability zones of the workers that accept orders. */
+        public Builder availabilityZones(List<AvailabilityZone> value) {
+            availabilityZones = value;
+            return this;
+        }
+
         /** Returns the settings; the required ones must have been set. */
         public DaemonSettings build() {
             return new DaemonSettings(
@@ -208,7 +219,8 @@
                     limits,
                     Optional.ofNullable(formation),
                     Optional.ofNullable(workflow),
-                    adapter);
+                    adapter,
+                    availabilityZones);
         }
     }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/WorkflowDaemonSettings.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/WorkflowDaemonSettings.java
@@ -1,6 +1,8 @@
 package org.marjoramnotch.daemon.settings;
 
+import java.util.List;
 import org.marjoramnotch.logic.workflow.WorkflowSettings;
+import org.marjoramnotch.model.identifier.AvailabilityZone;
 
 /**
  * Properties of the workers that accept orders.
@@ -16,8 +18,12 @@
     /** Report timeout in report intervals: two missed reports plus time for their transmission. */
     private static final double REPORTS_PER_TIMEOUT = 2.4;
 
-    /** Returns the settings of the workflow scheduler. */
-    public WorkflowSettings workflowSettings() {
+    /**
+     * Returns the settings of the workflow scheduler.
+     *
+     * @param availabilityZones the availability zones of the workers; may be empty
+     */
+    public WorkflowSettings workflowSettings(List<AvailabilityZone> availabilityZones) {
         WorkflowSettings defaults = WorkflowSettings.defaults();
         return WorkflowSettings.builder()
                 .leaseMilliseconds(Math.min(defaults.leaseMilliseconds(), longestLeaseMilliseconds))
@@ -25,6 +31,7 @@
                 .reportTimeoutMilliseconds(
                         (long) (reportIntervalMilliseconds * REPORTS_PER_TIMEOUT))
                 .retentionMilliseconds(retentionMilliseconds)
+                .availabilityZones(availabilityZones)
                 .build();
     }
 }
