Rank ready steps by weighted share while capacity is short

What callers could see: one team at 7 times its usual amount made the short work of all other teams wait. Cause: steps of equal lateness and priority were ordered by their latest start only. Change: CapacityShares measures each round where capacity is short; WeightedShareRanking ranks steps by the portions of its entitled share that their team has used up, counting waiting work in order as if it were placed. LatencyStepOrdering begins the round of later rankings first, so that an earlier one can use their ranks.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/metrics/LeaderMetrics.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/metrics/LeaderMetrics.java
@@ -38,6 +38,7 @@
     private final Counter runEnds;
     private final Counter uncountedEnds;
     private final Counter startsGivenUp;
+    private final Counter aboveShare;
     private final ReplicaGauges gauges;
 
     LeaderMetrics(PrometheusRegistry registry) {
@@ -87,6 +88,12 @@
                         .name("marjoramnotch_leader_starts_given_up")
                         .help("Starts that were given up since their workers did not answer.")
                         .register(registry);
+        aboveShare =
+                Counter.builder()
+                        .name("marjoramnotch_leader_above_share_seconds")
+                        .help("Seconds in which a team was above its share of a short pool.")
+                        .labelNames("team")
+                        .register(registry);
         gauges = new ReplicaGauges(registry);
     }
 
@@ -162,6 +169,11 @@
         startsGivenUp.inc();
     }
 
+    @Override
+    public void onTeamAboveShare(TeamName team) {
+        aboveShare.labelValues(label(team)).inc();
+    }
+
     @Override
     public void onCellMetrics(CellMetrics metrics) {
         gauges.onCellMetrics(metrics);
--- a/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
@@ -171,6 +171,7 @@
         leader.onEndApplied(RunEndSource.LEASE_OVER, RunEndEffect.LATER_RUN);
         leader.onUncountedEndAcknowledged(RunEndEffect.ALREADY_ENDED);
         leader.onStartGivenUp();
+        leader.onTeamAboveShare(TEAM);
         String ends = "marjoramnotch_leader_run_ends_total{effect=";
 
         assertThat(text())
@@ -178,6 +179,7 @@
                         ends + "\"ended\",source=\"list\"} 2.0",
                         ends + "\"later_run\",source=\"lease_over\"} 1.0",
                         "marjoramnotch_leader_uncounted_ends_total{reason=\"already_ended\"} 1.0",
+                        "marjoramnotch_leader_above_share_seconds_total{team=\"wards\"} 1.0",
                         "marjoramnotch_leader_starts_given_up_total 1.0");
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/CapacityView.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/CapacityView.java
@@ -1,5 +1,6 @@
 package org.marjoramnotch.logic.workflow;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -15,7 +16,7 @@
  */
 final class CapacityView {
     /** A start that is decided but not applied yet. */
-    private record DecidedStart(WorkerId worker, StepDefinition step, Optional<TeamName> team) {}
+    record DecidedStart(WorkerId worker, StepDefinition step, Optional<TeamName> team) {}
 
     private final WorkflowLedger ledger;
     private final Map<WorkflowTaskId, DecidedStart> decidedStarts = new HashMap<>();
@@ -26,6 +27,11 @@
         this.ledger = ledger;
     }
 
+    /** Returns the starts that are decided but not applied yet. */
+    Map<WorkflowTaskId, DecidedStart> decidedStarts() {
+        return Collections.unmodifiableMap(decidedStarts);
+    }
+
     boolean isDecided(WorkflowTaskId task) {
         return decidedStarts.containsKey(task);
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/LatencyStepOrdering.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/LatencyStepOrdering.java
@@ -25,14 +25,26 @@
 
     @Override
     public void sort(long nowMilliseconds, List<ReadyStep> ready) {
-        Comparator<ReadyStep> order =
-                Comparator.comparingInt((ReadyStep step) -> lateness(step, nowMilliseconds))
-                        .thenComparingInt(step -> step.workflow().queue().priority());
+        // A ranking may use the ranks of those that are compared after it.
+        for (int index = rankings.size() - 1; index >= 0; index--) {
+            rankings.get(index).beginRound(nowMilliseconds, ready);
+        }
+        ready.sort(order(nowMilliseconds, rankings));
+    }
+
+    /** Returns the order with some rankings, whose round must have begun. */
+    static Comparator<ReadyStep> order(long nowMilliseconds, List<StepRanking> rankings) {
+        Comparator<ReadyStep> order = groups(nowMilliseconds);
         for (StepRanking ranking : rankings) {
-            ranking.beginRound(nowMilliseconds, ready);
             order = order.thenComparingLong(ranking::rank);
         }
-        ready.sort(order.thenComparingLong(ReadyStep::latestStart));
+        return order.thenComparingLong(ReadyStep::latestStart);
+    }
+
+    /** Returns the order of the groups of equal lateness and priority. */
+    static Comparator<ReadyStep> groups(long nowMilliseconds) {
+        return Comparator.comparingInt((ReadyStep step) -> lateness(step, nowMilliseconds))
+                .thenComparingInt(step -> step.workflow().queue().priority());
     }
 
     private static int lateness(ReadyStep step, long nowMilliseconds) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunMetricsListener.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunMetricsListener.java
@@ -1,5 +1,6 @@
 package org.marjoramnotch.logic.workflow;
 
+import org.marjoramnotch.model.identifier.TeamName;
 import org.marjoramnotch.model.workflow.RunEndEffect;
 
 /** Receives events about runs, for metrics. Called by the thread that runs the duty. */
@@ -19,4 +20,7 @@
 
     /** Called when a start is given up since its worker leaves it unanswered. */
     default void onStartGivenUp() {}
+
+    /** Called once a second for each team above its share of a pool whose capacity is short. */
+    default void onTeamAboveShare(TeamName team) {}
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -21,6 +21,8 @@
     private final SpeedEstimator speeds;
     private final CapacityView capacity;
     private final LatencyObjectives objectives;
+    private final CapacityShares shares;
+    private final TeamShareLog shareLog;
     private final StepOrdering stepOrdering;
     private final WorkerPreference workerPreference;
     private final CandidateSearch search;
@@ -39,7 +41,8 @@
             LatencyObjectives objectives,
             SpeedEstimator speeds,
             LoadMeter load,
-            Feasibility feasibility) {
+            Feasibility feasibility,
+            RunMetricsListener metricsListener) {
         this.ledger = ledger;
         this.load = load;
         this.feasibility = feasibility;
@@ -47,7 +50,13 @@
         this.speeds = speeds;
         this.capacity = new CapacityView(ledger);
         this.objectives = objectives;
-        this.stepOrdering = new LatencyStepOrdering(List.of());
+        this.shares = new CapacityShares(ledger, capacity);
+        this.shareLog = new TeamShareLog(metricsListener);
+        this.stepOrdering =
+                new LatencyStepOrdering(
+                        List.of(
+                                new WeightedShareRanking(
+                                        shares, feasibility, List.of(), shareLog)));
         this.advice = advice;
         this.prefetchPolicy = new AdvicePrefetchPolicy();
         this.workerPreference = new BestFitPreference();
@@ -71,10 +80,12 @@
         placer.beginRound();
         advice.beginRound();
         load.beginRound();
+        shares.beginRound();
         List<ReadyStep> upcoming = new ArrayList<>();
         List<ReadyStep> ready = readySteps(nowMilliseconds, upcoming);
         if (ready.isEmpty() && upcoming.isEmpty()) {
             load.endRound(nowMilliseconds, Map.of());
+            shares.endRound(Map.of());
             return;
         }
         overdueTurns.apply(nowMilliseconds, ready);
@@ -94,6 +105,7 @@
                 askAdvice(nowMilliseconds, step, pool, waiting, urgency, output);
             }
             load.addWaiting(step, poolName, waiting, withinLimit);
+            shares.addStep(step, poolName, pool, withinLimit ? waiting : 0);
             urgency++;
             placedCount += placed.size();
             if (step.tasks().definition().gang()) {
@@ -110,6 +122,7 @@
             urgency++;
         }
         load.endRound(nowMilliseconds, usableWorkers);
+        shares.endRound(usableWorkers);
         if (placedCount > 0 || advice.sentCount() > askedBefore) {
             overdueTurns.onProductiveRound();
         }
@@ -132,6 +145,7 @@
                                                     pool(usableWorkers, poolOf(step)))));
         }
         waitingTasks.update(nowMilliseconds, waiting, output);
+        shareLog.log(output);
     }
 
     private String reasonToWait(
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -113,7 +113,15 @@
                 new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
         SpeedEstimator speeds = new SpeedEstimator();
         this.scheduler =
-                new RunScheduler(ledger, sessions, advice, objectives, speeds, load, feasibility);
+                new RunScheduler(
+                        ledger,
+                        sessions,
+                        advice,
+                        objectives,
+                        speeds,
+                        load,
+                        feasibility,
+                        runMetricsListener);
         this.endedWorkflows = new EndedWorkflowCleaner(ledger, settings.retentionMilliseconds());
         this.runs =
                 new AppliedRunHandler(
