--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -22,6 +22,8 @@
     private final SpeedEstimator speeds;
     private final CapacityView capacity;
     private final LatencyObjectives objectives;
+    private final CapacityShares shares;
+    private final TeamShareLog shareLog;
     private final StepOrdering stepOrdering;
     private final WorkerPreference workerPreference;
     private final CandidateSearch search;
@@ -42,7 +44,8 @@
             SpeedEstimator speeds,
             LoadMeter load,
             Feasibility feasibility,
-            ColdZones coldZones) {
+            ColdZones coldZones,
+            RunMetricsListener metricsListener) {
         this.ledger = ledger;
         this.load = load;
         this.feasibility = feasibility;
@@ -51,7 +54,13 @@
         this.speeds = speeds;
         this.capacity = new CapacityView(ledger);
         this.objectives = objectives;
-        this.stepOrdering = new LatencyStepOrdering(List.of());
+        this.shares = new CapacityShares(ledger, capacity);
+        this.shareLog = new TeamShareLog(metricsListener);
+        this.stepOrdering =
+                new LatencyStepOrdering(
+                        List.of(
+                                new WeightedShareRanking(
+                                        shares, feasibility, List.of(), shareLog)));
         this.advice = advice;
         this.prefetchPolicy = new AdvicePrefetchPolicy();
         this.workerPreference = new BestFitPreference();
@@ -75,10 +84,12 @@
         placer.beginRound();
         advice.beginRound();
         load.beginRound();
+        shares.beginRound();
         List<ReadyStep> upcoming = new ArrayList<>();
         List<ReadyStep> ready = readySteps(nowMilliseconds, upcoming);
         if (ready.isEmpty() && upcoming.isEmpty()) {
             load.endRound(nowMilliseconds, Map.of());
+            shares.endRound(Map.of());
             return;
         }
         overdueTurns.apply(nowMilliseconds, ready);
@@ -98,6 +109,7 @@
                 askAdvice(nowMilliseconds, step, pool, waiting, urgency, output);
             }
             load.addWaiting(step, poolName, waiting, withinLimit);
+            shares.addStep(step, poolName, pool, withinLimit ? waiting : 0);
             urgency++;
             placedCount += placed.size();
             if (step.tasks().definition().gang()) {
@@ -114,6 +126,7 @@
             urgency++;
         }
         load.endRound(nowMilliseconds, usableWorkers);
+        shares.endRound(usableWorkers);
         if (placedCount > 0 || advice.sentCount() > askedBefore) {
             overdueTurns.onProductiveRound();
         }
@@ -136,6 +149,7 @@
                                                     pool(usableWorkers, poolOf(step)))));
         }
         waitingTasks.update(nowMilliseconds, waiting, output);
+        shareLog.log(output);
     }
 
     private String reasonToWait(
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerCapacity.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerCapacity.java
@@ -50,6 +50,11 @@
         freeAccelerators = capacity.accelerators() - taken.accelerators();
     }
 
+    /** Returns the whole capacity of a worker, as if nothing ran on it. */
+    static WorkerCapacity idle(WorkerEntry entry) {
+        return new WorkerCapacity(entry, 0, Resources.NONE, false, 0, false);
+    }
+
     WorkerEntry entry() {
         return entry;
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -131,7 +131,15 @@
         SpeedEstimator speeds = new SpeedEstimator(ledger::kindOf);
         this.scheduler =
                 new RunScheduler(
-                        ledger, sessions, advice, objectives, speeds, load, feasibility, coldZones);
+                        ledger,
+                        sessions,
+                        advice,
+                        objectives,
+                        speeds,
+                        load,
+                        feasibility,
+                        coldZones,
+                        runMetricsListener);
         this.endedWorkflows = new EndedWorkflowCleaner(ledger, settings.retentionMilliseconds());
         this.runs =
                 new AppliedRunHandler(
