Stop less urgent runs for urgent steps that would start late

Cause: a step of priority 0 waited for as long as runs of lower priority held its pool, although its callers lose more by the delay than the others by a stop. Change: RunScheduler hands the steps without capacity to Preemption, which plans stops, sends them by RunStopper, and keeps what they free for their steps. Lists tell since when a run has its checkpoint. WorkflowSettings.preemption turns it off.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/AppliedRunHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/AppliedRunHandler.java
@@ -36,6 +36,7 @@
             LatencyObjectives objectives,
             LoadMeter load,
             RunScheduler scheduler,
+            RunStopper stopper,
             RunLog log) {
         this.ledger = ledger;
         this.sessions = sessions;
@@ -44,7 +45,7 @@
         this.objectives = objectives;
         this.load = load;
         this.scheduler = scheduler;
-        this.stopper = new RunStopper(ledger, sessions);
+        this.stopper = stopper;
         this.log = log;
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunListPoller.java
@@ -1,10 +1,8 @@
 package org.marjoramnotch.logic.workflow;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.marjoramnotch.logic.leader.LeaderOutput;
@@ -40,7 +38,7 @@
     private final RunListLog listLog;
     private final EndProposer proposer;
     private final NextLifeRuns nextLife;
-    private final Map<RunId, RunStatus> statuses = new HashMap<>();
+    private final ListedRuns listedRuns = new ListedRuns();
     private final Set<RunId> unknownRuns = new HashSet<>();
     private boolean listed;
     private boolean listInFlight;
@@ -79,7 +77,25 @@
 
     /** Returns the status of a run in the latest list. */
     Optional<RunStatus> status(RunId run) {
-        return Optional.ofNullable(statuses.get(run));
+        return listedRuns.find(run).map(ListedRuns.ListedRun::status);
+    }
+
+    /**
+     * Returns a run in the latest list, or without progress if its start was answered and no list
+     * has come since; empty if a stop of it has been requested.
+     */
+    Optional<ListedRuns.ListedRun> unstopped(RunId run) {
+        OrderEvidence evidence = orders.evidence(run);
+        if (evidence.stopRequested()) {
+            return Optional.empty();
+        }
+        return listedRuns
+                .find(run)
+                .or(
+                        () ->
+                                evidence.settledAfterCall().isPresent()
+                                        ? Optional.of(ListedRuns.ListedRun.withoutProgress(run))
+                                        : Optional.empty());
     }
 
     /** Returns the number up to which the worker may discard run ends. */
@@ -152,9 +168,8 @@
         listed = true;
         acknowledgedAtWorker = Math.max(acknowledgedAtWorker, call.acknowledgedEnds());
         nextListAt = nowMilliseconds;
-        statuses.clear();
-        list.running().forEach(status -> statuses.put(status.run(), status));
-        orders.onList(call.id(), statuses.keySet());
+        listedRuns.update(nowMilliseconds, list.running());
+        orders.onList(call.id(), listedRuns.runs());
         RunListComparator.Findings findings = comparator.compare(worker, acknowledged, list);
         findings.unknownRuns().stream()
                 .filter(run -> !unknownRuns.contains(run))
@@ -203,7 +218,7 @@
                         .toList();
         unknownRuns.clear();
         orders.clear();
-        statuses.clear();
+        listedRuns.clear();
         if (!lapsed.isEmpty()) {
             proposer.proposeLapsed(lapsed, lease, output);
         }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -29,6 +29,7 @@
     private final AdvicePrefetchPolicy prefetchPolicy;
     private final LoadMeter load;
     private final Feasibility feasibility;
+    private final Preemption preemption;
     private final OverdueStepTurns overdueTurns = new OverdueStepTurns();
     private final WaitingTaskLog waitingTasks = new WaitingTaskLog();
 
@@ -39,10 +40,12 @@
             LatencyObjectives objectives,
             SpeedEstimator speeds,
             LoadMeter load,
-            Feasibility feasibility) {
+            Feasibility feasibility,
+            Preemption preemption) {
         this.ledger = ledger;
         this.load = load;
         this.feasibility = feasibility;
+        this.preemption = preemption;
         this.sessions = sessions;
         this.speeds = speeds;
         this.capacity = new CapacityView(ledger);
@@ -71,6 +74,7 @@
         placer.beginRound();
         advice.beginRound();
         load.beginRound();
+        preemption.beginRound(nowMilliseconds);
         List<ReadyStep> upcoming = new ArrayList<>();
         List<ReadyStep> ready = readySteps(nowMilliseconds, upcoming);
         if (ready.isEmpty() && upcoming.isEmpty()) {
@@ -87,13 +91,16 @@
             ServiceName poolName = poolOf(step);
             PoolCapacity pool = pool(usableWorkers, poolName);
             Optional<TeamDefinition> team = step.workflow().workflow().team().flatMap(ledger::team);
+            preemption.makeAvailable(step, pool);
             List<RunPlacement> placed = place(nowMilliseconds, step, pool, team);
+            preemption.keepRest(step, pool, placed);
             int waiting = placer.countWaiting(step);
             boolean withinLimit = search.isWithinLimit(step, team);
             if (withinLimit) {
                 askAdvice(nowMilliseconds, step, pool, waiting, urgency, output);
             }
             load.addWaiting(step, poolName, waiting, withinLimit);
+            preemption.offer(step, poolName, waiting, withinLimit);
             urgency++;
             placedCount += placed.size();
             if (step.tasks().definition().gang()) {
@@ -103,6 +110,7 @@
             }
         }
         propose(singles, output);
+        preemption.plan(nowMilliseconds, usableWorkers, capacity, output);
         for (ReadyStep step : upcoming) {
             PoolCapacity pool = pool(usableWorkers, poolOf(step));
             int waiting = placer.countWaiting(step);
@@ -201,7 +209,7 @@
                         new WorkerCapacity(
                                 entry,
                                 pool.size(),
-                                capacity.reservedOn(entry),
+                                capacity.reservedOn(entry).plus(preemption.keptOn(entry)),
                                 session.hasRecentFailures(nowMilliseconds),
                                 speeds.slowness(entry.worker().id())));
             }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunStopper.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunStopper.java
@@ -3,20 +3,24 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.marjoramnotch.logic.leader.LeaderOutput;
+import org.marjoramnotch.logic.preemption.StopTimes;
 import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.workflow.RunEnd;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunOutcome;
 import org.marjoramnotch.model.workflow.StepId;
 
-/** Stops runs whose result is of no use any more. */
+/** Stops runs whose result is of no use any more, or whose capacity urgent work needs. */
 final class RunStopper {
     private final WorkflowLedger ledger;
     private final WorkerSessions sessions;
+    private final StopTimes stopTimes;
 
-    RunStopper(WorkflowLedger ledger, WorkerSessions sessions) {
+    RunStopper(WorkflowLedger ledger, WorkerSessions sessions, StopTimes stopTimes) {
         this.ledger = ledger;
         this.sessions = sessions;
+        this.stopTimes = stopTimes;
     }
 
     /** Stops all runs of a workflow. */
@@ -46,7 +50,12 @@
         runs.forEach(
                 (run, task) ->
                         task.worker()
-                                .flatMap(sessions::of)
-                                .ifPresent(session -> session.stop(nowMilliseconds, run, output)));
+                                .ifPresent(worker -> stop(nowMilliseconds, worker, run, output)));
+    }
+
+    /** Stops a run on a worker. */
+    void stop(long nowMilliseconds, WorkerId worker, RunId run, LeaderOutput output) {
+        stopTimes.onRequested(nowMilliseconds, run);
+        sessions.of(worker).ifPresent(session -> session.stop(nowMilliseconds, run, output));
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerCapacity.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerCapacity.java
@@ -71,6 +71,14 @@
         return freeProcessorMillis;
     }
 
+    /** Returns what is free. */
+    Resources free() {
+        return new Resources(
+                Math.max(0, freeProcessorMillis),
+                Math.max(0, freeMemoryMegabytes),
+                Math.max(0, freeAccelerators));
+    }
+
     boolean hasLabelFor(StepDefinition step) {
         return step.requiredLabel()
                 .map(label -> entry.worker().labels().contains(label))
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -212,6 +212,11 @@
         }
     }
 
+    /** Returns what is known of a run; empty if it is not, or a stop has been requested. */
+    Optional<ListedRuns.ListedRun> unstopped(RunId run) {
+        return lists.unstopped(run);
+    }
+
     /** Sends due orders and list calls, and ends the runs if the lease of the worker is over. */
     void tick(long nowMilliseconds, LeaderOutput output) {
         if (!incarnation.acceptsOrders()) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -55,6 +55,7 @@
     private final FeasibilityCheck feasibilityCheck;
     private final EndedWorkflowCleaner endedWorkflows;
     private final AppliedRunHandler runs;
+    private final Preemption preemption;
     private boolean scheduleDue = true;
     private long nextSlowTickAt;
     private long nextScheduleAt;
@@ -112,12 +113,30 @@
         LatencyObjectives objectives =
                 new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
         SpeedEstimator speeds = new SpeedEstimator();
+        this.preemption =
+                new Preemption(settings, ledger, sessions, advice, objectives, nowMilliseconds);
         this.scheduler =
-                new RunScheduler(ledger, sessions, advice, objectives, speeds, load, feasibility);
+                new RunScheduler(
+                        ledger,
+                        sessions,
+                        advice,
+                        objectives,
+                        speeds,
+                        load,
+                        feasibility,
+                        preemption);
         this.endedWorkflows = new EndedWorkflowCleaner(ledger, settings.retentionMilliseconds());
         this.runs =
                 new AppliedRunHandler(
-                        ledger, sessions, advice, speeds, objectives, load, scheduler, log);
+                        ledger,
+                        sessions,
+                        advice,
+                        speeds,
+                        objectives,
+                        load,
+                        scheduler,
+                        preemption.stopper(),
+                        log);
     }
 
     @Override
@@ -140,6 +159,7 @@
         if (!(command instanceof WorkflowCommand applied)) {
             return;
         }
+        preemption.onApplied(nowMilliseconds, applied, result);
         if (applied instanceof StartRuns start) {
             runs.onStarted(nowMilliseconds, start, output);
         } else if (applied instanceof EndRuns end) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
@@ -11,6 +11,7 @@
  * @param reportTimeoutMilliseconds time without contact after which a worker gets no new runs
  * @param retentionMilliseconds how long the state of an ended workflow is kept
  * @param feasibilityDelayMilliseconds how long a workflow must be infeasible before it fails
+ * @param preemption whether runs are stopped for urgent work of queues with priority 0
  */
 public record WorkflowSettings(
         long leaseMilliseconds,
@@ -20,7 +21,8 @@
         int workerClockDriftPercent,
         long reportTimeoutMilliseconds,
         long retentionMilliseconds,
-        long feasibilityDelayMilliseconds) {
+        long feasibilityDelayMilliseconds,
+        boolean preemption) {
     private static final int PERCENT = 100;
 
     /** Allows for the resolution of both clocks. */
@@ -55,6 +57,7 @@
         private long retentionMilliseconds = 130_000;
         // Workers report every 1.5 s; all workers of a new fleet are known after two reports.
         private long feasibilityDelayMilliseconds = 3_000;
+        private boolean preemption = true;
 
         private Builder() {}
 
@@ -82,6 +85,12 @@
             return this;
         }
 
+        /** Sets whether runs are stopped for urgent work of queues with priority 0. */
+        public Builder preemption(boolean value) {
+            preemption = value;
+            return this;
+        }
+
         /** Returns the settings. */
         public WorkflowSettings build() {
             return new WorkflowSettings(
@@ -92,7 +101,8 @@
                     workerClockDriftPercent,
                     reportTimeoutMilliseconds,
                     retentionMilliseconds,
-                    feasibilityDelayMilliseconds);
+                    feasibilityDelayMilliseconds,
+                    preemption);
         }
     }
 }
