--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -18,8 +18,6 @@
 /** Schedules the tasks of ready steps on workers. */
 final class RunScheduler {
     private final WorkflowLedger ledger;
-    private final WorkerSessions sessions;
-    private final SpeedEstimator speeds;
     private final CapacityView capacity;
     private final LatencyObjectives objectives;
     private final CapacityShares shares;
@@ -32,7 +30,8 @@
     private final AdvicePrefetchPolicy prefetchPolicy;
     private final LoadMeter load;
     private final Feasibility feasibility;
-    private final ColdZones coldZones;
+    private final UsableWorkers usable;
+    private final Preemption preemption;
     private final OverdueStepTurns overdueTurns = new OverdueStepTurns();
     private final WaitingTaskLog waitingTasks = new WaitingTaskLog();
 
@@ -45,14 +44,14 @@
             LoadMeter load,
             Feasibility feasibility,
             ColdZones coldZones,
+            Preemption preemption,
             RunMetricsListener metricsListener) {
         this.ledger = ledger;
         this.load = load;
         this.feasibility = feasibility;
-        this.coldZones = coldZones;
-        this.sessions = sessions;
-        this.speeds = speeds;
+        this.preemption = preemption;
         this.capacity = new CapacityView(ledger);
+        this.usable = new UsableWorkers(ledger, sessions, capacity, speeds, coldZones, preemption);
         this.objectives = objectives;
         this.shares = new CapacityShares(ledger, capacity);
         this.shareLog = new TeamShareLog(metricsListener);
@@ -85,6 +84,7 @@
         advice.beginRound();
         load.beginRound();
         shares.beginRound();
+        preemption.beginRound(nowMilliseconds);
         List<ReadyStep> upcoming = new ArrayList<>();
         List<ReadyStep> ready = readySteps(nowMilliseconds, upcoming);
         if (ready.isEmpty() && upcoming.isEmpty()) {
@@ -93,7 +93,7 @@
             return;
         }
         overdueTurns.apply(nowMilliseconds, ready);
-        Map<ServiceName, PoolCapacity> usableWorkers = usableByPool(nowMilliseconds);
+        Map<ServiceName, PoolCapacity> usableWorkers = usable.byPool(nowMilliseconds);
         List<RunPlacement> singles = new ArrayList<>();
         long askedBefore = advice.sentCount();
         int placedCount = 0;
@@ -102,7 +102,9 @@
             ServiceName poolName = poolOf(step);
             PoolCapacity pool = pool(usableWorkers, poolName);
             Optional<TeamDefinition> team = step.workflow().workflow().team().flatMap(ledger::team);
+            preemption.makeAvailable(step, pool);
             List<RunPlacement> placed = place(nowMilliseconds, step, pool, team);
+            preemption.keepRest(step, pool, placed);
             int waiting = placer.countWaiting(step);
             boolean withinLimit = search.isWithinLimit(step, team);
             if (withinLimit) {
@@ -110,6 +112,7 @@
             }
             load.addWaiting(step, poolName, waiting, withinLimit);
             shares.addStep(step, poolName, pool, withinLimit ? waiting : 0);
+            preemption.offer(step, poolName, waiting, withinLimit);
             urgency++;
             placedCount += placed.size();
             if (step.tasks().definition().gang()) {
@@ -119,6 +122,7 @@
             }
         }
         propose(singles, output);
+        preemption.plan(nowMilliseconds, usableWorkers, capacity, output);
         for (ReadyStep step : upcoming) {
             PoolCapacity pool = pool(usableWorkers, poolOf(step));
             int waiting = placer.countWaiting(step);
@@ -134,7 +138,7 @@
 
     /** Logs tasks that have waited for long; to be called about once a second. */
     void logWaiting(long nowMilliseconds, LeaderOutput output) {
-        Map<ServiceName, PoolCapacity> usableWorkers = usableByPool(nowMilliseconds);
+        Map<ServiceName, PoolCapacity> usableWorkers = usable.byPool(nowMilliseconds);
         Map<WorkflowTaskId, String> waiting = new HashMap<>();
         for (ReadyStep step : readySteps(nowMilliseconds, new ArrayList<>())) {
             placer.firstWaiting(step)
@@ -207,30 +211,6 @@
         }
     }
 
-    private Map<ServiceName, PoolCapacity> usableByPool(long nowMilliseconds) {
-        Map<ServiceName, PoolCapacity> usableWorkers = new HashMap<>();
-        for (WorkerEntry entry : ledger.workers()) {
-            WorkerSession session = sessions.of(entry.worker().incarnation()).orElse(null);
-            if (session != null
-                    && session.isUsable(nowMilliseconds)
-                    && !ledger.evacuations().isEvacuated(entry.worker())) {
-                PoolCapacity pool =
-                        usableWorkers.computeIfAbsent(
-                                entry.worker().pool(), name -> new PoolCapacity());
-                pool.add(
-                        new WorkerCapacity(
-                                entry,
-                                pool.size(),
-                                capacity.reservedOn(entry),
-                                session.hasRecentFailures(nowMilliseconds),
-                                speeds.slowness(entry.worker().id()),
-                                coldZones.isCold(
-                                        nowMilliseconds, entry.worker().availabilityZone())));
-            }
-        }
-        return usableWorkers;
-    }
-
     private List<ReadyStep> readySteps(long nowMilliseconds, List<ReadyStep> upcoming) {
         List<ReadyStep> ready = new ArrayList<>();
         for (WorkflowEntry entry : ledger.active()) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -63,6 +63,7 @@
     private final EndedWorkflowCleaner endedWorkflows;
     private final AppliedRunHandler runs;
     private final RoundPacing roundPacing = new RoundPacing();
+    private final Preemption preemption;
     private boolean scheduleDue = true;
     private long nextSlowTickAt;
     private long nextScheduleAt;
@@ -129,6 +130,8 @@
         LatencyObjectives objectives =
                 new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
         SpeedEstimator speeds = new SpeedEstimator(ledger::kindOf);
+        this.preemption =
+                new Preemption(settings, ledger, sessions, advice, objectives, nowMilliseconds);
         this.scheduler =
                 new RunScheduler(
                         ledger,
@@ -139,11 +142,20 @@
                         load,
                         feasibility,
                         coldZones,
+                        preemption,
                         runMetricsListener);
         this.endedWorkflows = new EndedWorkflowCleaner(ledger, settings.retentionMilliseconds());
         this.runs =
                 new AppliedRunHandler(
-                        ledger, sessions, advice, speeds, objectives, load, scheduler, log);
+                        ledger,
+                        sessions,
+                        advice,
+                        speeds,
+                        objectives,
+                        load,
+                        scheduler,
+                        preemption.stopper(),
+                        log);
     }
 
     @Override
@@ -166,6 +178,7 @@
         if (!(command instanceof WorkflowCommand applied)) {
             return;
         }
+        preemption.onApplied(nowMilliseconds, applied, result);
         if (applied instanceof StartRuns start) {
             runs.onStarted(nowMilliseconds, start, output);
         } else if (applied instanceof EndRuns end) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
@@ -15,6 +15,7 @@
  * @param retentionMilliseconds how long the state of an ended workflow is kept
  * @param feasibilityDelayMilliseconds how long a workflow must be infeasible before it fails
  * @param availabilityZones the availability zones of the workers; may be empty
+ * @param preemption whether runs are stopped for urgent work of queues with priority 0
  */
 public record WorkflowSettings(
         long leaseMilliseconds,
@@ -25,7 +26,8 @@
         long reportTimeoutMilliseconds,
         long retentionMilliseconds,
         long feasibilityDelayMilliseconds,
-        List<AvailabilityZone> availabilityZones) {
+        List<AvailabilityZone> availabilityZones,
+        boolean preemption) {
     private static final int PERCENT = 100;
 
     /** Allows for the resolution of both clocks. */
@@ -66,6 +68,7 @@
         // Workers report every 1.5 s; all workers of a new fleet are known after two reports.
         private long feasibilityDelayMilliseconds = 3_000;
         private List<AvailabilityZone> availabilityZones = List.of();
+        private boolean preemption = true;
 
         private Builder() {}
 
@@ -99,6 +102,12 @@
             return this;
         }
 
+        /** Sets whether runs are stopped for urgent work of queues with priority 0. */
+        public Builder preemption(boolean value) {
+            preemption = value;
+            return this;
+        }
+
         /** Returns the settings. */
         public WorkflowSettings build() {
             return new WorkflowSettings(
@@ -110,7 +119,8 @@
                     reportTimeoutMilliseconds,
                     retentionMilliseconds,
                     feasibilityDelayMilliseconds,
-                    availabilityZones);
+                    availabilityZones,
+                    preemption);
         }
     }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetHost.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetHost.java
@@ -236,6 +236,7 @@
     }
 
     private void trace(DecisionLogEntry entry) {
+        cell.onDecision(entry);
         cell.trace.add(
                 () -> "log host=" + machine.name() + " " + entry.event() + " " + entry.fields());
     }
