Move standing tasks out of an evacuated zone

Standing tasks run until they are cancelled, so they stayed in an evacuated zone and were lost together with it.

Once a second the leader stops one standing task of each step there, if all tasks of the step are at work, the step's mostAbsent allows one to be absent and a worker outside has room. A new leader waits 2 s, since a stop of the earlier one may be under way. Draining workers count as at work while they answer.

--- a/library/src/main/java/org/marjoramnotch/logic/evacuation/Evacuations.java
+++ b/library/src/main/java/org/marjoramnotch/logic/evacuation/Evacuations.java
@@ -101,6 +101,11 @@
         return evacuation != null && evacuation.active();
     }
 
+    /** Returns whether any availability zone is evacuated. */
+    public boolean isAnyActive() {
+        return zones.values().stream().anyMatch(ZoneEvacuation::active);
+    }
+
     /** Returns the latest evacuation of an availability zone. */
     public Optional<ZoneEvacuation> of(AvailabilityZone zone) {
         return Optional.ofNullable(zones.get(zone));
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.marjoramnotch.logic.evacuation.ColdZones;
+import org.marjoramnotch.logic.evacuation.StandingTaskMoves;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.command.StartRuns;
 import org.marjoramnotch.model.fleet.TeamDefinition;
@@ -31,6 +32,7 @@
     private final LoadMeter load;
     private final Feasibility feasibility;
     private final ColdZones coldZones;
+    private final StandingTaskMover standingTasks;
     private final OverdueStepTurns overdueTurns = new OverdueStepTurns();
     private final WaitingTaskLog waitingTasks = new WaitingTaskLog();
 
@@ -42,7 +44,8 @@
             SpeedEstimator speeds,
             LoadMeter load,
             Feasibility feasibility,
-            ColdZones coldZones) {
+            ColdZones coldZones,
+            StandingTaskMoves standingTaskMoves) {
         this.ledger = ledger;
         this.load = load;
         this.feasibility = feasibility;
@@ -57,6 +60,9 @@
         this.workerPreference = new BestFitPreference();
         this.search = new CandidateSearch(advice, capacity);
         this.placer = new TaskPlacer(sessions, advice, capacity);
+        this.standingTasks =
+                new StandingTaskMover(
+                        ledger, sessions, feasibility, advice, capacity, standingTaskMoves);
     }
 
     /** Removes and returns the ticket of a decided run. */
@@ -138,6 +144,13 @@
         waitingTasks.update(nowMilliseconds, waiting, output);
     }
 
+    /** Moves standing tasks out of evacuated zones; to be called about once a second. */
+    void moveStandingTasks(long nowMilliseconds, LeaderOutput output) {
+        if (standingTasks.isNeeded(nowMilliseconds)) {
+            standingTasks.move(nowMilliseconds, usableByPool(nowMilliseconds), output);
+        }
+    }
+
     private String reasonToWait(
             long nowMilliseconds, ReadyStep step, WorkflowTaskId task, PoolCapacity pool) {
         if (placer.isBlocked(task)) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -8,6 +8,7 @@
 import org.marjoramnotch.model.command.EnrollWorker;
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.order.CallOutcome;
+import org.marjoramnotch.model.order.RunStatus;
 import org.marjoramnotch.model.order.WorkerCall;
 import org.marjoramnotch.model.workflow.NextLifeEvidence;
 import org.marjoramnotch.model.workflow.RunId;
@@ -109,13 +110,17 @@
 
     /** Returns whether runs may be started on this worker. */
     boolean isUsable(long nowMilliseconds) {
-        return lists.hasList()
+        return isAnswering(nowMilliseconds)
                 && incarnation.acceptsStarts()
                 && !worker.draining()
                 && !inheritedLeases.isLong(worker.incarnation())
                 && lists.unknownRuns().isEmpty()
+                && !health.isQuarantined(nowMilliseconds);
+    }
+
+    private boolean isAnswering(long nowMilliseconds) {
+        return lists.hasList()
                 && answers.consecutiveUnanswered() < UNUSABLE_AFTER_UNANSWERED_CALLS
-                && !health.isQuarantined(nowMilliseconds)
                 && silenceMilliseconds(nowMilliseconds) < settings.reportTimeoutMilliseconds();
     }
 
@@ -191,6 +196,13 @@
         return health.hasRecentFailures(nowMilliseconds);
     }
 
+    /** Returns whether a recent list shows a standing task at work and it was not told to stop. */
+    boolean isAtWork(long nowMilliseconds, RunId run) {
+        return isAnswering(nowMilliseconds)
+                && lists.status(run).filter(RunStatus::isAtWork).isPresent()
+                && !orders.evidence(run).stopRequested();
+    }
+
     /** Returns the time since the last contact with the worker. */
     long silenceMilliseconds(long nowMilliseconds) {
         return nowMilliseconds - lastHeardAt;
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -1,6 +1,7 @@
 package org.marjoramnotch.logic.workflow;
 
 import org.marjoramnotch.logic.evacuation.ColdZones;
+import org.marjoramnotch.logic.evacuation.StandingTaskMoves;
 import org.marjoramnotch.logic.evacuation.ZoneCheck;
 import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
@@ -127,7 +128,15 @@
         SpeedEstimator speeds = new SpeedEstimator();
         this.scheduler =
                 new RunScheduler(
-                        ledger, sessions, advice, objectives, speeds, load, feasibility, coldZones);
+                        ledger,
+                        sessions,
+                        advice,
+                        objectives,
+                        speeds,
+                        load,
+                        feasibility,
+                        coldZones,
+                        new StandingTaskMoves(nowMilliseconds));
         this.endedWorkflows = new EndedWorkflowCleaner(ledger, settings.retentionMilliseconds());
         this.runs =
                 new AppliedRunHandler(
@@ -193,6 +202,7 @@
             feasibilityCheck.check(nowMilliseconds, output);
             endedWorkflows.tick(nowMilliseconds, output);
             scheduler.logWaiting(nowMilliseconds, output);
+            scheduler.moveStandingTasks(nowMilliseconds, output);
         }
         if (nowMilliseconds >= nextScheduleAt) {
             scheduleDue = true;
--- a/library/src/main/java/org/marjoramnotch/model/order/RunStatus.java
+++ b/library/src/main/java/org/marjoramnotch/model/order/RunStatus.java
@@ -11,4 +11,11 @@
  * @param gauge the tail latency in milliseconds of a standing task that serves requests, otherwise
  *     the thousandths of a processor in use; negative if not reported
  */
-public record RunStatus(RunId run, String checkpoint, int progressPercent, long gauge) {}
+public record RunStatus(RunId run, String checkpoint, int progressPercent, long gauge) {
+    private static final int AT_WORK_PERCENT = 100;
+
+    /** Returns whether a standing task is working. */
+    public boolean isAtWork() {
+        return progressPercent >= AT_WORK_PERCENT;
+    }
+}
--- a/library/src/test/java/org/marjoramnotch/logic/evacuation/EvacuationRulesTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/evacuation/EvacuationRulesTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
 
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -15,9 +16,13 @@
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.AvailabilityZone;
+import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.identifier.ServiceName;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.resource.Resources;
+import org.marjoramnotch.model.workflow.RunId;
+import org.marjoramnotch.model.workflow.StepId;
+import org.marjoramnotch.model.workflow.WorkflowTaskId;
 
 class EvacuationRulesTest {
     private static final AvailabilityZone ZONE = new AvailabilityZone("zone-a");
@@ -70,6 +75,27 @@
         assertThat(restored.snapshot()).isEqualTo(evacuations.snapshot());
     }
 
+    /** Guards against a second absent task, also if the stop of an earlier leader is under way. */
+    @ParameterizedTest
+    @CsvSource({
+        "1, true, 2000, true",
+        "3, true, 9000, true",
+        "1, true, 1999, false",
+        "1, false, 2000, false",
+        "0, true, 2000, false"
+    })
+    void standingTaskMovesWhileTheOthersAreAtWork(
+            int mostAbsent, boolean otherAtWork, long leaderTime, boolean moves) {
+        RunId run = new RunId(new WorkflowTaskId(new StepId(new JobId("a"), 0, 0), 1), 1);
+        List<StandingTaskMoves.Task> tasks =
+                List.of(
+                        new StandingTaskMoves.Task(Optional.empty(), otherAtWork, false),
+                        new StandingTaskMoves.Task(Optional.of(run), true, true));
+        StandingTaskMoves rule = new StandingTaskMoves(0);
+        assertThat(rule.mayMove(leaderTime) && rule.next(mostAbsent, tasks).isPresent())
+                .isEqualTo(moves);
+    }
+
     /** Guards against new leaders that forget cold zones, also if their time of day is behind. */
     @ParameterizedTest
     @CsvSource({
