Add the commands evacuation begin and evacuation finish

Operators without a platform adapter had no way to evacuate an availability zone.

PUT and DELETE /v1/operator/evacuations/ZONE send the same requests as the adapter; the commands call them.

--- a/command-line/src/main/java/org/marjoramnotch/commandline/Subcommands.java
+++ b/command-line/src/main/java/org/marjoramnotch/commandline/Subcommands.java
@@ -18,6 +18,8 @@
                         new StatusCommand(),
                         new ReplicasRemoveCommand(),
                         new EndpointsForgetCommand(),
+                        EvacuationCommand.begin(),
+                        EvacuationCommand.finish(),
                         new RulesCheckCommand(),
                         new RulesShowCommand(),
                         new RulesApplyCommand(),
--- a/command-line/src/test/java/org/marjoramnotch/commandline/CommandLineProgramTest.java
+++ b/command-line/src/test/java/org/marjoramnotch/commandline/CommandLineProgramTest.java
@@ -96,6 +96,10 @@
                     endpoints forget alive CELL_OPTIONS    | 1 | ENDPOINT_ALIVE
                     endpoints forget CELL_OPTIONS          | 2 | Wrong number of arguments
                     endpoints forget -x CELL_OPTIONS       | 2 | endpoints forget NAME
+                    evacuation begin zone-a CELL_OPTIONS   | 0 | zone-a is evacuated
+                    evacuation finish zone-a CELL_OPTIONS  | 0 | zone-a is used again
+                    evacuation begin zone-x CELL_OPTIONS   | 1 | INVALID_REQUEST
+                    evacuation finish CELL_OPTIONS         | 2 | evacuation finish ZONE
                     daemon --settings @settings --check    | 0 | The settings are valid
                     daemon --settings @rules --check       | 1 | is not JSON
                     daemon                                 | 2 | settings
--- a/command-line/src/test/java/org/marjoramnotch/commandline/FakeCell.java
+++ b/command-line/src/test/java/org/marjoramnotch/commandline/FakeCell.java
@@ -94,6 +94,8 @@
             answer(exchange, 200, status);
         } else if (request.equals("DELETE /v1/operator/endpoints/alive")) {
             answer(exchange, 409, refusal("ENDPOINT_ALIVE", "Stop its VM."));
+        } else if (request.equals("PUT /v1/operator/evacuations/zone-x")) {
+            answer(exchange, 400, refusal("INVALID_REQUEST", "Name one of [zone-a]."));
         } else {
             answer(exchange, 200, Json.object());
         }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/OperatorRoutes.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/OperatorRoutes.java
@@ -13,12 +13,16 @@
 import org.marjoramnotch.daemon.duty.DutyInputQueue;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
+import org.marjoramnotch.model.identifier.AvailabilityZone;
 import org.marjoramnotch.model.identifier.EndpointId;
 import org.marjoramnotch.model.identifier.ReplicaId;
 import org.marjoramnotch.model.identifier.RequestId;
 import org.marjoramnotch.model.identifier.VmId;
 import org.marjoramnotch.model.message.ApplyRules;
+import org.marjoramnotch.model.message.BeginEvacuationRequest;
+import org.marjoramnotch.model.message.CellRequest;
 import org.marjoramnotch.model.message.Done;
+import org.marjoramnotch.model.message.FinishEvacuationRequest;
 import org.marjoramnotch.model.message.ForgetEndpointRequest;
 import org.marjoramnotch.model.message.ReadRules;
 import org.marjoramnotch.model.message.ReadStatus;
@@ -85,16 +89,26 @@
         }
         if (call.matches("DELETE", "v1", "operator", "endpoints", "*")) {
             EndpointId endpoint = new EndpointId(call.segment(NAME_SEGMENT));
-            return Optional.of(
-                    leaderCalls.call(
-                            new ForgetEndpointRequest(endpoint),
-                            TIMEOUT_MILLISECONDS,
-                            Done.class,
-                            done -> json.answer(OK, Map.of())));
+            return Optional.of(order(new ForgetEndpointRequest(endpoint)));
+        }
+        if (call.matches("PUT", "v1", "operator", "evacuations", "*")) {
+            return Optional.of(order(new BeginEvacuationRequest(zoneOf(call))));
+        }
+        if (call.matches("DELETE", "v1", "operator", "evacuations", "*")) {
+            return Optional.of(order(new FinishEvacuationRequest(zoneOf(call))));
         }
         return Optional.empty();
     }
 
+    private static AvailabilityZone zoneOf(HttpCall call) {
+        return new AvailabilityZone(call.segment(NAME_SEGMENT));
+    }
+
+    private CompletionStage<HttpResponse> order(CellRequest order) {
+        return leaderCalls.call(
+                order, TIMEOUT_MILLISECONDS, Done.class, done -> json.answer(OK, Map.of()));
+    }
+
     private CompletionStage<HttpResponse> applyRules(HttpCall call) {
         return bodies.read(call, TIMEOUT_MILLISECONDS)
                 .thenApply(body -> json.read(RulesBody.class, body))
--- a/daemon/src/test/java/org/marjoramnotch/daemon/OperatorContractTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/OperatorContractTest.java
@@ -8,6 +8,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramnotch.daemon.standin.StandInEndpoint;
 
 class OperatorContractTest {
@@ -42,6 +44,15 @@
         assertThat(daemon.operator("DELETE", GAS_1, "").body()).isEqualTo("{}");
     }
 
+    /** Guards against orders that are confirmed by a cell without workers that take orders. */
+    @ParameterizedTest
+    @ValueSource(strings = {"PUT", "DELETE"})
+    void evacuationIsRefusedByCellWithoutWorkflows(String method) {
+        HttpResponse<String> refused = daemon.operator(method, "/v1/operator/evacuations/a", "");
+        assertThat(refused.statusCode()).isEqualTo(400);
+        assertThat(refused.body()).contains("INVALID_REQUEST", "whose settings name workflow");
+    }
+
     @Test
     void statusListsVotersAndTheirIdentities() {
         assertThat(status())
