--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.marjoramnotch.logic.evacuation.ColdZones;
+import org.marjoramnotch.logic.evacuation.StandingTaskMoves;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.command.StartRuns;
 import org.marjoramnotch.model.fleet.TeamDefinition;
@@ -32,6 +33,7 @@
     private final Feasibility feasibility;
     private final UsableWorkers usable;
     private final Preemption preemption;
+    private final StandingTaskMover standingTasks;
     private final OverdueStepTurns overdueTurns = new OverdueStepTurns();
     private final WaitingTaskLog waitingTasks = new WaitingTaskLog();
 
@@ -44,6 +46,7 @@
             LoadMeter load,
             Feasibility feasibility,
             ColdZones coldZones,
+            StandingTaskMoves standingTaskMoves,
             Preemption preemption,
             RunMetricsListener metricsListener) {
         this.ledger = ledger;
@@ -65,6 +68,9 @@
         this.workerPreference = new BestFitPreference();
         this.search = new CandidateSearch(advice, capacity);
         this.placer = new TaskPlacer(sessions, advice, capacity);
+        this.standingTasks =
+                new StandingTaskMover(
+                        ledger, sessions, feasibility, advice, capacity, standingTaskMoves);
     }
 
     /** Removes and returns the ticket of a decided run. */
@@ -156,6 +162,13 @@
         shareLog.log(output);
     }
 
+    /** Moves standing tasks out of evacuated zones; to be called about once a second. */
+    void moveStandingTasks(long nowMilliseconds, LeaderOutput output) {
+        if (standingTasks.isNeeded(nowMilliseconds)) {
+            standingTasks.move(nowMilliseconds, usable.byPool(nowMilliseconds), output);
+        }
+    }
+
     private String reasonToWait(
             long nowMilliseconds, ReadyStep step, WorkflowTaskId task, PoolCapacity pool) {
         if (placer.isBlocked(task)) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -1,6 +1,7 @@
 package org.marjoramnotch.logic.workflow;
 
 import org.marjoramnotch.logic.evacuation.ColdZones;
+import org.marjoramnotch.logic.evacuation.StandingTaskMoves;
 import org.marjoramnotch.logic.evacuation.ZoneCheck;
 import org.marjoramnotch.logic.leader.LeaderDuty;
 import org.marjoramnotch.logic.leader.LeaderOutput;
@@ -142,6 +143,7 @@
                         load,
                         feasibility,
                         coldZones,
+                        new StandingTaskMoves(nowMilliseconds),
                         preemption,
                         runMetricsListener);
         this.endedWorkflows = new EndedWorkflowCleaner(ledger, settings.retentionMilliseconds());
@@ -218,6 +220,7 @@
             feasibilityCheck.check(nowMilliseconds, output);
             endedWorkflows.tick(nowMilliseconds, output);
             scheduler.logWaiting(nowMilliseconds, output);
+            scheduler.moveStandingTasks(nowMilliseconds, output);
         }
         if (nowMilliseconds >= nextScheduleAt) {
             scheduleDue = true;
