Admit work by the core time before it, and set aside what costs callers least

Cause: the waits for a team's limit and for a pool were the waiting demand times the mean run time of the pool. That leaves out steps that aren't ready and running tasks, and the mean is wrong for short work beside wide work: too little is predicted while a burst builds up, and pauses last up to 30 s. Late work waits behind all work that can be in time, which no estimate knew. Change: RemainingWork sums the remaining core time of all active workflows once a round, by team, pool and priority, with estimates corrected by the measured ratio of each queue. The wait is the time in which the capacity that running tasks free serves the work before the submission. LateService adds what is served before late work. A submission that finds room is admitted; pauses are 1 to 10 s, spread for each team or pool apart. ServicePlanRanking orders steps by ServicePlan. Lines workflow_refused (lasting_ms) and work_set_aside; waits_for is the result label of refused workflows. ServicePlanRankingTest is red without the ranking.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/metrics/DaemonMetrics.java
@@ -25,7 +25,8 @@
      * Fields of decisions that become the label "result". They have few values; other fields would
      * create a time series for each run.
      */
-    private static final Set<String> RESULT_FIELDS = Set.of("outcome", "reason", "cause");
+    private static final Set<String> RESULT_FIELDS =
+            Set.of("outcome", "reason", "cause", "waits_for");
 
     private static final double[] BUCKET_BOUNDS_SECONDS = {
         0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 600
--- a/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
@@ -75,10 +75,14 @@
         metrics.countDecision(
                 DecisionLogEntry.of("run_ended", "run", "w.0.0.2/1", "outcome", "DONE"));
         metrics.countDecision(DecisionLogEntry.of("worker_dismissed", "worker", "w-1"));
+        metrics.countDecision(
+                DecisionLogEntry.of("workflow_refused", "wait_ms", 9, "waits_for", "room"));
 
         assertThat(text())
                 .contains(
                         "marjoramnotch_decisions_total{event=\"run_ended\",result=\"done\"} 2",
+                        "marjoramnotch_decisions_total{event=\"workflow_refused\",result=\"room\"}"
+                                + " 1",
                         "marjoramnotch_decisions_total{event=\"worker_dismissed\",result=\"\"} 1");
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/admission/AdmissionPolicy.java
+++ b/library/src/main/java/org/marjoramnotch/logic/admission/AdmissionPolicy.java
@@ -1,9 +1,13 @@
 package org.marjoramnotch.logic.admission;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.marjoramnotch.model.identifier.JobId;
+import org.marjoramnotch.model.identifier.ServiceName;
+import org.marjoramnotch.model.identifier.TeamName;
 
 /**
  * Refuses submissions that can't be served any more. Work that is accepted waits behind the work
@@ -11,46 +15,47 @@
  * to return. A team with less than its share of the waiting work is always admitted.
  */
 public final class AdmissionPolicy {
-    /** Multiple of the latency objective after which a result is worthless. */
-    private static final int WORTHLESS_AFTER_OBJECTIVES = 3;
-
     /** Callers read the pause in whole seconds. */
     private static final long SHORTEST_PAUSE_MILLISECONDS = 1_000;
 
-    /** The load changes too much for a longer forecast. */
-    private static final long LONGEST_PAUSE_MILLISECONDS = 30_000;
+    /** The load changes too much for a longer forecast: bursts last for 5 to 10 s. */
+    private static final long LONGEST_PAUSE_MILLISECONDS = 10_000;
 
     private final List<WaitEstimator> estimators =
             List.of(new RoomWait(), new AdvisorWait(), new TeamLimitWait());
     private final AdmittedWork admitted = new AdmittedWork();
-    private final ReturnSchedule returns = new ReturnSchedule();
+    private final Map<PauseKey, ReturnSchedule> returns = new HashMap<>();
 
     /**
      * A refusal of a submission.
      *
      * @param cause what the submission would wait for
-     * @param waitMilliseconds the estimated wait
-     * @param limitMilliseconds the longest wait after which its result still has a worth
+     * @param waitMilliseconds the wait that the accepted work makes
+     * @param lastingMilliseconds the wait if work continues to arrive as it did lately
+     * @param limitMilliseconds the longest wait after which its result still has a value
      * @param retryAfterMilliseconds when its caller should return
      */
     public record Rejection(
             String cause,
             long waitMilliseconds,
+            long lastingMilliseconds,
             long limitMilliseconds,
             long retryAfterMilliseconds) {}
 
-    private record Wait(WaitEstimator estimator, long milliseconds) {}
+    private record Estimate(WaitEstimator estimator, WaitEstimator.Wait expected) {}
+
+    /** What refused callers wait for: the limit of a team, or a pool. */
+    private record PauseKey(String cause, ServiceName pool, Optional<TeamName> team) {}
 
     /** Admits a submission, or returns why it is refused. */
     public Optional<Rejection> admit(
             long nowMilliseconds, Submission submission, LoadSnapshot load) {
-        Wait wait = longestWait(submission, load);
-        long limit =
-                WORTHLESS_AFTER_OBJECTIVES * submission.objectiveMilliseconds()
-                        - submission.criticalPathMilliseconds();
-        boolean ownLimit = wait.estimator() instanceof TeamLimitWait;
-        if (wait.milliseconds() <= limit || (!ownLimit && isBelowShare(submission, load))) {
-            admitted.add(submission);
+        Estimate estimate = longestWait(nowMilliseconds, submission, load);
+        WaitEstimator.Wait wait = estimate.expected();
+        long limit = submission.longestWaitMilliseconds();
+        boolean ownLimit = estimate.estimator() instanceof TeamLimitWait;
+        if (wait.lastingMilliseconds() <= limit || (!ownLimit && isBelowShare(submission, load))) {
+            admitted.add(nowMilliseconds, submission);
             return Optional.empty();
         }
         long earliest =
@@ -58,28 +63,48 @@
                         + Math.max(
                                 SHORTEST_PAUSE_MILLISECONDS,
                                 wait.milliseconds() - submission.slackMilliseconds());
+        PauseKey key =
+                new PauseKey(
+                        estimate.estimator().cause(),
+                        submission.pool(),
+                        ownLimit ? submission.team() : Optional.empty());
         long returnAt =
-                returns.reserve(
-                        earliest, drainInterval(submission, load, wait), submission.priority());
+                returns.computeIfAbsent(key, absent -> new ReturnSchedule())
+                        .reserve(
+                                earliest,
+                                drainInterval(submission, load, wait, ownLimit),
+                                submission.priority(),
+                                nowMilliseconds + LONGEST_PAUSE_MILLISECONDS);
         return Optional.of(
                 new Rejection(
-                        wait.estimator().cause(),
+                        estimate.estimator().cause(),
                         wait.milliseconds(),
+                        wait.lastingMilliseconds(),
                         limit,
-                        Math.min(LONGEST_PAUSE_MILLISECONDS, returnAt - nowMilliseconds)));
+                        returnAt - nowMilliseconds));
     }
 
-    /** Handles the storage of an admitted submission, or its refusal for another reason. */
+    /** Handles the storage of an admitted submission. */
     public void onSettled(JobId workflow) {
+        admitted.settle(workflow);
+    }
+
+    /** Handles the refusal of an admitted submission for another reason. */
+    public void onRefused(JobId workflow) {
         admitted.remove(workflow);
     }
 
-    private Wait longestWait(Submission submission, LoadSnapshot load) {
+    private Estimate longestWait(long nowMilliseconds, Submission submission, LoadSnapshot load) {
         return estimators.stream()
                 .map(
                         estimator ->
-                                new Wait(estimator, estimator.estimate(submission, load, admitted)))
-                .max(Comparator.comparingLong(Wait::milliseconds))
+                                new Estimate(
+                                        estimator,
+                                        estimator.estimate(
+                                                nowMilliseconds, submission, load, admitted)))
+                .max(
+                        Comparator.comparingLong(
+                                estimate -> estimate.expected().lastingMilliseconds()))
                 .orElseThrow();
     }
 
@@ -96,8 +121,16 @@
     }
 
     /** Returns the time in which an amount of work like that of the submission is taken off. */
-    private static long drainInterval(Submission submission, LoadSnapshot load, Wait wait) {
-        long waiting = load.pool(submission.pool()).map(pool -> pool.waiting().total()).orElse(0L);
+    private static long drainInterval(
+            Submission submission, LoadSnapshot load, WaitEstimator.Wait wait, boolean ownLimit) {
+        long waiting =
+                ownLimit
+                        ? load.team(submission.team())
+                                .map(TeamLoad::waitingProcessorMillis)
+                                .orElse(0L)
+                        : load.pool(submission.pool())
+                                .map(pool -> pool.waiting().total())
+                                .orElse(0L);
         return waiting <= 0
                 ? 0
                 : Math.min(
--- a/library/src/main/java/org/marjoramnotch/logic/admission/AdvisorWait.java
+++ b/library/src/main/java/org/marjoramnotch/logic/admission/AdvisorWait.java
@@ -11,15 +11,17 @@
     }
 
     @Override
-    public long estimate(Submission submission, LoadSnapshot load, AdmittedWork admitted) {
+    public Wait estimate(
+            long nowMilliseconds, Submission submission, LoadSnapshot load, AdmittedWork admitted) {
         AdvisorLoad advisor = load.advisor();
         int priority = submission.priority();
         long steps = advisor.waiting().before(priority) + admitted.advisedBefore(priority);
         if (!submission.advised() || advisor.daemons() == 0 || steps < advisor.idleDaemons()) {
-            return 0;
+            return Wait.NONE;
         }
         double stepMilliseconds =
                 advisor.questionsPerStep() * advisor.questionMilliseconds() / advisor.daemons();
-        return (long) (steps * stepMilliseconds);
+        long wait = (long) (steps * stepMilliseconds);
+        return new Wait(wait, wait);
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/AppliedRunHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/AppliedRunHandler.java
@@ -59,6 +59,7 @@
                             .orElse(false);
             if (started) {
                 speeds.onStarted(nowMilliseconds, placement.run());
+                load.onRunStarted(nowMilliseconds, placement.run().task().step());
                 sessions.of(placement.worker())
                         .ifPresent(
                                 session ->
@@ -106,12 +107,11 @@
         WorkflowEntry entry = ledger.workflow(step.workflow()).orElse(null);
         StepTasks tasks = entry == null ? null : entry.step(step).orElse(null);
         if (tasks != null) {
-            long processorMillis = tasks.definition().reserved().processorMillis();
             ServiceName pool =
                     ledger.worker(worker)
                             .map(known -> known.worker().pool())
                             .orElse(entry.queue().pool());
-            load.onRunDone(pool, processorMillis, milliseconds);
+            load.onRunDone(pool, entry.queue().name(), tasks.definition(), milliseconds);
         }
     }
 
@@ -127,6 +127,7 @@
     void stopAll(long nowMilliseconds, JobId workflow, LeaderOutput output) {
         advice.forget(workflow);
         speeds.forget(workflow);
+        load.forget(workflow);
         objectives.forget(workflow);
         stopper.stopAll(nowMilliseconds, workflow, output);
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/LatencyObjectives.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/LatencyObjectives.java
@@ -92,8 +92,13 @@
         return new CriticalPaths(from, longest);
     }
 
-    private static long stepMilliseconds(StepDefinition step, QueueDefinition queue) {
+    /** Returns the estimated run time of a task, in milliseconds. */
+    static long estimate(StepDefinition step) {
         long estimate = step.estimateMilliseconds();
+        return estimate > 0 ? estimate : UNKNOWN_ESTIMATE_MILLISECONDS;
+    }
+
+    private static long stepMilliseconds(StepDefinition step, QueueDefinition queue) {
         double advice =
                 queue.advice()
                         .map(
@@ -101,6 +106,6 @@
                                         timing.decisionMilliseconds()
                                                 + ADVISED_WORKERS * timing.perWorkerMilliseconds())
                         .orElse(0.0);
-        return (estimate > 0 ? estimate : UNKNOWN_ESTIMATE_MILLISECONDS) + (long) advice;
+        return estimate(step) + (long) advice;
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -22,6 +22,7 @@
     private final CapacityView capacity;
     private final LatencyObjectives objectives;
     private final StepOrdering stepOrdering;
+    private final ServicePlanRanking servicePlan;
     private final WorkerPreference workerPreference;
     private final CandidateSearch search;
     private final AdviceBroker advice;
@@ -47,7 +48,8 @@
         this.speeds = speeds;
         this.capacity = new CapacityView(ledger);
         this.objectives = objectives;
-        this.stepOrdering = new LatencyStepOrdering(List.of());
+        this.servicePlan = new ServicePlanRanking(load);
+        this.stepOrdering = new LatencyStepOrdering(List.of(servicePlan));
         this.advice = advice;
         this.prefetchPolicy = new AdvicePrefetchPolicy();
         this.workerPreference = new BestFitPreference();
@@ -70,11 +72,11 @@
     void schedule(long nowMilliseconds, LeaderOutput output) {
         placer.beginRound();
         advice.beginRound();
-        load.beginRound();
+        load.beginRound(nowMilliseconds);
         List<ReadyStep> upcoming = new ArrayList<>();
         List<ReadyStep> ready = readySteps(nowMilliseconds, upcoming);
         if (ready.isEmpty() && upcoming.isEmpty()) {
-            load.endRound(nowMilliseconds, Map.of());
+            load.endRound(nowMilliseconds, idleCapacity(nowMilliseconds));
             return;
         }
         overdueTurns.apply(nowMilliseconds, ready);
@@ -132,6 +134,7 @@
                                                     pool(usableWorkers, poolOf(step)))));
         }
         waitingTasks.update(nowMilliseconds, waiting, output);
+        servicePlan.logSetAside(nowMilliseconds, output);
     }
 
     private String reasonToWait(
@@ -189,6 +192,13 @@
         }
     }
 
+    /**
+     * Returns the capacity for a round without ready steps, which needs it only if work is left.
+     */
+    private Map<ServiceName, PoolCapacity> idleCapacity(long nowMilliseconds) {
+        return ledger.active().isEmpty() ? Map.of() : usableByPool(nowMilliseconds);
+    }
+
     private Map<ServiceName, PoolCapacity> usableByPool(long nowMilliseconds) {
         Map<ServiceName, PoolCapacity> usableWorkers = new HashMap<>();
         for (WorkerEntry entry : ledger.workers()) {
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/StepTasks.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/StepTasks.java
@@ -65,6 +65,16 @@
         return done;
     }
 
+    int countRunning() {
+        int running = 0;
+        for (TaskState task : tasks) {
+            if (task.isRunning()) {
+                running++;
+            }
+        }
+        return running;
+    }
+
     void finish(TaskState task) {
         if (!isDone(task)) {
             task.finish();
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -104,13 +104,16 @@
         this.feasibilityCheck =
                 new FeasibilityCheck(
                         ledger, feasibility, wallClock, settings.feasibilityDelayMilliseconds());
-        LoadMeter load = new LoadMeter(ledger, advice, feasibilityCheck);
+        LatencyObjectives objectives =
+                new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
+        RunTimeForecast forecast = new RunTimeForecast();
+        RemainingWork work =
+                new RemainingWork(ledger, objectives, feasibility, feasibilityCheck, forecast);
+        LoadMeter load = new LoadMeter(ledger, advice, feasibilityCheck, work, forecast);
         this.workflows =
                 new WorkflowRequestHandler(
                         ledger, configuration, load, feasibility, feasibilityCheck, wallClock);
         this.workers = new WorkerReportHandler(ledger, sessions);
-        LatencyObjectives objectives =
-                new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
         SpeedEstimator speeds = new SpeedEstimator();
         this.scheduler =
                 new RunScheduler(ledger, sessions, advice, objectives, speeds, load, feasibility);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
@@ -101,7 +101,7 @@
                 || feasibility.findObstacle(workflow, queue).isPresent()) {
             return;
         }
-        Submission submission = submissionOf(workflow, queue);
+        Submission submission = SubmissionEstimate.of(workflow, queue, load.ratio(queue));
         AdmissionPolicy.Rejection rejection =
                 admission.admit(nowMilliseconds, submission, load.snapshot()).orElse(null);
         if (rejection == null) {
@@ -120,6 +120,8 @@
                         rejection.cause(),
                         "wait_ms",
                         rejection.waitMilliseconds(),
+                        "lasting_ms",
+                        rejection.lastingMilliseconds(),
                         "limit_ms",
                         rejection.limitMilliseconds(),
                         "retry_after_ms",
@@ -132,22 +134,6 @@
                         .withRetryAfter(rejection.retryAfterMilliseconds()));
     }
 
-    private static Submission submissionOf(Workflow workflow, QueueDefinition queue) {
-        long criticalPath = LatencyObjectives.criticalPath(workflow, queue);
-        return new Submission(
-                workflow.id(),
-                queue.pool(),
-                queue.priority(),
-                workflow.team(),
-                queue.advice().isPresent(),
-                workflow.steps().stream()
-                        .filter(step -> step.after().isEmpty())
-                        .mapToLong(step -> step.tasks() * step.reserved().processorMillis())
-                        .sum(),
-                LatencyObjectives.objective(criticalPath, queue),
-                criticalPath);
-    }
-
     void read(RequestHandle handle, ReadWorkflow request, LeaderOutput output) {
         RouteTable.Route route = configuration.routes().resolve(request.target());
         if (route.workflow().isEmpty()) {
@@ -181,7 +167,7 @@
         if (command instanceof SubmitWorkflow submit
                 && result instanceof CommandResult.Rejected rejected) {
             JobId id = submit.workflow().id();
-            admission.onSettled(id);
+            admission.onRefused(id);
             configuration.log().logRefusal(submit.workflow(), rejected.refusal().code(), output);
             pendingSubmissions.answer(id, new Refused(rejected.refusal()), output);
         } else if (command instanceof SubmitWorkflow submit) {
