--- a/library/src/main/java/org/marjoramnotch/logic/preemption/PreemptionPlanner.java
+++ b/library/src/main/java/org/marjoramnotch/logic/preemption/PreemptionPlanner.java
@@ -85,6 +85,11 @@
         return late;
     }
 
+    /** Returns how much of a pool may be being stopped at one time. */
+    public static long mostStopping(long processorMillis) {
+        return processorMillis * MAXIMUM_STOPPING_PERCENT / PERCENT;
+    }
+
     /** Returns whether a step can still be in time if runs are stopped now. */
     public static boolean canBeInTime(PoolState pool, UrgentStep step) {
         return pool.startMilliseconds() <= step.latestStart();
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunScheduler.java
@@ -13,22 +13,21 @@
 import org.marjoramnotch.model.identifier.ServiceName;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.RunPlacement;
-import org.marjoramnotch.model.workflow.StepId;
 import org.marjoramnotch.model.workflow.WorkflowTaskId;
 
 /** Schedules the tasks of ready steps on workers. */
 final class RunScheduler {
     private final WorkflowLedger ledger;
     private final CapacityView capacity;
-    private final LatencyObjectives objectives;
+    private final ReadySteps readySteps;
     private final CapacityShares shares;
     private final TeamShareLog shareLog;
     private final StepOrdering stepOrdering;
+    private final ServicePlanRanking servicePlan;
     private final WorkerPreference workerPreference;
     private final CandidateSearch search;
     private final AdviceBroker advice;
     private final TaskPlacer placer;
-    private final AdvicePrefetchPolicy prefetchPolicy;
     private final LoadMeter load;
     private final Feasibility feasibility;
     private final UsableWorkers usable;
@@ -55,19 +54,17 @@
         this.preemption = preemption;
         this.capacity = new CapacityView(ledger);
         this.usable = new UsableWorkers(ledger, sessions, capacity, speeds, coldZones, preemption);
-        this.objectives = objectives;
         this.shares = new CapacityShares(ledger, capacity);
         this.shareLog = new TeamShareLog(metricsListener);
-        this.stepOrdering =
-                new LatencyStepOrdering(
-                        List.of(
-                                new WeightedShareRanking(
-                                        shares, feasibility, List.of(), shareLog)));
+        this.servicePlan = new ServicePlanRanking(load);
+        StepRanking shareRanking =
+                new WeightedShareRanking(shares, feasibility, List.of(servicePlan), shareLog);
+        this.stepOrdering = new LatencyStepOrdering(List.of(shareRanking, servicePlan));
         this.advice = advice;
-        this.prefetchPolicy = new AdvicePrefetchPolicy();
         this.workerPreference = new BestFitPreference();
         this.search = new CandidateSearch(advice, capacity);
         this.placer = new TaskPlacer(sessions, advice, capacity);
+        this.readySteps = new ReadySteps(ledger, objectives, placer);
         this.standingTasks =
                 new StandingTaskMover(
                         ledger, sessions, feasibility, advice, capacity, standingTaskMoves);
@@ -88,13 +85,14 @@
     void schedule(long nowMilliseconds, LeaderOutput output) {
         placer.beginRound();
         advice.beginRound();
-        load.beginRound();
+        load.beginRound(nowMilliseconds);
         shares.beginRound();
         preemption.beginRound(nowMilliseconds);
         List<ReadyStep> upcoming = new ArrayList<>();
-        List<ReadyStep> ready = readySteps(nowMilliseconds, upcoming);
+        List<ReadyStep> ready = readySteps.find(nowMilliseconds, upcoming);
+        stepOrdering.sort(nowMilliseconds, ready);
         if (ready.isEmpty() && upcoming.isEmpty()) {
-            load.endRound(nowMilliseconds, Map.of());
+            load.endRound(nowMilliseconds, idleCapacity(nowMilliseconds));
             shares.endRound(Map.of());
             return;
         }
@@ -146,7 +144,7 @@
     void logWaiting(long nowMilliseconds, LeaderOutput output) {
         Map<ServiceName, PoolCapacity> usableWorkers = usable.byPool(nowMilliseconds);
         Map<WorkflowTaskId, String> waiting = new HashMap<>();
-        for (ReadyStep step : readySteps(nowMilliseconds, new ArrayList<>())) {
+        for (ReadyStep step : readySteps.find(nowMilliseconds, new ArrayList<>())) {
             placer.firstWaiting(step)
                     .ifPresent(
                             task ->
@@ -160,6 +158,7 @@
         }
         waitingTasks.update(nowMilliseconds, waiting, output);
         shareLog.log(output);
+        servicePlan.logSetAside(nowMilliseconds, output);
     }
 
     /** Moves standing tasks out of evacuated zones; to be called about once a second. */
@@ -224,55 +223,11 @@
         }
     }
 
-    private List<ReadyStep> readySteps(long nowMilliseconds, List<ReadyStep> upcoming) {
-        List<ReadyStep> ready = new ArrayList<>();
-        for (WorkflowEntry entry : ledger.active()) {
-            for (int occurrence = 0; occurrence < entry.occurrenceCount(); occurrence++) {
-                long start = objectives.dueAt(entry.workflow(), occurrence);
-                boolean due = entry.workflow().recurrence().isEmpty() || nowMilliseconds >= start;
-                if (due) {
-                    addReadySteps(entry, occurrence, start, ready, upcoming);
-                }
-            }
-        }
-        stepOrdering.sort(nowMilliseconds, ready);
-        return ready;
-    }
-
-    private void addReadySteps(
-            WorkflowEntry entry,
-            int occurrence,
-            long start,
-            List<ReadyStep> ready,
-            List<ReadyStep> upcoming) {
-        List<StepTasks> steps = entry.steps(occurrence);
-        for (int step = 0; step < steps.size(); step++) {
-            StepTasks tasks = steps.get(step);
-            StepId id = new StepId(entry.id(), occurrence, step);
-            if (!hasWaiting(id, tasks)) {
-                continue;
-            }
-            if (entry.isReady(occurrence, step)) {
-                long objective = objectives.objective(entry);
-                long dueAt = start + objective;
-                long latest = dueAt - objectives.criticalPathFrom(entry, step);
-                ready.add(new ReadyStep(entry, id, tasks, dueAt, latest, objective));
-            } else if (prefetchPolicy.isSoonReady(entry, occurrence, step)) {
-                upcoming.add(new ReadyStep(entry, id, tasks, start, start, 0));
-            }
-        }
-    }
-
-    private boolean hasWaiting(StepId id, StepTasks tasks) {
-        if (tasks.isDone() || !tasks.hasWaiting()) {
-            return false;
-        }
-        for (int index = 0; index < tasks.tasks().size(); index++) {
-            if (placer.isWaiting(tasks, new WorkflowTaskId(id, index))) {
-                return true;
-            }
-        }
-        return false;
+    /**
+     * Returns the capacity for a round without ready steps, which needs it only if work is left.
+     */
+    private Map<ServiceName, PoolCapacity> idleCapacity(long nowMilliseconds) {
+        return ledger.active().isEmpty() ? Map.of() : usable.byPool(nowMilliseconds);
     }
 
     private List<RunPlacement> place(
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -115,7 +115,11 @@
         this.feasibilityCheck =
                 new FeasibilityCheck(
                         ledger, feasibility, wallClock, settings.feasibilityDelayMilliseconds());
-        LoadMeter load = new LoadMeter(ledger, advice, feasibilityCheck);
+        LatencyObjectives objectives =
+                new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
+        RemainingWork work =
+                new RemainingWork(ledger, objectives, feasibility, feasibilityCheck, settings);
+        LoadMeter load = new LoadMeter(ledger, advice, feasibilityCheck, work);
         this.workflows =
                 new WorkflowRequestHandler(
                         ledger, configuration, load, feasibility, feasibilityCheck, wallClock);
@@ -128,8 +132,6 @@
                         coldZones,
                         new ZoneCheck(settings.availabilityZones(), ledger.evacuations()),
                         wallClock);
-        LatencyObjectives objectives =
-                new LatencyObjectives(nowMilliseconds - wallClock.nowMilliseconds());
         SpeedEstimator speeds = new SpeedEstimator(ledger::kindOf);
         this.preemption =
                 new Preemption(settings, ledger, sessions, advice, objectives, nowMilliseconds);
