Bound what clients make a process keep, and end a process with a failed thread

Cause: the decoder passed on all requests of a read buffer, up to 64 KiB, as objects, which took more than the heap; and a thread that died of the lack of memory left a process that served nobody, since the line about it could not be written and the handler then did not halt. Change: one message is decoded at a time, read buffers are 16 KiB at most, what is kept for clients has a budget (the largest holder is closed), long answers are written in parts, heads have limits of lines, empty lines and time, and an address may have a limit of connections. Any failed thread ends the process, event loops included. Not run: the whole test suites of daemon, platform and library.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -14,6 +14,8 @@
 import org.marjoramnotch.daemon.duty.SystemClock;
 import org.marjoramnotch.daemon.entry.Entry;
 import org.marjoramnotch.daemon.entry.EntryLimits;
+import org.marjoramnotch.daemon.http.ClientGuard;
+import org.marjoramnotch.daemon.http.ClientLimits;
 import org.marjoramnotch.daemon.http.HttpInterface;
 import org.marjoramnotch.daemon.http.HttpInterfaceBuilder;
 import org.marjoramnotch.daemon.http.HttpListener;
@@ -51,7 +53,7 @@
     private final DaemonMetrics metrics = new DaemonMetrics();
     private final String incarnation = UUID.randomUUID().toString();
     private final Consumer<Throwable> failure = new FatalErrorHandler();
-    private final NetworkThreads threads = new NetworkThreads();
+    private final NetworkThreads threads = new NetworkThreads(failure);
     private final List<Duty<?>> duties = new CopyOnWriteArrayList<>();
     private final Optional<ReplicaHost> replica;
     private final CellLinks links;
@@ -80,7 +82,7 @@
                 settings.dataFolder()
                         .filter(path -> settings.has(DaemonRole.REPLICA))
                         .map(path -> new ReplicaHost(settings, path, parts, clock, begun, metrics));
-        links = new CellLinks(linkSettings(), localReplica(), clock, metrics);
+        links = new CellLinks(linkSettings(), localReplica(), clock, metrics, failure);
         entry =
                 new Entry(
                         settings.vm(),
@@ -91,8 +93,9 @@
                         clock,
                         metrics);
         stop = new DaemonShutdown(clock, settings.limits());
+        ClientGuard clients = new ClientGuard(ClientLimits.of(settings.limits()), metrics, clock);
         http =
-                new HttpInterfaceBuilder(threads, settings, clock, metrics)
+                new HttpInterfaceBuilder(threads, settings, clock, metrics, clients)
                         .replica(localReplica().map(LocalReplica::input))
                         .ready(() -> !stop.hasBegun() && entry.holdsLease())
                         .build(entry, links.client(), operatorKey);
@@ -111,6 +114,7 @@
                                 links.client(),
                                 clock,
                                 metrics,
+                                clients,
                                 () -> !stop.hasBegun() && entry.holdsLease())));
     }
 
--- a/daemon/src/main/java/org/marjoramnotch/daemon/DaemonContext.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/DaemonContext.java
@@ -1,6 +1,7 @@
 package org.marjoramnotch.daemon;
 
 import java.util.function.BooleanSupplier;
+import org.marjoramnotch.daemon.http.ClientGuard;
 import org.marjoramnotch.daemon.link.CellClient;
 import org.marjoramnotch.daemon.metrics.DaemonMetrics;
 import org.marjoramnotch.daemon.settings.DaemonSettings;
@@ -15,6 +16,7 @@
  * @param client sends requests to the leader
  * @param clock the daemon's monotonic clock
  * @param metrics the daemon's metrics
+ * @param clients limits what clients make the process keep
  * @param ready returns whether the daemon accepts work
  */
 public record DaemonContext(
@@ -23,4 +25,5 @@
         CellClient client,
         Clock clock,
         DaemonMetrics metrics,
+        ClientGuard clients,
         BooleanSupplier ready) {}
--- a/daemon/src/main/java/org/marjoramnotch/daemon/DaemonRunner.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/DaemonRunner.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.marjoramnotch.daemon.duty.FatalErrorHandler;
 import org.marjoramnotch.daemon.duty.SystemClock;
 import org.marjoramnotch.daemon.settings.DaemonLimits;
 import org.marjoramnotch.daemon.settings.DaemonSettings;
@@ -35,6 +36,7 @@
             DaemonExtension extension,
             Optional<SettingsWatcher> watcher,
             StartupPreparation preparation) {
+        Thread.setDefaultUncaughtExceptionHandler(new FatalErrorHandler());
         CompletableFuture<Daemon> started = new CompletableFuture<>();
         // The hook comes before the start, since a listener may accept requests during it.
         Runtime.getRuntime()
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpInterface.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpInterface.java
@@ -26,6 +26,7 @@
     private final Routes health;
     private final List<Routes> work;
     private final RefusalAnswers refusals;
+    private final ClientGuard clients;
     private final LogRateLimiter faultLogs;
     private volatile boolean stopping;
 
@@ -34,12 +35,14 @@
             Clock clock,
             Routes health,
             List<Routes> work,
-            RefusalAnswers refusals) {
+            RefusalAnswers refusals,
+            ClientGuard clients) {
         this.threads = threads;
         this.clock = clock;
         this.health = health;
         this.work = List.copyOf(work);
         this.refusals = refusals;
+        this.clients = clients;
         this.faultLogs = new LogRateLimiter(clock, LOG_INTERVAL_MILLISECONDS);
     }
 
@@ -55,7 +58,8 @@
                     threads,
                     new InetSocketAddress(host, port),
                     this::apply,
-                    this::answerWithoutOutcome);
+                    this::answerWithoutOutcome,
+                    clients);
         } catch (CompletionException failure) {
             throw new MarjoramnotchException(
                     ErrorCode.INVALID_SETTINGS,
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpInterfaceBuilder.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpInterfaceBuilder.java
@@ -21,16 +21,22 @@
     private final DaemonSettings settings;
     private final Clock clock;
     private final DaemonMetrics metrics;
+    private final ClientGuard clients;
     private Optional<DutyInputQueue<CellInput>> replica = Optional.empty();
     private BooleanSupplier ready = () -> true;
 
     /** Creates a builder with the components that every process has. */
     public HttpInterfaceBuilder(
-            NetworkThreads threads, DaemonSettings settings, Clock clock, DaemonMetrics metrics) {
+            NetworkThreads threads,
+            DaemonSettings settings,
+            Clock clock,
+            DaemonMetrics metrics,
+            ClientGuard clients) {
         this.threads = threads;
         this.settings = settings;
         this.clock = clock;
         this.metrics = metrics;
+        this.clients = clients;
     }
 
     /** Sets the input of the process's replica, which handles operators' commands. */
@@ -66,6 +72,7 @@
                         new JobRoutes(leaderCalls, bodies, json),
                         new WorkflowRoutes(leaderCalls, bodies, json),
                         new OperatorRoutes(operatorKeySha256, replica, leaderCalls, bodies, json)),
-                refusals);
+                refusals,
+                clients);
     }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpListener.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/HttpListener.java
@@ -1,14 +1,12 @@
 package org.marjoramnotch.daemon.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpRequestDecoder;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Map;
@@ -32,11 +30,19 @@
     private static final Logger LOGGER = Logger.getLogger(HttpListener.class);
     private static final int BACKLOG = 1_024;
     private static final int MAXIMUM_CONNECTIONS = 16_384;
-    private static final int MAXIMUM_LINE_BYTES = 8_192;
-    private static final int MAXIMUM_HEADER_BYTES = 32_768;
+
+    /**
+     * Sizes of the buffer for one read from a connection. The largest one is kept until all that it
+     * holds is decoded; it takes a whole head of the longest size that most clients may send.
+     */
+    private static final int MINIMUM_READ_BYTES = 512;
+
+    private static final int FIRST_READ_BYTES = 2_048;
+    private static final int MAXIMUM_READ_BYTES = 16_384;
 
     private final Function<HttpRequest, CompletionStage<HttpResponse>> handler;
     private final Supplier<HttpResponse> answerWithoutOutcome;
+    private final ClientGuard clients;
     private final Set<CompletableFuture<HttpResponse>> openCalls = ConcurrentHashMap.newKeySet();
 
     /** Open calls whose handler has returned, with its answer. */
@@ -54,9 +60,11 @@
             NetworkThreads threads,
             InetSocketAddress address,
             Function<HttpRequest, CompletionStage<HttpResponse>> handler,
-            Supplier<HttpResponse> answerWithoutOutcome) {
+            Supplier<HttpResponse> answerWithoutOutcome,
+            ClientGuard clients) {
         this.handler = handler;
         this.answerWithoutOutcome = answerWithoutOutcome;
+        this.clients = clients;
         this.acceptor =
                 new ServerBootstrap()
                         .group(threads.group())
@@ -64,6 +72,10 @@
                         .option(ChannelOption.SO_BACKLOG, BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
                         .childOption(ChannelOption.AUTO_READ, false)
+                        .childOption(
+                                ChannelOption.RCVBUF_ALLOCATOR,
+                                new AdaptiveRecvByteBufAllocator(
+                                        MINIMUM_READ_BYTES, FIRST_READ_BYTES, MAXIMUM_READ_BYTES))
                         .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .childOption(ChannelOption.SO_KEEPALIVE, true)
                         .childOption(ChannelOption.TCP_NODELAY, true)
@@ -80,14 +92,17 @@
      * @param handler answers a request
      * @param answerWithoutOutcome creates the answer to a request whose outcome isn't known when
      *     the listener has to close
+     * @param clients limits what the clients of the process make it keep
      * @throws CompletionException if the address cannot be used
      */
     public static HttpListener bind(
             NetworkThreads threads,
             InetSocketAddress address,
             Function<HttpRequest, CompletionStage<HttpResponse>> handler,
-            Supplier<HttpResponse> answerWithoutOutcome) {
-        HttpListener listener = new HttpListener(threads, address, handler, answerWithoutOutcome);
+            Supplier<HttpResponse> answerWithoutOutcome,
+            ClientGuard clients) {
+        HttpListener listener =
+                new HttpListener(threads, address, handler, answerWithoutOutcome, clients);
         if (!listener.acceptor.isActive()) {
             throw new CompletionException(new IOException("Cannot listen on " + address));
         }
@@ -201,7 +216,7 @@
     private CompletionStage<HttpResponse> applyHandler(HttpRequest request) {
         try {
             return handler.apply(request);
-        } catch (RuntimeException failure) {
+        } catch (RuntimeException | Error failure) {
             return CompletableFuture.failedFuture(failure);
         }
     }
@@ -210,23 +225,30 @@
     private final class Initializer extends ChannelInitializer<SocketChannel> {
         @Override
         protected void initChannel(SocketChannel channel) {
-            ServerConnection connection = new ServerConnection(HttpListener.this, channel);
+            InetSocketAddress client = channel.remoteAddress();
+            // A stopping listener connects to itself.
+            if (client != null && !closesAfterAnswers && !admit(channel, client)) {
+                return;
+            }
+            ServerConnection connection = new ServerConnection(HttpListener.this, channel, clients);
             connections.add(connection);
             if (connections.size() >= MAXIMUM_CONNECTIONS) {
                 acceptor.config().setAutoRead(false);
             }
-            channel.pipeline()
-                    .addLast(connection.arrivals())
-                    .addLast(
-                            new HttpRequestDecoder(
-                                    new HttpDecoderConfig()
-                                            .setMaxInitialLineLength(MAXIMUM_LINE_BYTES)
-                                            .setMaxHeaderSize(MAXIMUM_HEADER_BYTES)))
-                    .addLast(new HttpResponseEncoder())
-                    .addLast(connection);
+            connection.install();
             if (closed) {
                 connection.close();
             }
         }
+
+        private boolean admit(SocketChannel channel, InetSocketAddress client) {
+            boolean admitted = clients.admit(client.getAddress());
+            channel.closeFuture().addListener(ended -> clients.onEnded(client.getAddress()));
+            if (!admitted) {
+                clients.report(ClientRefusal.ADDRESS_CONNECTIONS, client, 0);
+                channel.close();
+            }
+            return admitted;
+        }
     }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/ResponseWriter.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/ResponseWriter.java
@@ -1,11 +1,14 @@
 package org.marjoramnotch.daemon.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -25,6 +28,12 @@
         void onWritten(boolean last);
     }
 
+    /**
+     * Longest part of a body that is handed to the channel at once, since the channel copies it to
+     * direct memory until the client reads it.
+     */
+    private static final int PART_BYTES = 64 * 1024;
+
     private final SocketChannel channel;
     private @Nullable BodyStream stream;
 
@@ -32,6 +41,12 @@
         this.channel = channel;
     }
 
+    /** Returns the memory of a response while it is written. */
+    static long keptBytes(HttpResponse response) {
+        int length = response.body().length;
+        return (long) length + Math.min(length, PART_BYTES);
+    }
+
     /**
      * Writes a response.
      *
@@ -44,6 +59,10 @@
             return;
         }
         byte[] body = response.body();
+        if (body.length > PART_BYTES && !onlyHead) {
+            writeParts(response, last, listener);
+            return;
+        }
         DefaultFullHttpResponse message =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
@@ -51,7 +70,44 @@
                         Unpooled.wrappedBuffer(onlyHead ? new byte[0] : body));
         setHeaders(message.headers(), response, last);
         message.headers().set("Content-Length", body.length);
-        channel.writeAndFlush(message).addListener(written -> listener.onWritten(last));
+        channel.writeAndFlush(message)
+                .addListener(written -> listener.onWritten(last || !written.isSuccess()));
+    }
+
+    private void writeParts(HttpResponse response, boolean last, WrittenListener listener) {
+        DefaultHttpResponse head =
+                new DefaultHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(response.status()));
+        setHeaders(head.headers(), response, last);
+        head.headers().set("Content-Length", response.body().length);
+        channel.write(head);
+        writePart(response.body(), 0, last, listener);
+    }
+
+    /** Writes a part of a body, and the next one once it is written. */
+    private void writePart(byte[] body, int from, boolean last, WrittenListener listener) {
+        int length = Math.min(PART_BYTES, body.length - from);
+        int end = from + length;
+        ByteBuf part = Unpooled.wrappedBuffer(body, from, length);
+        HttpContent content =
+                end == body.length
+                        ? new DefaultLastHttpContent(part)
+                        : new DefaultHttpContent(part);
+        channel.writeAndFlush(content)
+                .addListener(
+                        written -> {
+                            if (written.isSuccess() && end < body.length) {
+                                writePart(body, end, last, listener);
+                            } else {
+                                listener.onWritten(last || !written.isSuccess());
+                            }
+                        });
+    }
+
+    /** Tells the client to send the body of its request. */
+    void writeContinue() {
+        channel.writeAndFlush(
+                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
 
     /** Ends a streamed body without its end, so that the caller notices that it is incomplete. */
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/ServerConnection.java
@@ -1,15 +1,12 @@
 package org.marjoramnotch.daemon.http;
 
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.ArrayDeque;
@@ -33,34 +30,38 @@
     private final HttpListener listener;
     private final SocketChannel channel;
     private final ResponseWriter writer;
+    private final RequestDecoder decoder;
+    private final ConnectionGuard guard;
 
-    /** Parts of later requests that were read together with the present one. */
+    /** Parts of a later request that were decoded together with the end of the present one. */
     private final Deque<Object> readAhead = new ArrayDeque<>();
 
     private @Nullable IncomingBody body;
 
-    /** Whether a request, or the beginning of one, has been read and not answered. */
-    private boolean unanswered;
-
     private boolean answering;
+
+    /** Whether the listener handles the present request. */
+    private boolean handling;
+
     private boolean closing;
     private boolean inputEnded;
+    private boolean refused;
 
-    ServerConnection(HttpListener listener, SocketChannel channel) {
+    ServerConnection(HttpListener listener, SocketChannel channel, ClientGuard clients) {
         this.listener = listener;
         this.channel = channel;
         this.writer = new ResponseWriter(channel);
+        this.decoder = new RequestDecoder(clients.limits());
+        this.guard = new ConnectionGuard(clients, channel, decoder, this::refuse);
     }
 
-    /** Returns the handler of arriving bytes, which comes before the decoder of requests. */
-    ChannelInboundHandler arrivals() {
-        return new ChannelInboundHandlerAdapter() {
-            @Override
-            public void channelRead(ChannelHandlerContext context, Object bytes) {
-                unanswered = true;
-                context.fireChannelRead(bytes);
-            }
-        };
+    /** Adds the handlers of the connection to its channel. */
+    void install() {
+        channel.pipeline()
+                .addLast(decoder)
+                .addLast(new ReadGate(decoder))
+                .addLast(new HttpResponseEncoder())
+                .addLast(this);
     }
 
     /** Closes the connection once it has no unanswered request; may be called by any thread. */
@@ -95,9 +96,32 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
+        ClientRefusal refusal = decoder.refusal();
+        if (refusal != null && !refused) {
+            refuse(refusal);
+        }
+        closeIfIdle();
+        updateKept();
         readIfNeeded();
     }
 
+    /** Refuses the request whose head is being read, or the rest of a body. */
+    private void refuse(ClientRefusal reason) {
+        refused = true;
+        guard.report(reason);
+        if (answering) {
+            failBody("The client was refused: " + reason.label());
+            endInput();
+            return;
+        }
+        answering = true;
+        writer.write(reason.answer(), false, true, this::onAnswered);
+    }
+
+    private void updateKept() {
+        guard.update(body, !answering && readAhead.isEmpty());
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
         if (event == ChannelInputShutdownEvent.INSTANCE) {
@@ -120,6 +144,7 @@
         writer.cutStream();
         readAhead.forEach(ReferenceCountUtil::release);
         readAhead.clear();
+        guard.onEnded(body, handling);
         listener.onEnded(this);
     }
 
@@ -164,14 +189,10 @@
 
     private void begin(io.netty.handler.codec.http.HttpRequest head) {
         answering = true;
+        guard.onHead();
         if (head.decoderResult().isFailure()) {
-            writer.write(
-                    HttpResponse.text(
-                            HttpResponseStatus.BAD_REQUEST.code(),
-                            "The request is malformed; correct it."),
-                    false,
-                    true,
-                    this::onAnswered);
+            guard.report(ClientRefusal.MALFORMED_HEAD);
+            writer.write(ClientRefusal.MALFORMED_HEAD.answer(), false, true, this::onAnswered);
             return;
         }
         boolean keepsAlive = HttpUtil.isKeepAlive(head);
@@ -181,12 +202,14 @@
                         channel,
                         () -> {
                             if (HttpUtil.is100ContinueExpected(head)) {
-                                sendContinue();
+                                writer.writeContinue();
                             }
                         });
         body = arriving;
+        updateKept();
         HttpRequest request =
                 new HttpRequest(head.method().name(), head.uri(), head.headers(), arriving);
+        handling = true;
         listener.handle(request)
                 .whenComplete(
                         (response, failure) ->
@@ -202,21 +225,20 @@
         }
     }
 
-    private void sendContinue() {
-        channel.writeAndFlush(
-                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
-    }
-
     private void answer(
             @Nullable HttpResponse response,
             @Nullable Throwable failure,
             boolean onlyHead,
             boolean keepsAlive) {
+        handling = false;
+        guard.releaseIfEnded();
         if (response == null) {
             LogEvent.of("call_failed").error(LOGGER, failure);
             channel.close();
             return;
         }
+        guard.onAnswer(response);
+        updateKept();
         boolean last = !keepsAlive || inputEnded || closing || listener.closesAfterAnswers();
         writer.write(response, onlyHead, last, this::onAnswered);
     }
@@ -235,23 +257,34 @@
         if (present != null && !present.isTaken()) {
             present.discard();
         }
+        if (present != null && present.hasArrived()) {
+            // The contents are not kept until the next request.
+            body = null;
+        }
         answering = false;
-        unanswered = !readAhead.isEmpty();
+        guard.onAnswered();
         processReadAhead();
         closeIfIdle();
+        updateKept();
         readIfNeeded();
     }
 
     private void closeIfIdle() {
-        if (closing && !unanswered) {
+        if (closing && !isUnanswered()) {
             channel.close();
         }
     }
 
+    /** Returns whether a request, or the beginning of one, has been read and not answered. */
+    private boolean isUnanswered() {
+        return answering || !readAhead.isEmpty() || decoder.hasPartialRequest();
+    }
+
     private void readIfNeeded() {
         IncomingBody present = body;
-        boolean needed = answering ? present != null && present.wantsContent() : !closing;
-        if ((needed || (closing && unanswered && !answering)) && channel.isActive()) {
+        boolean needed =
+                answering ? present != null && present.wantsContent() : !closing || isUnanswered();
+        if (needed && !refused && channel.isActive()) {
             channel.read();
         }
     }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/CellLinks.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellLinks.java
@@ -45,7 +45,7 @@
     private final Clock clock;
     private final DaemonMetrics metrics;
     private final FrameCodec frames = new FrameCodec(new CborMapper());
-    private final LinkNetwork network = new LinkNetwork();
+    private final LinkNetwork network;
     private final Map<VmId, PeerLink> links = new ConcurrentHashMap<>();
     private final Map<VmId, DutyInputQueue<Frame>> linkInputs = new ConcurrentHashMap<>();
     private final DutyInputQueue<ClientInput> clientInput;
@@ -60,13 +60,16 @@
      * Creates the links of a process without opening them.
      *
      * @param local the replica of this process, if it has one
+     * @param failure is told when a network thread ends that should not
      */
     public CellLinks(
             LinkSettings settings,
             Optional<LocalReplica> local,
             Clock clock,
-            DaemonMetrics metrics) {
+            DaemonMetrics metrics,
+            Consumer<Throwable> failure) {
         this.settings = settings;
+        this.network = new LinkNetwork(failure);
         this.local = local;
         this.clock = clock;
         this.metrics = metrics;
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/LinkNetwork.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/LinkNetwork.java
@@ -7,10 +7,11 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.marjoramnotch.daemon.transport.WatchedThreadFactory;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
 
@@ -19,8 +20,18 @@
     private static final int THREADS = 2;
     private static final int MAXIMUM_MESSAGE_BYTES = 64 * 1024 * 1024;
 
-    private final NioEventLoopGroup threads =
-            new NioEventLoopGroup(THREADS, new DefaultThreadFactory("link", true));
+    private final WatchedThreadFactory factory;
+    private final NioEventLoopGroup threads;
+
+    /**
+     * Creates the threads.
+     *
+     * @param failure is told when a thread ends that should not
+     */
+    LinkNetwork(Consumer<Throwable> failure) {
+        factory = new WatchedThreadFactory("link", failure);
+        threads = new NioEventLoopGroup(THREADS, factory);
+    }
 
     /** Opens a channel that shares no connection with any other. */
     ManagedChannel openChannel(String host, int port) {
@@ -61,6 +72,7 @@
 
     /** Stops the threads. */
     void close() {
+        factory.stop();
         threads.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/metrics/DaemonMetrics.java
@@ -88,6 +88,13 @@
                     .labelNames("code")
                     .register(registry);
 
+    private final Counter clientRefusals =
+            Counter.builder()
+                    .name("marjoramnotch_client_refusals")
+                    .help("Clients that were refused, or whose connections were closed, by cause.")
+                    .labelNames("reason")
+                    .register(registry);
+
     private final LeaderMetrics leader = new LeaderMetrics(registry);
 
     private final ReplicaMetrics replica = new ReplicaMetrics(registry);
@@ -123,6 +130,16 @@
         refusedConfigurations.labelValues(code.name()).inc();
     }
 
+    /** Counts a client that was refused or whose connection was closed. */
+    public void countClientRefusal(String reason) {
+        clientRefusals.labelValues(reason).inc();
+    }
+
+    /** Returns how often clients were refused for a reason. */
+    public long clientRefusals(String reason) {
+        return (long) clientRefusals.labelValues(reason).get();
+    }
+
     /** Counts an event. */
     public void count(CountedEvent event) {
         events.labelValues(event.label()).inc();
--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/DaemonLimits.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/DaemonLimits.java
@@ -22,6 +22,13 @@
  * @param snapshotEveryEntries number of log entries between two snapshots
  * @param stopMilliseconds maximum time that a shutdown waits for open work
  * @param graceSeconds time after which a process that was asked to stop is killed
+ * @param clientMemoryBytes maximum memory for what clients have sent and not read; 0 for three
+ *     eighths of the smaller of heap and direct memory
+ * @param connectionMemoryBytes the same for one connection; 0 for three quarters of that
+ * @param maximumHeaderLines maximum number of lines in the head of a request
+ * @param maximumEmptyLines maximum number of empty lines before a request
+ * @param headTimeoutMilliseconds maximum time from the first byte of a head to its end
+ * @param connectionsPerAddress maximum number of connections from one address; 0 for any number
  */
 @JsonDeserialize(builder = DaemonLimits.Builder.class)
 public record DaemonLimits(
@@ -36,7 +43,13 @@
         int queueCapacity,
         int snapshotEveryEntries,
         int stopMilliseconds,
-        double graceSeconds) {
+        double graceSeconds,
+        long clientMemoryBytes,
+        long connectionMemoryBytes,
+        int maximumHeaderLines,
+        int maximumEmptyLines,
+        int headTimeoutMilliseconds,
+        int connectionsPerAddress) {
 
     /** Returns the limits that apply if a settings file does not set them. */
     public static DaemonLimits defaults() {
@@ -63,6 +76,19 @@
         private int snapshotEveryEntries = 20_000;
         private int stopMilliseconds = 30_000;
         private double graceSeconds = 45;
+        private long clientMemoryBytes;
+        private long connectionMemoryBytes;
+
+        /** The most that fit into a head of 16,384 bytes, with four bytes each. */
+        private int maximumHeaderLines = 4_096;
+
+        /** Some clients send an empty line after a body; none is known to send several. */
+        private int maximumEmptyLines = 128;
+
+        /** Twice the time that the platform allows, so that a pause of this process counts less. */
+        private int headTimeoutMilliseconds = 6_000;
+
+        private int connectionsPerAddress;
 
         private Builder() {}
 
@@ -138,6 +164,42 @@
             return this;
         }
 
+        /** Sets the maximum memory for clients. */
+        public Builder clientMemoryBytes(long value) {
+            clientMemoryBytes = value;
+            return this;
+        }
+
+        /** Sets the maximum memory for one connection. */
+        public Builder connectionMemoryBytes(long value) {
+            connectionMemoryBytes = value;
+            return this;
+        }
+
+        /** Sets the maximum number of lines in a head. */
+        public Builder maximumHeaderLines(int value) {
+            maximumHeaderLines = value;
+            return this;
+        }
+
+        /** Sets the maximum number of empty lines before a request. */
+        public Builder maximumEmptyLines(int value) {
+            maximumEmptyLines = value;
+            return this;
+        }
+
+        /** Sets the maximum time from the first byte of a head to its end. */
+        public Builder headTimeoutMilliseconds(int value) {
+            headTimeoutMilliseconds = value;
+            return this;
+        }
+
+        /** Sets the maximum number of connections from one address. */
+        public Builder connectionsPerAddress(int value) {
+            connectionsPerAddress = value;
+            return this;
+        }
+
         /** Returns the limits. */
         public DaemonLimits build() {
             return new DaemonLimits(
@@ -152,7 +214,13 @@
                     queueCapacity,
                     snapshotEveryEntries,
                     stopMilliseconds,
-                    graceSeconds);
+                    graceSeconds,
+                    clientMemoryBytes,
+                    connectionMemoryBytes,
+                    maximumHeaderLines,
+                    maximumEmptyLines,
+                    headTimeoutMilliseconds,
+                    connectionsPerAddress);
         }
     }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/SettingsValidator.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/SettingsValidator.java
@@ -8,6 +8,9 @@
 
 /** Checks that settings are consistent with one another, which a JSON schema cannot express. */
 final class SettingsValidator {
+    /** A head of 16,384 bytes with lines of four bytes takes two thirds of this. */
+    private static final long MINIMUM_CLIENT_MEMORY_BYTES = 1024 * 1024;
+
     private SettingsValidator() {}
 
     /** Returns all problems, each with its remedy. */
@@ -15,6 +18,7 @@
         List<String> problems = new ArrayList<>();
         checkReplicas(settings, problems);
         checkIntervals(settings.limits(), problems);
+        checkClientMemory(settings.limits(), problems);
         return problems;
     }
 
@@ -61,4 +65,22 @@
                             + " heartbeatIntervalMilliseconds, so that a working link is kept.");
         }
     }
+
+    private static void checkClientMemory(DaemonLimits limits, List<String> problems) {
+        long process = limits.clientMemoryBytes();
+        if (process > 0 && limits.connectionMemoryBytes() > process) {
+            problems.add(
+                    "limits.connectionMemoryBytes: must be at most clientMemoryBytes, which covers"
+                            + " all connections.");
+        }
+        for (long memory : new long[] {process, limits.connectionMemoryBytes()}) {
+            if (memory > 0 && memory < MINIMUM_CLIENT_MEMORY_BYTES) {
+                problems.add(
+                        "limits.clientMemoryBytes, limits.connectionMemoryBytes: must be 0 or at"
+                                + " least "
+                                + MINIMUM_CLIENT_MEMORY_BYTES
+                                + ", so that a head of the longest size is served.");
+            }
+        }
+    }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/transport/IncomingBody.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/transport/IncomingBody.java
@@ -23,22 +23,10 @@
  * connection passes its contents on its event loop.
  */
 public final class IncomingBody implements Flow.Publisher<byte[]> {
-    /** Takes the contents of the body; called on the event loop. */
-    private interface Consumer {
-        /** Returns whether it takes a content now. */
-        boolean isReady();
-
-        void accept(ByteBuf content);
-
-        void complete();
-
-        void fail(Throwable failure);
-    }
-
     private final Channel channel;
     private final Runnable beforeFirstRead;
     private final Deque<ByteBuf> arrived = new ArrayDeque<>();
-    private @Nullable Consumer consumer;
+    private @Nullable BodyConsumer consumer;
     private @Nullable Throwable failure;
     private boolean lastArrived;
     private boolean ended;
@@ -81,7 +69,7 @@
 
     /** Reads the body without keeping it. */
     public void discard() {
-        consume(new Discarder());
+        consume(BodyConsumer.DISCARDER);
     }
 
     @Override
@@ -130,7 +118,7 @@
 
     /** Returns whether the connection should read further contents. */
     public boolean wantsContent() {
-        Consumer present = consumer;
+        BodyConsumer present = consumer;
         return present != null
                 && !lastArrived
                 && failure == null
@@ -138,7 +126,17 @@
                 && present.isReady();
     }
 
-    private void consume(Consumer next) {
+    /** Returns the memory of the contents that are kept; called on the event loop. */
+    public long keptBytes() {
+        BodyConsumer present = consumer;
+        long kept = present == null ? 0 : present.keptBytes();
+        for (ByteBuf content : arrived) {
+            kept += content.readableBytes();
+        }
+        return kept;
+    }
+
+    private void consume(BodyConsumer next) {
         if (channel.eventLoop().inEventLoop()) {
             begin(next);
         } else {
@@ -146,7 +144,7 @@
         }
     }
 
-    private void begin(Consumer next) {
+    private void begin(BodyConsumer next) {
         if (consumer == null) {
             beforeFirstRead.run();
         }
@@ -156,7 +154,7 @@
     }
 
     private void pass() {
-        Consumer present = consumer;
+        BodyConsumer present = consumer;
         while (present != null && !arrived.isEmpty() && present.isReady()) {
             ByteBuf content = arrived.remove();
             try {
@@ -186,7 +184,7 @@
     }
 
     /** Collects the whole body. */
-    private final class Collector implements Consumer {
+    private final class Collector implements BodyConsumer {
         private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         private final CompletableFuture<byte[]> result;
         private final long maximumBytes;
@@ -201,12 +199,18 @@
             return true;
         }
 
+        /** A growing array is copied, and the whole body is copied once more. */
+        @Override
+        public long keptBytes() {
+            return 2L * bytes.size();
+        }
+
         @Override
         public void accept(ByteBuf content) {
             if (bytes.size() + content.readableBytes() > maximumBytes) {
                 result.completeExceptionally(
                         new IOException("The body exceeds " + maximumBytes + " bytes."));
-                consumer = new Discarder();
+                consumer = BodyConsumer.DISCARDER;
                 return;
             }
             bytes.writeBytes(ByteBufUtil.getBytes(content));
@@ -223,31 +227,8 @@
         }
     }
 
-    /** Drops all contents. */
-    private static final class Discarder implements Consumer {
-        @Override
-        public boolean isReady() {
-            return true;
-        }
-
-        @Override
-        public void accept(ByteBuf content) {
-            // The bytes are not wanted.
-        }
-
-        @Override
-        public void complete() {
-            // Nobody waits for the end.
-        }
-
-        @Override
-        public void fail(Throwable cause) {
-            // Nobody waits for the end.
-        }
-    }
-
     /** Passes each content to a subscriber, as many as it has requested. */
-    private final class Publication implements Consumer, Flow.Subscription {
+    private final class Publication implements BodyConsumer, Flow.Subscription {
         private final Flow.Subscriber<? super byte[]> subscriber;
         private long requested;
         private boolean cancelled;
--- a/daemon/src/main/java/org/marjoramnotch/daemon/transport/NetworkThreads.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/transport/NetworkThreads.java
@@ -2,17 +2,32 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** The threads that serve all HTTP connections of a process, and its timers. */
 public final class NetworkThreads implements AutoCloseable {
     private static final int THREADS = 2;
     private static final long CLOSE_MILLISECONDS = 1_000;
 
-    private final EventLoopGroup group =
-            new NioEventLoopGroup(THREADS, new DefaultThreadFactory("http", true));
+    private final WatchedThreadFactory factory;
+    private final EventLoopGroup group;
+
+    /** Creates threads whose failures have no consequences. */
+    public NetworkThreads() {
+        this(thrown -> {});
+    }
+
+    /**
+     * Creates threads.
+     *
+     * @param failure is told when a thread ends that should not
+     */
+    public NetworkThreads(Consumer<Throwable> failure) {
+        factory = new WatchedThreadFactory("http", failure);
+        group = new NioEventLoopGroup(THREADS, factory);
+    }
 
     /** Returns the event loops for connections. */
     public EventLoopGroup group() {
@@ -32,6 +47,7 @@
     /** Closes all connections and stops the threads. */
     @Override
     public void close() {
+        factory.stop();
         group.shutdownGracefully(0, CLOSE_MILLISECONDS, TimeUnit.MILLISECONDS);
     }
 }
--- a/daemon/src/test/java/org/marjoramnotch/daemon/http/HttpListenerTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/http/HttpListenerTest.java
@@ -18,6 +18,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.marjoramnotch.daemon.duty.SystemClock;
+import org.marjoramnotch.daemon.metrics.DaemonMetrics;
+import org.marjoramnotch.daemon.settings.DaemonLimits;
 import org.marjoramnotch.daemon.transport.NetworkThreads;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.error.MarjoramnotchException;
@@ -34,13 +37,19 @@
     private static final int LARGE_BODY_BYTES = 20_000_000;
 
     private final NetworkThreads threads = new NetworkThreads();
+    private final ClientGuard clients =
+            new ClientGuard(
+                    ClientLimits.of(DaemonLimits.defaults()),
+                    new DaemonMetrics(),
+                    new SystemClock());
     private final BlockingQueue<Call> calls = new LinkedBlockingQueue<>();
     private final HttpListener listener =
             HttpListener.bind(
                     threads,
                     new InetSocketAddress("127.0.0.1", 0),
                     this::handle,
-                    () -> HttpResponse.of(504));
+                    () -> HttpResponse.of(504),
+                    clients);
 
     private CompletionStage<HttpResponse> handle(HttpRequest request) {
         Call call = new Call(request, new CompletableFuture<>());
@@ -140,7 +149,8 @@
                                     ? CompletableFuture.completedFuture(HttpResponse.of(503))
                                     : new CompletableFuture<>();
                         },
-                        () -> HttpResponse.of(504));
+                        () -> HttpResponse.of(504),
+                        clients);
         try (Socket caller = new Socket("127.0.0.1", refusing.address().getPort())) {
             caller.getOutputStream()
                     .write("GET / HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
--- a/daemon/src/test/java/org/marjoramnotch/daemon/settings/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/settings/SettingsReaderTest.java
@@ -105,6 +105,10 @@
                         "\"queueCapacity\": 500",
                         "\"electionTimeoutMaximumMilliseconds\": 900",
                         "must be above electionTimeoutMinimum"),
+                Arguments.of(
+                        "\"queueCapacity\": 500",
+                        "\"clientMemoryBytes\": 2000000, \"connectionMemoryBytes\": 2000001",
+                        "must be at most clientMemoryBytes"),
                 Arguments.of(
                         "\"vm-1\", \"availability",
                         "\"vm-1\", \"vm\": \"x\", \"availability",
