--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetRandomisedTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetRandomisedTest.java
@@ -41,7 +41,7 @@
      * seeds meets stops.
      */
     @ParameterizedTest(name = "seed {0}")
-    @ValueSource(longs = {7, 10, 14, 15, 23, 27, 29, 36, 40, 52, 55, 71, 72, 90, 94, 120})
+    @ValueSource(longs = {1, 10, 14, 27, 42, 49, 53, 55, 58, 80, 92, 112, 114, 132, 133, 138})
     void noTaskStartsTwiceUnderPreemption(long seed) {
         FleetSimulation cell =
                 new FleetSimulationRun(seed, FleetSimulationRun.Scenario.PREEMPTION, false).run();
