--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/ClientMemory.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/ClientMemory.java
@@ -39,6 +39,11 @@
         return total.get();
     }
 
+    /** Returns whether only what ordinary callers keep may still be added. */
+    boolean isShort() {
+        return total.get() > shareOfLargeHolders(processBytes);
+    }
+
     /**
      * Opens the account of a connection.
      *
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/ClientRefusal.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/ClientRefusal.java
@@ -25,6 +25,12 @@
             case MALFORMED_HEAD -> HttpResponse.text(400, "The request is malformed; correct it.");
             case SLOW_HEAD ->
                     HttpResponse.text(408, "The request did not arrive in time; send it again.");
+            case PROCESS_MEMORY ->
+                    HttpResponse.text(
+                                    503,
+                                    "The process is short of memory for requests; send it again"
+                                            + " after the pause.")
+                            .withHeader("Retry-After", "1");
             default ->
                     HttpResponse.text(431, "The head of the request exceeds a limit; shorten it.");
         };
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/ConnectionGuard.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/ConnectionGuard.java
@@ -59,6 +59,19 @@
         answerBytes = ResponseWriter.keptBytes(response);
     }
 
+    /**
+     * Returns why the request whose head was counted is not handled, if it is refused. A request
+     * that is handled keeps its head until it is answered, also if its connection is closed, so
+     * that closing the largest holders does not free their memory in time.
+     */
+    @Nullable ClientRefusal findRefusal(boolean malformed) {
+        if (malformed) {
+            return ClientRefusal.MALFORMED_HEAD;
+        }
+        boolean large = account.keptBytes() > ClientMemory.ORDINARY_BYTES;
+        return large && guard.memory().isShort() ? ClientRefusal.PROCESS_MEMORY : null;
+    }
+
     /** Counts nothing more for a request and its answer. */
     void onAnswered() {
         headBytes = 0;
--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/ServerConnection.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/ServerConnection.java
@@ -190,9 +190,11 @@
     private void begin(io.netty.handler.codec.http.HttpRequest head) {
         answering = true;
         guard.onHead();
-        if (head.decoderResult().isFailure()) {
-            guard.report(ClientRefusal.MALFORMED_HEAD);
-            writer.write(ClientRefusal.MALFORMED_HEAD.answer(), false, true, this::onAnswered);
+        updateKept();
+        ClientRefusal reason = guard.findRefusal(head.decoderResult().isFailure());
+        if (reason != null) {
+            guard.report(reason);
+            writer.write(reason.answer(), false, true, this::onAnswered);
             return;
         }
         boolean keepsAlive = HttpUtil.isKeepAlive(head);
