--- a/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
@@ -244,6 +244,7 @@
         metrics.recordWaitTime(TEAM, "quick", 1);
         metrics.recordTotalTime(TEAM, "quick", 1);
         metrics.countRefusal(ErrorCode.OVERLOADED);
+        metrics.countClientRefusal("header_lines");
         metrics.count(CountedEvent.LINK_REPLACED);
         leader.onCellMetrics(CELL_METRICS);
         leader.gauges().onStatus(Optional.of(status(true)));
