Set large work aside only where the settings ask for it

Cause: with the order by ServicePlan fewer workflows are late, but some of those set aside become worthless. On a deployment that counts each lost workflow more than a late one this costs more than it gains. Change: WorkflowSettings.setsAside, setting workflow.setsAsideLargeWork, off by default. OverloadReplayTest, ServicePlan*Test, Admission*Test and SharingReplayTest pass.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/WorkflowDaemonSettings.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/WorkflowDaemonSettings.java
@@ -10,11 +10,13 @@
  * @param longestLeaseMilliseconds longest lease that a worker accepts
  * @param reportIntervalMilliseconds interval of the workers' reports
  * @param retentionMilliseconds how long ended workflows can be read by callers
+ * @param setsAsideLargeWork whether large work is served last if not all work can be in time
  */
 public record WorkflowDaemonSettings(
         long longestLeaseMilliseconds,
         long reportIntervalMilliseconds,
-        long retentionMilliseconds) {
+        long retentionMilliseconds,
+        boolean setsAsideLargeWork) {
     /** Report timeout in report intervals: two missed reports plus time for their transmission. */
     private static final double REPORTS_PER_TIMEOUT = 2.4;
 
@@ -32,6 +34,7 @@
                         (long) (reportIntervalMilliseconds * REPORTS_PER_TIMEOUT))
                 .retentionMilliseconds(retentionMilliseconds)
                 .availabilityZones(availabilityZones)
+                .setsAside(setsAsideLargeWork)
                 .build();
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/LoadMeter.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/LoadMeter.java
@@ -48,6 +48,11 @@
         return snapshot;
     }
 
+    /** Returns whether large work is served last if not all work can be in time. */
+    boolean setsAside() {
+        return work.setsAside();
+    }
+
     /** Returns the work of each pool in the latest round. */
     Map<ServiceName, List<WorkItem>> items() {
         return work.items();
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RemainingWork.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RemainingWork.java
@@ -23,6 +23,7 @@
     private static final double PROCESSOR_MILLIS = 1_000;
 
     private final boolean preemption;
+    private final boolean setsAside;
     private final WorkflowLedger ledger;
     private final LatencyObjectives objectives;
     private final FeasibilityCheck feasibilityCheck;
@@ -48,12 +49,18 @@
             FeasibilityCheck feasibilityCheck,
             WorkflowSettings settings) {
         this.preemption = settings.preemption();
+        this.setsAside = settings.setsAside();
         this.ledger = ledger;
         this.objectives = objectives;
         this.feasibility = feasibility;
         this.feasibilityCheck = feasibilityCheck;
     }
 
+    /** Returns whether large work is served last if not all work can be in time. */
+    boolean setsAside() {
+        return setsAside;
+    }
+
     /** Returns the expected run times, which learn from the ends of runs. */
     RunTimeForecast forecast() {
         return forecast;
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/ServicePlanRanking.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/ServicePlanRanking.java
@@ -42,7 +42,7 @@
 
     @Override
     public void beginRound(long nowMilliseconds, List<ReadyStep> ready) {
-        if (nowMilliseconds < nextPlanAt) {
+        if (!load.setsAside() || nowMilliseconds < nextPlanAt) {
             return;
         }
         nextPlanAt = nowMilliseconds + PLAN_INTERVAL_MILLISECONDS;
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
@@ -16,6 +16,8 @@
  * @param feasibilityDelayMilliseconds how long a workflow must be infeasible before it fails
  * @param availabilityZones the availability zones of the workers; may be empty
  * @param preemption whether runs are stopped for urgent work of queues with priority 0
+ * @param setsAside whether large work is served last if not all work can be in time, so that fewer
+ *     workflows are late, but some of those set aside become worthless
  */
 public record WorkflowSettings(
         long leaseMilliseconds,
@@ -27,7 +29,8 @@
         long retentionMilliseconds,
         long feasibilityDelayMilliseconds,
         List<AvailabilityZone> availabilityZones,
-        boolean preemption) {
+        boolean preemption,
+        boolean setsAside) {
     private static final int PERCENT = 100;
 
     /** Allows for the resolution of both clocks. */
@@ -69,6 +72,7 @@
         private long feasibilityDelayMilliseconds = 3_000;
         private List<AvailabilityZone> availabilityZones = List.of();
         private boolean preemption = true;
+        private boolean setsAside;
 
         private Builder() {}
 
@@ -108,6 +112,12 @@
             return this;
         }
 
+        /** Sets whether large work is served last if not all work can be in time. */
+        public Builder setsAside(boolean value) {
+            setsAside = value;
+            return this;
+        }
+
         /** Returns the settings. */
         public WorkflowSettings build() {
             return new WorkflowSettings(
@@ -120,7 +130,8 @@
                     retentionMilliseconds,
                     feasibilityDelayMilliseconds,
                     availabilityZones,
-                    preemption);
+                    preemption,
+                    setsAside);
         }
     }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/ServicePlanRankingTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/ServicePlanRankingTest.java
@@ -21,6 +21,8 @@
     /** Eight cores are busy; then ten tasks and four times two tasks of 400 ms are submitted. */
     @Test
     void smallWorkflowsComeBeforeTheLargeOneThatIsLate() {
+        cell.settings = WorkflowSettings.builder().leaseMilliseconds(3_000).setsAside(true).build();
+        cell.changeLeader();
         cell.answerListsPromptly();
         cell.request(new ApplyConfiguration(TestFleet.configuration(1)));
         cell.run(100);
