--- a/daemon/src/main/java/org/marjoramnotch/daemon/http/ClientRefusal.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/http/ClientRefusal.java
@@ -6,7 +6,10 @@
 public enum ClientRefusal {
     /** The connection holds more memory than one connection may. */
     CONNECTION_MEMORY,
-    /** The process is short of memory for clients, and the connection is the largest holder. */
+    /**
+     * The process is short of memory for clients; the connection is the largest holder, or its
+     * request is large and was not handed on yet.
+     */
     PROCESS_MEMORY,
     /** The head has too many lines. */
     HEADER_LINES,
--- a/library/src/main/java/org/marjoramnotch/logic/overload/WorkItem.java
+++ b/library/src/main/java/org/marjoramnotch/logic/overload/WorkItem.java
@@ -30,7 +30,7 @@
     public static final long UNDER_WAY = Long.MAX_VALUE;
 
     /** Multiple of the objective by which a result may be late before it has no value. */
-    private static final int WORTHLESS_AFTER_OBJECTIVES = 2;
+    private static final int OBJECTIVES_FROM_DUE_TO_WORTHLESS = 2;
 
     /** Returns a builder for an item. */
     public static Builder builder(WorkId id) {
@@ -39,7 +39,7 @@
 
     /** Returns when the result is due. */
     public long dueMilliseconds() {
-        return worthlessAtMilliseconds - WORTHLESS_AFTER_OBJECTIVES * objectiveMilliseconds;
+        return worthlessAtMilliseconds - OBJECTIVES_FROM_DUE_TO_WORTHLESS * objectiveMilliseconds;
     }
 
     /** Returns whether all remaining tasks run, so that no order changes its end. */
@@ -57,7 +57,7 @@
         return isLate(nowMilliseconds)
                 && nowMilliseconds
                         > latestStartMilliseconds
-                                + WORTHLESS_AFTER_OBJECTIVES * objectiveMilliseconds;
+                                + OBJECTIVES_FROM_DUE_TO_WORTHLESS * objectiveMilliseconds;
     }
 
     /** Builds work items. The defaults are no team, priority 0, no remaining work. */
@@ -125,7 +125,7 @@
                     priority,
                     latestStartMilliseconds,
                     objectiveMilliseconds,
-                    dueMilliseconds + WORTHLESS_AFTER_OBJECTIVES * objectiveMilliseconds,
+                    dueMilliseconds + OBJECTIVES_FROM_DUE_TO_WORTHLESS * objectiveMilliseconds,
                     remainingProcessorMilliseconds,
                     standing);
         }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/PreemptionCandidates.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/PreemptionCandidates.java
@@ -28,7 +28,7 @@
     private static final long ABSENCE_MILLISECONDS = 2_000;
 
     /** Multiple of the objective after its end at which a result is worthless. */
-    private static final int WORTHLESS_AFTER_OBJECTIVES = 2;
+    private static final int OBJECTIVES_FROM_DUE_TO_WORTHLESS = 2;
 
     private static final int COMPLETE_PERCENT = 100;
 
@@ -234,7 +234,7 @@
     private boolean isWorthless(long nowMilliseconds, WorkflowEntry workflow, StepId step) {
         long objective = objectives.objective(workflow);
         long due = objectives.dueAt(workflow.workflow(), step.occurrence()) + objective;
-        return nowMilliseconds > due + WORTHLESS_AFTER_OBJECTIVES * objective;
+        return nowMilliseconds > due + OBJECTIVES_FROM_DUE_TO_WORTHLESS * objective;
     }
 
     /** Returns whether a standing step bears one more absent task, and none is being stopped. */
