--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/SettingsReader.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
@@ -25,6 +26,8 @@
                     .build();
     private static final List<String> PATH_FIELDS = List.of("dataFolder", "operatorKeySha256File");
 
+    private static final String ZONES_FIELD = "availabilityZones";
+
     private SettingsReader() {}
 
     /**
@@ -68,6 +71,7 @@
         }
         try {
             resolvePaths(file, fields);
+            listZones(fields);
             return MAPPER.convertValue(fields, DaemonSettings.class);
         } catch (IllegalArgumentException unbound) {
             throw invalid(file + " cannot be read: " + unbound.getMessage());
@@ -118,6 +122,17 @@
         }
     }
 
+    /** Replaces a table of availability zones by the list of their names, and null by none. */
+    private static void listZones(ObjectNode document) {
+        JsonNode zones = document.get(ZONES_FIELD);
+        if (zones instanceof ObjectNode table) {
+            ArrayNode names = document.putArray(ZONES_FIELD);
+            table.fieldNames().forEachRemaining(names::add);
+        } else if (zones != null && zones.isNull()) {
+            document.remove(ZONES_FIELD);
+        }
+    }
+
     private static MarjoramnotchException invalid(String message) {
         return new MarjoramnotchException(ErrorCode.INVALID_SETTINGS, message);
     }
