Let no thread wait for the reader of the logs

Cause: LineHandler.publish wrote and flushed each line on the calling thread, under its lock: that of the cell, of event loops, of the shutdown hook. System.out at the start and in the hook, System.err of a start that fails, and the short line of a process without memory waited in the same way. Ruled out: the limits of lines for each event, which only put the moment off. What does not fit is dropped, decisions first, and counted by event in the line log_lines_dropped between the last line before and the first one after, and in a metric. System.out and System.err go through it. A stop and a failed thread wait 500 ms at most for the last lines. Why it works: no thread but the writing one touches the pipe. Not covered: what the virtual machine prints by itself, as on SIGQUIT.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/DaemonRunner.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/DaemonRunner.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeoutException;
 import org.marjoramnotch.daemon.duty.FatalErrorHandler;
 import org.marjoramnotch.daemon.duty.SystemClock;
+import org.marjoramnotch.daemon.log.ProcessOutput;
 import org.marjoramnotch.daemon.settings.DaemonLimits;
 import org.marjoramnotch.daemon.settings.DaemonSettings;
 import org.marjoramnotch.daemon.settings.SettingsWatcher;
@@ -18,6 +19,9 @@
 
     private static final int MILLISECONDS_PER_SECOND = 1_000;
 
+    /** Time for the last log lines, which their reader may not take. */
+    private static final long DRAIN_MILLISECONDS = 500;
+
     private DaemonRunner() {}
 
     /** Runs a process whose settings do not change. */
@@ -36,6 +40,7 @@
             DaemonExtension extension,
             Optional<SettingsWatcher> watcher,
             StartupPreparation preparation) {
+        ProcessOutput.install();
         Thread.setDefaultUncaughtExceptionHandler(new FatalErrorHandler());
         CompletableFuture<Daemon> started = new CompletableFuture<>();
         // The hook comes before the start, since a listener may accept requests during it.
@@ -92,6 +97,8 @@
             return;
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
+        } finally {
+            ProcessOutput.drain(DRAIN_MILLISECONDS);
         }
     }
 }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/duty/FatalErrorHandler.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/duty/FatalErrorHandler.java
@@ -4,10 +4,12 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 import org.marjoramnotch.daemon.log.LogEvent;
+import org.marjoramnotch.daemon.log.ProcessOutput;
 
 /**
  * Ends the process when a thread fails, since its state may be inconsistent and its work is no
@@ -28,7 +30,13 @@
 
     private static final Logger LOGGER = Logger.getLogger(FatalErrorHandler.class);
 
+    /** Time for the last lines, which the reader of the logs may not take. */
+    private static final long DRAIN_MILLISECONDS = 500;
+
+    private static final int LAST_LINE_BYTES = 256;
+
     private final FileOutputStream output = new FileOutputStream(FileDescriptor.out);
+    private final byte[] lastLine = new byte[LAST_LINE_BYTES];
 
     /** Freed before anything is written, since memory may have run out. */
     private volatile byte @Nullable [] reserve = new byte[RESERVE_BYTES];
@@ -59,6 +67,7 @@
                     .with("exit_code", EXIT_CODE)
                     .with("message", cause.getMessage())
                     .error(LOGGER, cause);
+            ProcessOutput.drain(DRAIN_MILLISECONDS);
         } catch (Throwable unlogged) {
             writeShortLine(thread);
         } finally {
@@ -66,14 +75,21 @@
         }
     }
 
+    /** Writes the line without allocating memory. */
     private void writeShortLine(Thread thread) {
+        Arrays.fill(lastLine, (byte) ' ');
+        System.arraycopy(SHORT_LINE, 0, lastLine, 0, SHORT_LINE.length);
+        String name = thread.getName();
+        int nameLength = Math.min(name.length(), LAST_LINE_BYTES - SHORT_LINE.length - 1);
+        for (int index = 0; index < nameLength; index++) {
+            lastLine[SHORT_LINE.length + index] = (byte) name.charAt(index);
+        }
+        lastLine[LAST_LINE_BYTES - 1] = '\n';
+        if (ProcessOutput.writeLast(lastLine)) {
+            return;
+        }
         try {
-            output.write(SHORT_LINE);
-            String name = thread.getName();
-            for (int index = 0; index < name.length(); index++) {
-                output.write(name.charAt(index));
-            }
-            output.write('\n');
+            output.write(lastLine);
         } catch (IOException unwritable) {
             // The exit code remains.
             return;
--- a/daemon/src/main/java/org/marjoramnotch/daemon/log/LineHandler.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/log/LineHandler.java
@@ -1,26 +1,25 @@
 package org.marjoramnotch.daemon.log;
 
-import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import org.marjoramnotch.model.time.Clock;
 
-/** Writes log records to a stream, those of libraries at most a few each second. */
+/** Hands log records to a sink as lines, those of libraries at most a few each second. */
 final class LineHandler extends Handler {
     private static final String OWN_LOGGERS = "org.marjoramnotch.";
     private static final int LIBRARY_LINES_PER_SECOND = 5;
     private static final long WINDOW_MILLISECONDS = 1_000;
 
-    private final PrintStream output;
+    private final LineSink sink;
     private final Clock clock;
     private final Formatter lines = new LineFormatter();
     private long windowStartedAt;
     private int libraryLines;
 
-    LineHandler(PrintStream output, Clock clock) {
-        this.output = output;
+    LineHandler(LineSink sink, Clock clock) {
+        this.sink = sink;
         this.clock = clock;
     }
 
@@ -29,19 +28,20 @@
         if (!isLoggable(logged) || !isWithinLimit(String.valueOf(logged.getLoggerName()))) {
             return;
         }
-        byte[] line = lines.format(logged).getBytes(StandardCharsets.UTF_8);
-        output.write(line, 0, line.length);
-        output.flush();
+        String event = LineEvents.of(String.valueOf(logged.getMessage()));
+        sink.write(
+                LinePriority.of(logged.getLevel(), event),
+                lines.format(logged).getBytes(StandardCharsets.UTF_8));
     }
 
     @Override
     public void flush() {
-        output.flush();
+        // The sink writes each line without delay.
     }
 
     @Override
     public void close() {
-        flush();
+        // The sink belongs to the process.
     }
 
     private boolean isWithinLimit(String logger) {
--- a/daemon/src/main/java/org/marjoramnotch/daemon/log/LogSetup.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/log/LogSetup.java
@@ -20,7 +20,7 @@
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
         }
-        root.addHandler(new LineHandler(System.out, new SystemClock()));
+        root.addHandler(new LineHandler(ProcessOutput.sink(), new SystemClock()));
         root.setLevel(levelOf(level));
     }
 
--- a/daemon/src/main/java/org/marjoramnotch/daemon/metrics/DaemonMetrics.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/metrics/DaemonMetrics.java
@@ -1,6 +1,7 @@
 package org.marjoramnotch.daemon.metrics;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -9,7 +10,10 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
+import org.marjoramnotch.daemon.log.ProcessOutput;
 import org.marjoramnotch.logic.leader.DecisionLogEntry;
 import org.marjoramnotch.model.error.ErrorCode;
 import org.marjoramnotch.model.identifier.TeamName;
@@ -100,6 +104,25 @@
 
     private final ReplicaMetrics replica = new ReplicaMetrics(registry);
 
+    /** Creates the metrics of a process. */
+    public DaemonMetrics() {
+        this(ProcessOutput::droppedLines);
+    }
+
+    /** Creates metrics with a source of the numbers of dropped log lines by event. */
+    DaemonMetrics(Supplier<Map<String, Long>> droppedLines) {
+        CounterWithCallback.builder()
+                .name("marjoramnotch_log_lines_dropped")
+                .help("Log lines that were dropped because the reader of the logs was too slow.")
+                .labelNames("event")
+                .callback(
+                        counter ->
+                                droppedLines
+                                        .get()
+                                        .forEach((event, lines) -> counter.call(lines, event)))
+                .register(registry);
+    }
+
     /** Returns the metrics of the replica. */
     public ReplicaMetrics replica() {
         return replica;
--- a/daemon/src/test/java/org/marjoramnotch/daemon/duty/FatalErrorHandlerTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/duty/FatalErrorHandlerTest.java
@@ -10,12 +10,14 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.marjoramnotch.daemon.log.ProcessOutput;
 import org.marjoramnotch.daemon.transport.WatchedThreadFactory;
 
 /** Runs processes of which one thread fails. */
 class FatalErrorHandlerTest {
     private static final String NAME = "failing";
     private static final long TIMEOUT_SECONDS = 20;
+    private static final int PIPE_BYTES = 65_536;
 
     @TempDir Path folder;
 
@@ -44,12 +46,42 @@
         assertThat(output).contains("_failed").containsPattern("thread=" + NAME);
     }
 
+    /** Guards against a failed process that waits for the reader of its logs instead of ending. */
+    @ParameterizedTest
+    @ValueSource(strings = {"EXCEPTION", "MEMORY", "DUTY_MEMORY", "EVENT_LOOP"})
+    void failedThreadEndsTheProcessThoughItsOutputIsNotRead(String kind) throws Exception {
+        Process process =
+                new ProcessBuilder(
+                                "sh",
+                                "-c",
+                                "head -c " + PIPE_BYTES + " /dev/zero; exec \"$@\"",
+                                "sh",
+                                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                                "-Xmx16m",
+                                "-XX:+UseSerialGC",
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                FailingProcess.class.getName(),
+                                kind,
+                                "INSTALLED")
+                        .redirectErrorStream(true)
+                        .start();
+        boolean ended = process.waitFor(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        process.destroyForcibly().waitFor();
+
+        assertThat(ended).isTrue();
+        assertThat(process.exitValue()).isEqualTo(FatalErrorHandler.EXIT_CODE);
+    }
+
     /** The program of the process. */
     static final class FailingProcess {
         private FailingProcess() {}
 
         /** Starts a thread that fails, and would otherwise never end. */
         public static void main(String[] arguments) throws InterruptedException {
+            if (arguments.length > 1) {
+                ProcessOutput.install();
+            }
             FatalErrorHandler handler = new FatalErrorHandler();
             Thread.setDefaultUncaughtExceptionHandler(handler);
             Runnable task =
--- a/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.stream.Collectors;
@@ -65,7 +66,7 @@
     private static final RunId RUN =
             new RunId(new WorkflowTaskId(new StepId(new JobId("0123456789abcdef"), 0, 0), 0), 1);
 
-    private final DaemonMetrics metrics = new DaemonMetrics();
+    private final DaemonMetrics metrics = new DaemonMetrics(() -> Map.of("run_ended", 7L));
     private final LeaderMetrics leader = metrics.leader();
 
     @Test
@@ -230,7 +231,8 @@
                         "marjoramnotch_workers_capacity{resource=\"accelerators\"} 2.0",
                         "marjoramnotch_workers_known 245.0",
                         "marjoramnotch_workers_usable 240.0",
-                        "marjoramnotch_advice_questions_waiting 7.0");
+                        "marjoramnotch_advice_questions_waiting 7.0",
+                        "marjoramnotch_log_lines_dropped_total{event=\"run_ended\"} 7.0");
     }
 
     @Test
