Take a release only for a life of the worker that has drained

Cause: the call has no body, and WorkerReportHandler.refersTo took any life that was enrolled on its arrival; releasedAt then ignored the reports of that life, whatever they said. Change: a release without a start time is about the enrolled life only if that has reported that it drains, for at least 0.9 of the drain time (workflow.drainMilliseconds; the confirmed report is in the ledger, so that a new leader knows it). Others are refused with 503 and logged as release_ignored with the evidence. A released life that reports ready with a later number than all before gets work again once it runs nothing. A new leader doesn't take the first report ready of a draining life for news.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/settings/WorkflowDaemonSettings.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/settings/WorkflowDaemonSettings.java
@@ -11,12 +11,15 @@
  * @param reportIntervalMilliseconds interval of the workers' reports
  * @param retentionMilliseconds how long ended workflows can be read by callers
  * @param setsAsideLargeWork whether large work is served last if not all work can be in time
+ * @param drainMilliseconds how long a worker continues after its report that it drains is
+ *     confirmed; 0 if this is not known
  */
 public record WorkflowDaemonSettings(
         long longestLeaseMilliseconds,
         long reportIntervalMilliseconds,
         long retentionMilliseconds,
-        boolean setsAsideLargeWork) {
+        boolean setsAsideLargeWork,
+        long drainMilliseconds) {
     /** Report timeout in report intervals: two missed reports plus time for their transmission. */
     private static final double REPORTS_PER_TIMEOUT = 2.4;
 
@@ -35,6 +38,7 @@
                 .retentionMilliseconds(retentionMilliseconds)
                 .availabilityZones(availabilityZones)
                 .setsAside(setsAsideLargeWork)
+                .drainMilliseconds(drainMilliseconds)
                 .build();
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReportHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerReportHandler.java
@@ -17,7 +17,6 @@
 import org.marjoramnotch.model.fleet.WorkerIncarnation;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.message.Done;
-import org.marjoramnotch.model.message.ReleaseWorker;
 import org.marjoramnotch.model.message.ReportWorker;
 
 /**
@@ -27,20 +26,10 @@
     /** Time without contact after which an idle worker is dismissed; ten missed reports. */
     private static final long DISMISS_IDLE_MILLISECONDS = 15_000;
 
-    /**
-     * Time after which a release is answered even if runs of the worker are not over; a worker
-     * waits one second for the answer, and ends some seconds later without one.
-     */
-    private static final long RELEASE_ANSWER_MILLISECONDS = 750;
-
-    /** Time for which late reports of a released worker are ignored; outlasts its end by far. */
-    private static final long IGNORE_RELEASED_MILLISECONDS = 60_000;
-
     private final WorkflowLedger ledger;
     private final WorkerSessions sessions;
     private final PendingReplies<FleetWorker> pendingEnrollments = new PendingReplies<>();
-    private final PendingReplies<WorkerIncarnation> pendingReleases = new PendingReplies<>();
-    private final Map<WorkerIncarnation, Long> releasedAt = new HashMap<>();
+    private final WorkerReleaseHandler releases;
     private final Set<WorkerIncarnation> proposedDismissals = new HashSet<>();
     private final Set<WorkerIncarnation> proposedLeaseRecords = new HashSet<>();
 
@@ -49,15 +38,17 @@
      */
     private final Map<WorkerIncarnation, Long> pendingSequences = new HashMap<>();
 
-    WorkerReportHandler(WorkflowLedger ledger, WorkerSessions sessions) {
+    WorkerReportHandler(
+            WorkflowLedger ledger, WorkerSessions sessions, WorkerReleaseHandler releases) {
         this.ledger = ledger;
         this.sessions = sessions;
+        this.releases = releases;
     }
 
     void report(
             long nowMilliseconds, RequestHandle handle, ReportWorker report, LeaderOutput output) {
         FleetWorker worker = report.worker();
-        if (releasedAt.containsKey(worker.incarnation())) {
+        if (releases.ignores(report, output)) {
             output.reply(handle, new Done());
             return;
         }
@@ -91,41 +82,6 @@
         }
     }
 
-    /**
-     * Releases a worker. The request does not show that its runs are over, since the worker
-     * continues them until it gets the answer, which may be lost.
-     */
-    void release(
-            long nowMilliseconds,
-            RequestHandle handle,
-            ReleaseWorker release,
-            LeaderOutput output) {
-        WorkerSession session =
-                sessions.of(release.worker())
-                        .filter(known -> refersTo(release, known.worker().incarnation()))
-                        .orElse(null);
-        if (session == null) {
-            output.reply(handle, new Done());
-            return;
-        }
-        WorkerIncarnation incarnation = session.worker().incarnation();
-        pendingReleases.add(incarnation, handle);
-        if (!session.isReleased()) {
-            releasedAt.put(incarnation, nowMilliseconds);
-            session.release(nowMilliseconds, output);
-            output.logDecision(
-                    DecisionLogEntry.of(
-                            "worker_released",
-                            "worker",
-                            incarnation.worker(),
-                            "runs",
-                            ledger.worker(incarnation)
-                                    .map(known -> known.runs().size())
-                                    .orElse(0)));
-        }
-        settle(nowMilliseconds, session, output);
-    }
-
     void onApplied(long nowMilliseconds, WorkflowCommand command, LeaderOutput output) {
         if (command instanceof EnrollWorker enroll) {
             FleetWorker worker = enroll.worker();
@@ -135,8 +91,8 @@
                             .map(session -> session.worker().incarnation())
                             .filter(incarnation -> !incarnation.equals(worker.incarnation()));
             sessions.onEnrolled(nowMilliseconds, worker);
-            earlier.ifPresent(
-                    incarnation -> pendingReleases.answer(incarnation, new Done(), output));
+            releases.onEnrolled(nowMilliseconds, worker);
+            earlier.ifPresent(incarnation -> releases.onLifeOver(incarnation, output));
             Long sequence = pendingSequences.remove(worker.incarnation());
             if (sequence != null) {
                 sessions.of(worker.incarnation())
@@ -163,7 +119,7 @@
             proposedDismissals.remove(dismiss.worker());
             output.logDecision(
                     DecisionLogEntry.of("worker_dismissed", "worker", dismiss.worker().worker()));
-            pendingReleases.answer(dismiss.worker(), new Done(), output);
+            releases.onLifeOver(dismiss.worker(), output);
         }
     }
 
@@ -176,7 +132,7 @@
             settle(nowMilliseconds, session, output);
             recordInheritedLease(nowMilliseconds, session, output);
         }
-        releasedAt.values().removeIf(at -> nowMilliseconds - at >= IGNORE_RELEASED_MILLISECONDS);
+        releases.tick(nowMilliseconds);
     }
 
     private void settle(long nowMilliseconds, WorkerSession session, LeaderOutput output) {
@@ -191,10 +147,7 @@
         if (dismissible && proposedDismissals.add(incarnation)) {
             output.propose(new DismissWorker(incarnation, Optional.of(session.nextLifeEvidence())));
         }
-        Long since = releasedAt.get(incarnation);
-        if (since != null && nowMilliseconds - since >= RELEASE_ANSWER_MILLISECONDS) {
-            pendingReleases.answer(incarnation, new Done(), output);
-        }
+        releases.settle(nowMilliseconds, incarnation, output);
     }
 
     /** Records what is newly known of an inherited lease, unless another update is under way. */
@@ -225,17 +178,25 @@
             return false;
         }
         return sessions.of(incarnation)
-                .map(session -> session.onReport(report.sequence(), nowMilliseconds))
+                .map(session -> isNewest(nowMilliseconds, session, report))
                 .orElse(true);
     }
 
-    private boolean isAwaitingOrders(WorkerId worker) {
-        return sessions.of(worker).map(WorkerSession::hasOrdersInFlight).orElse(false);
+    /**
+     * Returns whether a report is newer than all earlier ones. A new leader does not know the
+     * number of the report by which a worker drains, so that the first report to it may be an older
+     * one.
+     */
+    private static boolean isNewest(
+            long nowMilliseconds, WorkerSession session, ReportWorker report) {
+        boolean mayPrecedeDraining =
+                session.reportSequence().isEmpty()
+                        && session.worker().draining()
+                        && !report.worker().draining();
+        return session.onReport(report.sequence(), nowMilliseconds) && !mayPrecedeDraining;
     }
 
-    private static boolean refersTo(ReleaseWorker release, WorkerIncarnation incarnation) {
-        return release.startedEpochMilliseconds().isEmpty()
-                || release.startedEpochMilliseconds().getAsLong()
-                        == incarnation.startedEpochMilliseconds();
+    private boolean isAwaitingOrders(WorkerId worker) {
+        return sessions.of(worker).map(WorkerSession::hasOrdersInFlight).orElse(false);
     }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSession.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.command.EndRuns;
@@ -39,7 +40,7 @@
     private final WorkerOutcomeHandler outcomes;
     private FleetWorker worker;
     private long lastHeardAt;
-    private long reportSequence = -1;
+    private OptionalLong reportSequence = OptionalLong.empty();
 
     WorkerSession(
             WorkflowSettings settings,
@@ -100,14 +101,19 @@
 
     /** Handles a report; returns whether it is newer than all earlier ones. */
     boolean onReport(long sequence, long nowMilliseconds) {
-        if (sequence <= reportSequence) {
+        if (reportSequence.isPresent() && sequence <= reportSequence.getAsLong()) {
             return false;
         }
-        reportSequence = sequence;
+        reportSequence = OptionalLong.of(sequence);
         lastHeardAt = nowMilliseconds;
         return true;
     }
 
+    /** Returns the highest number of a report to this leader; empty if there was none. */
+    OptionalLong reportSequence() {
+        return reportSequence;
+    }
+
     /** Returns whether runs may be started on this worker. */
     boolean isUsable(long nowMilliseconds) {
         return isAnswering(nowMilliseconds)
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -57,6 +57,7 @@
     private final ConfigurationRequestHandler configuration;
     private final WorkflowRequestHandler workflows;
     private final WorkerReportHandler workers;
+    private final WorkerReleaseHandler releases;
     private final EvacuationRequestHandler evacuations;
     private final AdviceBroker advice;
     private final RunScheduler scheduler;
@@ -123,7 +124,8 @@
         this.workflows =
                 new WorkflowRequestHandler(
                         ledger, configuration, load, feasibility, feasibilityCheck, wallClock);
-        this.workers = new WorkerReportHandler(ledger, sessions);
+        this.releases = new WorkerReleaseHandler(settings, ledger, sessions);
+        this.workers = new WorkerReportHandler(ledger, sessions, releases);
         ColdZones coldZones =
                 new ColdZones(ledger.evacuations(), nowMilliseconds, wallClock.nowMilliseconds());
         this.evacuations =
@@ -269,7 +271,7 @@
         } else if (request instanceof ReportWorker report) {
             workers.report(nowMilliseconds, handle, report, output);
         } else if (request instanceof ReleaseWorker release) {
-            workers.release(nowMilliseconds, handle, release, output);
+            releases.release(nowMilliseconds, handle, release, output);
         } else if (request instanceof TakeAdviceQuestion poll) {
             advice.onPoll(nowMilliseconds, handle, poll, output);
             scheduleDue = true;
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
@@ -13,6 +13,8 @@
  * @param workerClockDriftPercent how much slower than real time a worker's clock may run
  * @param reportTimeoutMilliseconds time without contact after which a worker gets no new runs
  * @param retentionMilliseconds how long the state of an ended workflow is kept
+ * @param drainMilliseconds how long a worker continues after its report that it drains is
+ *     confirmed; 0 if this is not known
  * @param feasibilityDelayMilliseconds how long a workflow must be infeasible before it fails
  * @param availabilityZones the availability zones of the workers; may be empty
  * @param preemption whether runs are stopped for urgent work of queues with priority 0
@@ -27,6 +29,7 @@
         int workerClockDriftPercent,
         long reportTimeoutMilliseconds,
         long retentionMilliseconds,
+        long drainMilliseconds,
         long feasibilityDelayMilliseconds,
         List<AvailabilityZone> availabilityZones,
         boolean preemption,
@@ -68,6 +71,7 @@
         // Two missed reports; workers report every 1.5 s.
         private long reportTimeoutMilliseconds = 3_500;
         private long retentionMilliseconds = 130_000;
+        private long drainMilliseconds;
         // Workers report every 1.5 s; all workers of a new fleet are known after two reports.
         private long feasibilityDelayMilliseconds = 3_000;
         private List<AvailabilityZone> availabilityZones = List.of();
@@ -100,6 +104,12 @@
             return this;
         }
 
+        /** Sets how long a worker continues after its report that it drains is confirmed. */
+        public Builder drainMilliseconds(long value) {
+            drainMilliseconds = value;
+            return this;
+        }
+
         /** Sets the availability zones of the workers. */
         public Builder availabilityZones(List<AvailabilityZone> value) {
             availabilityZones = value;
@@ -128,6 +138,7 @@
                     workerClockDriftPercent,
                     reportTimeoutMilliseconds,
                     retentionMilliseconds,
+                    drainMilliseconds,
                     feasibilityDelayMilliseconds,
                     availabilityZones,
                     preemption,
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetFault.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetFault.java
@@ -22,7 +22,9 @@
     WORKER_LEAVES,
     WORKER_CUT_OFF,
     WORKER_RESTARTS_AND_IS_CUT_OFF,
-    WORKER_LEAVES_BEHIND_CUT;
+    WORKER_LEAVES_BEHIND_CUT,
+    RELEASE_ARRIVES_LATE,
+    RELEASE_ARRIVES_TWICE;
 
     /** Returns faults of which each is over before the next one of the same worker. */
     static List<FleetFault> single() {
@@ -43,4 +45,16 @@
                 WORKER_RESTARTS_AND_IS_CUT_OFF,
                 WORKER_LEAVES_BEHIND_CUT);
     }
+
+    /** Returns faults that delay the announcements of leaving workers, and some that meet them. */
+    static List<FleetFault> departures() {
+        return List.of(
+                RELEASE_ARRIVES_LATE,
+                RELEASE_ARRIVES_TWICE,
+                FROZEN_LEADER,
+                POWER_LOSS,
+                REPLICA_CUT_OFF,
+                WORKER_RESTART,
+                REPORTS_LOST);
+    }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetFaultInjector.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetFaultInjector.java
@@ -19,6 +19,7 @@
 
     private final FleetSimulation cell;
     private final UniformRandomProvider random;
+    private final FleetDepartures departures;
     private final List<FleetFault> kinds;
     private final long meanInterval;
     private boolean ended;
@@ -26,6 +27,8 @@
     FleetFaultInjector(FleetSimulation cell, List<FleetFault> possible) {
         this.cell = cell;
         this.random = cell.random;
+        this.departures =
+                new FleetDepartures(cell, (action, delay) -> after(delay, action), this::crash);
         List<FleetFault> all = new ArrayList<>(possible);
         Collections.shuffle(all, new Random(random.nextLong()));
         this.kinds = new ArrayList<>(all.subList(0, 1 + random.nextInt(MAXIMUM_KINDS)));
@@ -115,10 +118,12 @@
                             .filter(each -> random.nextBoolean())
                             .forEach(each -> crash(each, random.nextLong(20, duration)));
             case REPORTS_LOST -> loseReports(random.nextBoolean() ? List.of(worker) : cell.workers);
-            case WORKER_LEAVES -> leave(worker, duration);
+            case WORKER_LEAVES -> departures.leave(worker, duration);
             case WORKER_CUT_OFF -> cutOff(worker, 2 * duration);
             case WORKER_RESTARTS_AND_IS_CUT_OFF -> restartAndCutOff(worker);
             case WORKER_LEAVES_BEHIND_CUT -> leaveBehindCut(worker);
+            case RELEASE_ARRIVES_LATE -> departures.leaveWithLateRelease(worker, false);
+            case RELEASE_ARRIVES_TWICE -> departures.leaveWithLateRelease(worker, true);
             default -> throw new IllegalStateException("unknown fault " + fault);
         }
     }
@@ -266,18 +271,6 @@
         workers.forEach(each -> each.reportsLostUntil = until);
     }
 
-    /** Lets a worker drain, announce its end and end; it starts again under its name. */
-    private void leave(FleetWorkerNode worker, long duration) {
-        worker.drain();
-        cell.reportNow(worker);
-        after(
-                duration / 2,
-                () -> {
-                    cell.request(new ReleaseWorker(worker.id(), worker.started()));
-                    after(duration / 4, () -> crash(worker, 1 + duration / 4));
-                });
-    }
-
     private void restart(FleetWorkerNode worker) {
         if (worker.worker().isEmpty()) {
             worker.start();
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetRandomisedTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetRandomisedTest.java
@@ -52,6 +52,20 @@
         assertThat(cell.occurrences()).containsKey("preempted");
     }
 
+    /**
+     * Announcements of ends arrive when their workers have started again: guards against a life
+     * that is held as released and gets no work, and against runs that are started twice.
+     */
+    @ParameterizedTest(name = "seed {0}")
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12})
+    void lateReleaseLeavesEachWorkerAtWork(long seed) {
+        FleetSimulationRun run =
+                new FleetSimulationRun(seed, FleetSimulationRun.Scenario.DEPARTURES, false);
+        FleetSimulation cell = run.run();
+        assertThat(run.findIdleWorkers()).isEmpty();
+        assertThat(cell.checker.violations()).isEmpty();
+    }
+
     /** A list overtakes the start of a run and is judged to be later within one millisecond. */
     @ParameterizedTest(name = "seed {0}")
     @ValueSource(longs = {1026, 2174, 2661, 3323})
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetSimulationRun.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetSimulationRun.java
@@ -22,6 +22,11 @@
     /** Outlasts the latest call that is carried out late. */
     private static final long RECOVERY_MILLISECONDS = 13_000;
 
+    /** Longest time without a run that is allowed for a task with room. */
+    private static final long PROBE_MILLISECONDS = 3_000;
+
+    private static final long PROBE_ESTIMATE_MILLISECONDS = 20_000;
+    private static final long PROBE_WORKFLOWS = 1L << 40;
     private static final int FEW_FAILURES = 2;
     private static final int BACKGROUND_TASKS = 8;
     private static final long BACKGROUND_MILLISECONDS = 4_000;
@@ -36,7 +41,9 @@
                 4,
                 TestFleet.withMostFailures(TestFleet.configuration(1), FEW_FAILURES)),
         /** Single faults while work of lower priority fills the workers. */
-        PREEMPTION(FleetFault.single(), 0, TestFleet.configuration(1));
+        PREEMPTION(FleetFault.single(), 0, TestFleet.configuration(1)),
+        /** Workers whose announcements of their ends arrive when they have started again. */
+        DEPARTURES(FleetFault.departures(), 0, TestFleet.configuration(1));
 
         private final List<FleetFault> faults;
         private final int failingWorkflows;
@@ -86,6 +93,35 @@
         return cell;
     }
 
+    /**
+     * Returns the workers that are ready and on which a task that only they can run has not begun
+     * in time.
+     */
+    List<String> findIdleWorkers() {
+        for (int index = 0; index < cell.workers.size(); index++) {
+            submitProbe(PROBE_WORKFLOWS + index, cell.workers.get(index).id().value());
+        }
+        cell.run(PROBE_MILLISECONDS);
+        return cell.workers.stream()
+                .filter(worker -> !worker.worker().orElseThrow().worker().draining())
+                .filter(worker -> worker.worker().orElseThrow().live().isEmpty())
+                .map(worker -> worker.id().value())
+                .toList();
+    }
+
+    private void submitProbe(long number, String worker) {
+        StepDefinition step =
+                StepDefinition.builder()
+                        .demand(new Resources(300, 100, 0))
+                        .estimateMilliseconds(PROBE_ESTIMATE_MILLISECONDS)
+                        .requiredLabel(Optional.of(worker))
+                        .build();
+        String id = "%016x".formatted(number);
+        WorkflowDraft draft = new WorkflowDraft("payload", List.of(step), Optional.empty());
+        cell.register(id, draft);
+        cell.request(new SubmitWorkflowRequest(TestFleet.target(id), draft));
+    }
+
     private void submitLater(long milliseconds) {
         cell.timeline.after(
                 milliseconds * MicrosecondTimeline.MILLISECOND,
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetSoak.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetSoak.java
@@ -6,8 +6,9 @@
 
 /**
  * Runs simulations of replicas with workers from the command line: {@code --seed FIRST --runs
- * COUNT}, with {@code --successive 1} for faults that follow one another on a worker, and {@code
- * --trace 1} to print the events.
+ * COUNT}, with {@code --successive 1} for faults that follow one another on a worker, {@code
+ * --departures 1} for announcements of ends that arrive late, and {@code --trace 1} to print the
+ * events.
  */
 public final class FleetSoak {
     private FleetSoak() {}
@@ -23,15 +24,20 @@
         long starts = 0;
         long failed = 0;
         for (long seed = first; seed < first + runs; seed++) {
-            FleetSimulation cell = new FleetSimulationRun(seed, scenario, traced).run();
+            FleetSimulationRun run = new FleetSimulationRun(seed, scenario, traced);
+            FleetSimulation cell = run.run();
+            List<String> idle =
+                    scenario == FleetSimulationRun.Scenario.DEPARTURES
+                            ? run.findIdleWorkers()
+                            : List.of();
             cell.trace.lines().forEach(System.out::println);
             starts += cell.checker.starts();
             cell.occurrences().forEach((what, times) -> total.merge(what, times, Integer::sum));
-            if (!cell.checker.violations().isEmpty()) {
+            if (!cell.checker.violations().isEmpty() || !idle.isEmpty()) {
                 failed++;
                 System.out.println(
-                        "event=fleet_soak_violation seed=%d violations=\"%s\""
-                                .formatted(seed, cell.checker.violations()));
+                        "event=fleet_soak_violation seed=%d violations=\"%s\" idle=\"%s\""
+                                .formatted(seed, cell.checker.violations(), idle));
             }
         }
         System.out.println(
@@ -44,6 +50,9 @@
         if (CellSoak.option(options, "--preemption", 0) > 0) {
             return FleetSimulationRun.Scenario.PREEMPTION;
         }
+        if (CellSoak.option(options, "--departures", 0) > 0) {
+            return FleetSimulationRun.Scenario.DEPARTURES;
+        }
         return CellSoak.option(options, "--successive", 0) > 0
                 ? FleetSimulationRun.Scenario.SUCCESSIVE_FAULTS
                 : FleetSimulationRun.Scenario.SINGLE_FAULTS;
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetWorkerNode.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetWorkerNode.java
@@ -73,7 +73,7 @@
                                 "10.0.0.1:80",
                                 new AvailabilityZone("zone-" + machine.zone()),
                                 new Resources(4_000, 16_000, 0),
-                                List.of("a", "rack-" + machine.zone()),
+                                List.of("a", machine.name(), "rack-" + machine.zone()),
                                 false),
                         random.nextBoolean() ? 0 : random.nextLong(CLOCK_ORIGIN_MILLISECONDS),
                         SLOWEST_CLOCK + (1 - SLOWEST_CLOCK) * random.nextDouble(),
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/TestFleet.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/TestFleet.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.marjoramnotch.model.fleet.AdviceTiming;
 import org.marjoramnotch.model.fleet.FleetConfiguration;
 import org.marjoramnotch.model.fleet.PoolDefinition;
@@ -10,7 +11,9 @@
 import org.marjoramnotch.model.identifier.QueueName;
 import org.marjoramnotch.model.identifier.ServiceName;
 import org.marjoramnotch.model.identifier.TeamName;
+import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.message.CallTarget;
+import org.marjoramnotch.model.message.ReleaseWorker;
 import org.marjoramnotch.model.resource.Resources;
 import org.marjoramnotch.model.workflow.StepDefinition;
 import org.marjoramnotch.model.workflow.WorkflowDraft;
@@ -123,4 +126,14 @@
                         .build();
         return new WorkflowDraft("payload", List.of(step), Optional.empty());
     }
+
+    /** Lets a worker end, and its announcement of this arrive. */
+    static void leave(WorkflowCell cell, WorkerId worker) {
+        OptionalLong started =
+                cell.ledger.worker(worker).stream()
+                        .mapToLong(entry -> entry.worker().incarnation().startedEpochMilliseconds())
+                        .findFirst();
+        cell.crash(worker);
+        cell.request(new ReleaseWorker(worker, started));
+    }
 }
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/TwoPoolFleet.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/TwoPoolFleet.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.marjoramnotch.model.fleet.FleetConfiguration;
 import org.marjoramnotch.model.fleet.FleetWorker;
 import org.marjoramnotch.model.fleet.PoolDefinition;
@@ -12,7 +11,6 @@
 import org.marjoramnotch.model.identifier.ServiceName;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.message.ApplyConfiguration;
-import org.marjoramnotch.model.message.ReleaseWorker;
 import org.marjoramnotch.model.message.SubmitWorkflowRequest;
 import org.marjoramnotch.model.resource.Resources;
 import org.marjoramnotch.model.workflow.Recurrence;
@@ -69,9 +67,7 @@
     }
 
     void remove(String name) {
-        WorkerId worker = new WorkerId(name);
-        cell.crash(worker);
-        cell.request(new ReleaseWorker(worker, OptionalLong.empty()));
+        TestFleet.leave(cell, new WorkerId(name));
     }
 
     void removeLarge() {
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowFeasibilityTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowFeasibilityTest.java
@@ -4,7 +4,6 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -14,7 +13,6 @@
 import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.message.ApplyConfiguration;
-import org.marjoramnotch.model.message.ReleaseWorker;
 import org.marjoramnotch.model.message.ReportWorker;
 import org.marjoramnotch.model.message.SubmitWorkflowRequest;
 import org.marjoramnotch.model.resource.Resources;
@@ -44,8 +42,7 @@
     @Test
     void temporaryLossOfLargeWorkersDoesNotFailWorkflow() {
         WorkerId large = new WorkerId("large");
-        cell.crash(large);
-        cell.request(new ReleaseWorker(large, OptionalLong.empty()));
+        TestFleet.leave(cell, large);
         cell.request(new SubmitWorkflowRequest(TestFleet.target(ID), TestFleet.draft(1, 20_000)));
         cell.run(6_000);
         assertThat(state()).isEqualTo(WorkflowState.QUEUED);
@@ -92,8 +89,7 @@
     }
 
     private void removeLarge() {
-        cell.crash(LARGE);
-        cell.request(new ReleaseWorker(LARGE, OptionalLong.empty()));
+        TestFleet.leave(cell, LARGE);
         cell.run(5_000);
     }
 
--- a/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowStarvationTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/workflow/WorkflowStarvationTest.java
@@ -272,8 +272,7 @@
                         .filter(id -> cell.workers.get(id).worker().labels().contains("b"))
                         .toList();
         for (WorkerId worker : large) {
-            cell.crash(worker);
-            cell.request(new ReleaseWorker(worker, OptionalLong.empty()));
+            TestFleet.leave(cell, worker);
         }
         cell.run(2_000 + random.nextInt(4_000));
         large.forEach(worker -> enroll(worker.value()));
--- a/wire/src/test/java/org/marjoramnotch/wire/WorkflowExamples.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/WorkflowExamples.java
@@ -161,7 +161,7 @@
                     new ApplyConfiguration(CONFIGURATION),
                     new ReadConfiguration(),
                     new ReportWorker(WORKER, 4),
-                    new ReleaseWorker(new WorkerId("w-1"), OptionalLong.of(5)),
+                    new ReleaseWorker(new WorkerId("w-1"), OptionalLong.of(5), OptionalLong.of(6)),
                     new TakeAdviceQuestion(
                             new VmId("vm"),
                             Optional.of(
