--- a/benchmark/src/main/java/org/marjoramnotch/benchmark/StateGrowthBenchmark.java
+++ b/benchmark/src/main/java/org/marjoramnotch/benchmark/StateGrowthBenchmark.java
@@ -41,6 +41,11 @@
         printGrowth("ended_task", ExampleCommands::endedTask);
         printGrowth("open_attempt", number -> List.of(ExampleCommands.attempt(number, true)));
         printGrowth("ended_attempt_with_claim", ExampleCommands::endedAttempt);
+        printGrowth("workflow_1000_times_2x10_tasks", ExampleWorkflows::timed);
+        printGrowth("workflow_of_1_task", ExampleWorkflows::ofOneTask);
+        printGrowth("workflow_of_100_tasks", ExampleWorkflows::ofManyTasks);
+        printGrowth("workflow_running_1_task", ExampleWorkflows::runningOneTask);
+        printGrowth("workflow_ended", ExampleWorkflows::ended);
     }
 
     private static void printGrowth(String kind, IntFunction<List<Command>> commands) {
@@ -102,6 +107,7 @@
         List<RuleLine> rules = ExampleCommands.rules();
         apply(ledger, new ChangeConfiguration(new RequestId("rules"), 0, List.of(), rules));
         ExampleCommands.fleet().forEach(command -> apply(ledger, command));
+        ExampleWorkflows.fleet().forEach(command -> apply(ledger, command));
         return ledger;
     }
 
--- a/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/Daemon.java
@@ -41,6 +41,8 @@
 import org.marjoramnotch.logic.placement.PlacementSettings;
 import org.marjoramnotch.model.identifier.AvailabilityZone;
 import org.marjoramnotch.model.identifier.VmId;
+import org.marjoramnotch.model.message.CellRequest;
+import org.marjoramnotch.model.message.ReportHeldLimit;
 import org.marjoramnotch.model.time.Clock;
 
 /** The process that runs on every VM: an entry, links and, on VMs with a disk, a replica. */
@@ -149,11 +151,18 @@
                 workflow.map(
                         workers ->
                                 new WorkflowDutySettings(
-                                        workers.workflowSettings(availabilityZones),
+                                        workers.workflowSettings(
+                                                availabilityZones, heldStateLimit(workers)),
                                         System::currentTimeMillis)),
                 Optional.empty());
     }
 
+    private static long heldStateLimit(WorkflowDaemonSettings workflow) {
+        return workflow.mostHeldBytes() > 0
+                ? workflow.mostHeldBytes()
+                : HeldStateLimit.ofHeap(Runtime.getRuntime().maxMemory());
+    }
+
     /**
      * Starts a process and returns once it accepts requests.
      *
@@ -224,8 +233,11 @@
         Consumer<DecisionLogEntry> decisionListener = log.andThen(metrics::countDecision);
         replica.ifPresent(
                 host -> startDuty("cell", host.duty(links, orders, decisionListener, failure)));
-        links.startDuties(this::startDuty, failure);
+        links.startDuties(this::startDuty, heldLimitReport(), failure);
         startDuty("entry", entry.duty(failure));
+        if (replica.isPresent()) {
+            MemoryWatch.start(clock, failure);
+        }
     }
 
     private void startDuty(String name, Duty<?> duty) {
@@ -233,6 +245,12 @@
         duty.start(name);
     }
 
+    /** Returns what the replica reports to the leader from time to time. */
+    private Optional<CellRequest> heldLimitReport() {
+        return replica.flatMap(host -> settings.workflow())
+                .map(workflow -> new ReportHeldLimit(settings.vm(), heldStateLimit(workflow)));
+    }
+
     private Optional<LocalReplica> localReplica() {
         return replica.map(ReplicaHost::localReplica);
     }
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClientDuty.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellClientDuty.java
@@ -5,8 +5,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.marjoramnotch.daemon.duty.DutyHandler;
 import org.marjoramnotch.daemon.metrics.CountedEvent;
 import org.marjoramnotch.daemon.metrics.DaemonMetrics;
@@ -34,6 +36,7 @@
     static final long TICK_MILLISECONDS = 100;
     private static final long RETRY_PAUSE_MILLISECONDS = 50;
     private static final long REPLY_TIMEOUT_MILLISECONDS = 2_000;
+    private static final long REPORT_INTERVAL_MILLISECONDS = 5_000;
 
     /**
      * The time without a leader after which new requests of workflow callers are refused. An
@@ -46,9 +49,11 @@
     private final CellTransport transport;
     private final DaemonMetrics metrics;
     private final int maximumPending;
+    private final Optional<CellRequest> report;
     private final Map<Long, PendingRequest> byCorrelation = new HashMap<>();
     private final Set<PendingRequest> pending = new LinkedHashSet<>();
     private long nextCorrelation = 1;
+    private long nextReportMilliseconds = Long.MIN_VALUE;
     private int presumedLeaderIndex;
 
     /** The time since which requests have found no leader; empty while a leader replies. */
@@ -58,11 +63,13 @@
             List<VmId> replicas,
             CellTransport transport,
             DaemonMetrics metrics,
-            int maximumPending) {
+            int maximumPending,
+            Optional<CellRequest> report) {
         this.replicas = new ArrayList<>(replicas);
         this.transport = transport;
         this.metrics = metrics;
         this.maximumPending = maximumPending;
+        this.report = report;
     }
 
     @Override
@@ -86,6 +93,8 @@
 
     @Override
     public void tick(long nowMilliseconds) {
+        report.filter(due -> nowMilliseconds >= nextReportMilliseconds)
+                .ifPresent(due -> sendReport(nowMilliseconds, due));
         for (PendingRequest request : new ArrayList<>(pending)) {
             if (nowMilliseconds >= request.deadlineMilliseconds) {
                 finish(request, noLeaderReply(request));
@@ -99,6 +108,13 @@
         }
     }
 
+    private void sendReport(long nowMilliseconds, CellRequest due) {
+        nextReportMilliseconds = nowMilliseconds + REPORT_INTERVAL_MILLISECONDS;
+        submit(
+                nowMilliseconds,
+                new ClientInput.Submit(due, nextReportMilliseconds, new CompletableFuture<>()));
+    }
+
     private void submit(long nowMilliseconds, ClientInput.Submit submit) {
         PendingRequest request =
                 new PendingRequest(
--- a/daemon/src/main/java/org/marjoramnotch/daemon/link/CellLinks.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/link/CellLinks.java
@@ -102,14 +102,22 @@
                 });
     }
 
-    /** Passes the duties of the links and of the client, with their names, to a starter. */
-    public void startDuties(BiConsumer<String, Duty<?>> starter, Consumer<Throwable> failure) {
+    /**
+     * Passes the duties of the links and of the client, with their names, to a starter.
+     *
+     * @param report a request that is sent to the leader from time to time
+     */
+    public void startDuties(
+            BiConsumer<String, Duty<?>> starter,
+            Optional<CellRequest> report,
+            Consumer<Throwable> failure) {
         Consumer<VmId> linkDutyStarter = vm -> startLink(vm, starter, failure);
         linkStarter = linkDutyStarter;
         links.keySet().forEach(linkDutyStarter);
         List<VmId> replicas = settings.replicas().stream().map(ReplicaAddress::vm).toList();
         CellClientDuty duty =
-                new CellClientDuty(replicas, this, metrics, settings.maximumPendingRequests());
+                new CellClientDuty(
+                        replicas, this, metrics, settings.maximumPendingRequests(), report);
         starter.accept(
                 "cell-client",
                 new Duty<>(clientInput, duty, clock, CellClientDuty.TICK_MILLISECONDS, failure));
--- a/daemon/src/main/java/org/marjoramnotch/daemon/metrics/ReplicaGauges.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/metrics/ReplicaGauges.java
@@ -58,6 +58,16 @@
                 "workers_capacity",
                 "Resources of all registered workers.",
                 latest -> latest.utilization().total());
+        registerWorkflowGauges(registry);
+        register(
+                registry,
+                GaugeWithCallback.builder()
+                        .name("marjoramnotch_heap_free_ratio")
+                        .help("Share of the heap that is free, before a collection."),
+                callback -> callback.call(HeapUse.freeShare()));
+    }
+
+    private void registerWorkflowGauges(PrometheusRegistry registry) {
         registerWorkflowGauge(
                 registry,
                 "workers_known",
@@ -73,6 +83,16 @@
                 "advice_questions_waiting",
                 "Questions to the placement advisor that no process has taken yet.",
                 WorkflowMetrics::waitingQuestions);
+        registerWorkflowGauge(
+                registry,
+                "held_bytes",
+                "Size of all workflows in a replica, as it is counted against the limit.",
+                WorkflowMetrics::heldBytes);
+        registerWorkflowGauge(
+                registry,
+                "held_limit_bytes",
+                "How much the replica that can hold least can hold.",
+                WorkflowMetrics::mostHeldBytes);
     }
 
     private void registerWorkflowGauge(
--- a/daemon/src/test/java/org/marjoramnotch/daemon/link/CellClientDutyTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/link/CellClientDutyTest.java
@@ -58,7 +58,8 @@
     private final Set<VmId> down = new HashSet<>();
     private final DaemonMetrics metrics = new DaemonMetrics();
     private final CellClientDuty duty =
-            new CellClientDuty(List.of(ONE, TWO, THREE), this::transport, metrics, 2);
+            new CellClientDuty(
+                    List.of(ONE, TWO, THREE), this::transport, metrics, 2, Optional.empty());
 
     @Test
     void hintIsFollowedAndTheLeaderIsRemembered() {
--- a/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
+++ b/daemon/src/test/java/org/marjoramnotch/daemon/metrics/LeaderMetricsTest.java
@@ -52,7 +52,7 @@
                     List.of(new TeamMetrics(TEAM, 3, 64, 0.25)),
                     new ResourceUtilization(
                             new Resources(1500, 2000, 1), new Resources(4000, 8000, 2)),
-                    Optional.of(new WorkflowMetrics(245, 240, 7)));
+                    Optional.of(new WorkflowMetrics(245, 240, 7, 5_000, 14_000_000)));
 
     private static final FleetWorker WORKER =
             new FleetWorker(
@@ -232,6 +232,8 @@
                         "marjoramnotch_workers_known 245.0",
                         "marjoramnotch_workers_usable 240.0",
                         "marjoramnotch_advice_questions_waiting 7.0",
+                        "marjoramnotch_held_bytes 5000.0",
+                        "marjoramnotch_held_limit_bytes 1.4E7",
                         "marjoramnotch_log_lines_dropped_total{event=\"run_ended\"} 7.0");
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/EndedWorkflowCleaner.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/EndedWorkflowCleaner.java
@@ -44,4 +44,19 @@
             expired.forEach(endedSince::remove);
         }
     }
+
+    /**
+     * Returns after how many milliseconds ended workflows of the given size will have been removed.
+     * If there are not as many, this is the time after which one that ends now is removed.
+     */
+    long millisecondsUntilRemoved(long nowMilliseconds, long bytes) {
+        long removed = 0;
+        for (Map.Entry<JobId, Long> ended : endedSince.entrySet()) {
+            removed += ledger.workflow(ended.getKey()).map(WorkflowEntry::countedBytes).orElse(0L);
+            if (removed >= bytes) {
+                return Math.max(0, ended.getValue() + retentionMilliseconds - nowMilliseconds);
+            }
+        }
+        return retentionMilliseconds;
+    }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/FeasibilityCheck.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/FeasibilityCheck.java
@@ -6,9 +6,11 @@
 import org.marjoramnotch.logic.leader.LeaderOutput;
 import org.marjoramnotch.model.command.FailWorkflow;
 import org.marjoramnotch.model.fleet.FleetConfiguration;
+import org.marjoramnotch.model.fleet.QueueDefinition;
 import org.marjoramnotch.model.fleet.QueueMove;
 import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.time.Clock;
+import org.marjoramnotch.model.workflow.Workflow;
 
 /** Gives up workflows that have been infeasible, for the same reason, for a delay. */
 final class FeasibilityCheck {
@@ -73,6 +75,11 @@
         }
     }
 
+    /** Returns whether a workflow could ever be done if it were accepted now. */
+    boolean canBeDone(Workflow workflow, QueueDefinition queue) {
+        return feasibility.findObstacle(workflow, queue).isEmpty();
+    }
+
     /** Returns whether a workflow could not be done when it was last checked. */
     boolean isInfeasible(JobId workflow) {
         return findings.containsKey(workflow);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/LatencyObjectives.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/LatencyObjectives.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.IntConsumer;
 import org.marjoramnotch.model.fleet.QueueDefinition;
 import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.workflow.StepDefinition;
@@ -13,6 +14,9 @@
     /** Average number of workers named in a question to the placement advisor. */
     private static final int ADVISED_WORKERS = 30;
 
+    /** More than start at once, also of small steps on large fleets. */
+    private static final int MAXIMUM_UNSTARTED_OCCURRENCES = 64;
+
     /** Estimated run time of tasks that are submitted without an estimate. */
     private static final long UNKNOWN_ESTIMATE_MILLISECONDS = 500;
 
@@ -45,6 +49,35 @@
         return epoch + epochOffset;
     }
 
+    /**
+     * Calls an action with each occurrence that is due and not done, in ascending order. Of those
+     * without a started task, which are all alike, it takes a limited number, so that a workflow
+     * with many due occurrences does not slow down the others.
+     */
+    void forEachDue(long nowMilliseconds, WorkflowEntry entry, IntConsumer action) {
+        Workflow workflow = entry.workflow();
+        boolean scheduled = workflow.recurrence().isPresent();
+        int unstarted = 0;
+        boolean ascending =
+                workflow.recurrence()
+                        .map(recurrence -> recurrence.intervalMilliseconds() >= 0)
+                        .orElse(true);
+        for (int occurrence = entry.nextOpenOccurrence(0);
+                occurrence >= 0;
+                occurrence = entry.nextOpenOccurrence(occurrence + 1)) {
+            boolean due = !scheduled || nowMilliseconds >= dueAt(workflow, occurrence);
+            if (due && !entry.startedOccurrences().containsKey(occurrence)) {
+                unstarted++;
+            }
+            if (unstarted > MAXIMUM_UNSTARTED_OCCURRENCES || !due && ascending) {
+                return;
+            }
+            if (due) {
+                action.accept(occurrence);
+            }
+        }
+    }
+
     /** Returns the latency objective of one occurrence of a workflow, in milliseconds. */
     long objective(WorkflowEntry entry) {
         return objective(criticalPaths(entry).longest(), entry.queue());
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/ReadySteps.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/ReadySteps.java
@@ -26,23 +26,17 @@
     List<ReadyStep> find(long nowMilliseconds, List<ReadyStep> upcoming) {
         List<ReadyStep> ready = new ArrayList<>();
         for (WorkflowEntry entry : ledger.active()) {
-            for (int occurrence = 0; occurrence < entry.occurrenceCount(); occurrence++) {
-                long start = objectives.dueAt(entry.workflow(), occurrence);
-                boolean due = entry.workflow().recurrence().isEmpty() || nowMilliseconds >= start;
-                if (due) {
-                    addReadySteps(entry, occurrence, start, ready, upcoming);
-                }
-            }
+            objectives.forEachDue(
+                    nowMilliseconds,
+                    entry,
+                    occurrence -> addReadySteps(entry, occurrence, ready, upcoming));
         }
         return ready;
     }
 
     private void addReadySteps(
-            WorkflowEntry entry,
-            int occurrence,
-            long start,
-            List<ReadyStep> ready,
-            List<ReadyStep> upcoming) {
+            WorkflowEntry entry, int occurrence, List<ReadyStep> ready, List<ReadyStep> upcoming) {
+        long start = objectives.dueAt(entry.workflow(), occurrence);
         List<StepTasks> steps = entry.steps(occurrence);
         for (int step = 0; step < steps.size(); step++) {
             StepTasks tasks = steps.get(step);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RemainingWork.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RemainingWork.java
@@ -75,12 +75,8 @@
             if (feasibilityCheck.isInfeasible(entry.id())) {
                 continue;
             }
-            for (int occurrence = 0; occurrence < entry.occurrenceCount(); occurrence++) {
-                long start = objectives.dueAt(entry.workflow(), occurrence);
-                if (entry.workflow().recurrence().isEmpty() || nowMilliseconds >= start) {
-                    add(nowMilliseconds, entry, occurrence, start);
-                }
-            }
+            objectives.forEachDue(
+                    nowMilliseconds, entry, occurrence -> add(nowMilliseconds, entry, occurrence));
         }
     }
 
@@ -97,7 +93,8 @@
         return Optional.ofNullable(teamBacklogs.get(team));
     }
 
-    private void add(long nowMilliseconds, WorkflowEntry entry, int occurrence, long start) {
+    private void add(long nowMilliseconds, WorkflowEntry entry, int occurrence) {
+        long start = objectives.dueAt(entry.workflow(), occurrence);
         ServiceName pool = poolOf(entry, occurrence);
         Optional<TeamName> team = entry.workflow().team();
         List<Backlog> backlogs = new ArrayList<>(2);
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/RunTransitions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/RunTransitions.java
@@ -113,10 +113,9 @@
     private void start(RunPlacement placement) {
         WorkflowTaskId id = placement.run().task();
         WorkflowEntry entry = ledger.activeWorkflow(id.step().workflow()).orElseThrow();
-        TaskState task = entry.task(id).orElseThrow();
-        task.start(placement.run().number(), placement.worker().worker());
-        entry.countStart();
+        entry.start(placement.run(), placement.worker().worker());
         addRun(ledger.worker(placement.worker()).orElseThrow(), entry, placement.run());
+        ledger.onRunChanged(entry);
     }
 
     private void addRun(WorkerEntry worker, WorkflowEntry entry, RunId run) {
@@ -166,6 +165,9 @@
         if (entry == null) {
             return RunEndEffect.UNKNOWN_TASK;
         }
+        if (entry.isDone(run.task().step().occurrence())) {
+            return RunEndEffect.TASK_COMPLETE;
+        }
         TaskState task = entry.task(run.task()).orElse(null);
         if (task == null) {
             return entry.state().isFinal()
@@ -224,12 +226,13 @@
                 && !step.definition().standing()) {
             entry.end(WorkflowState.FAILED);
         }
+        int occurrence = run.task().step().occurrence();
         if (running) {
-            entry.countEnd();
+            entry.countEnd(occurrence);
         } else {
-            entry.completeIfDone();
+            entry.completeIfDone(occurrence);
         }
-        ledger.onRunEnded(entry);
+        ledger.onRunChanged(entry);
     }
 
     private void release(WorkerEntry worker, WorkflowEntry entry, StepTasks step, RunId run) {
@@ -254,7 +257,7 @@
                         .ifPresent(worker -> release(worker, entry, step, memberRun));
                 member.returnToWaiting("");
                 step.finish(member);
-                entry.countEnd();
+                entry.countEnd(run.task().step().occurrence());
                 applied.add(
                         new AppliedEnd(
                                 new RunEnd(memberRun, RunOutcome.DONE, ""),
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/StandingTaskMover.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/StandingTaskMover.java
@@ -58,17 +58,33 @@
             Map<ServiceName, PoolCapacity> usableWorkers,
             LeaderOutput output) {
         for (WorkflowEntry entry : ledger.active()) {
-            for (int occurrence = 0; occurrence < entry.occurrenceCount(); occurrence++) {
-                List<StepTasks> steps = entry.steps(occurrence);
-                for (int number = 0; number < steps.size(); number++) {
-                    StepTasks tasks = steps.get(number);
-                    // The other members of a gang can make no progress without one of them.
-                    if (tasks.definition().standing() && !tasks.definition().gang()) {
-                        StepId id = new StepId(entry.id(), occurrence, number);
-                        ReadyStep step = new ReadyStep(entry, id, tasks, 0, 0, 0);
-                        move(nowMilliseconds, step, usableWorkers, output);
-                    }
-                }
+            // Occurrences without a started task run nothing.
+            entry.startedOccurrences()
+                    .forEach(
+                            (occurrence, steps) ->
+                                    move(
+                                            nowMilliseconds,
+                                            entry,
+                                            occurrence,
+                                            usableWorkers,
+                                            output));
+        }
+    }
+
+    private void move(
+            long nowMilliseconds,
+            WorkflowEntry entry,
+            int occurrence,
+            Map<ServiceName, PoolCapacity> usableWorkers,
+            LeaderOutput output) {
+        List<StepTasks> steps = entry.steps(occurrence);
+        for (int number = 0; number < steps.size(); number++) {
+            StepTasks tasks = steps.get(number);
+            // The other members of a gang can make no progress without one of them.
+            if (tasks.definition().standing() && !tasks.definition().gang()) {
+                StepId id = new StepId(entry.id(), occurrence, number);
+                ReadyStep step = new ReadyStep(entry, id, tasks, 0, 0, 0);
+                move(nowMilliseconds, step, usableWorkers, output);
             }
         }
     }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowDuty.java
@@ -14,6 +14,7 @@
 import org.marjoramnotch.model.command.EndRuns;
 import org.marjoramnotch.model.command.EnrollWorker;
 import org.marjoramnotch.model.command.FailWorkflow;
+import org.marjoramnotch.model.command.RecordHeldLimit;
 import org.marjoramnotch.model.command.ReplaceConfiguration;
 import org.marjoramnotch.model.command.StartRuns;
 import org.marjoramnotch.model.command.SubmitWorkflow;
@@ -29,6 +30,7 @@
 import org.marjoramnotch.model.message.ReadWorkflow;
 import org.marjoramnotch.model.message.Refused;
 import org.marjoramnotch.model.message.ReleaseWorker;
+import org.marjoramnotch.model.message.ReportHeldLimit;
 import org.marjoramnotch.model.message.ReportWorker;
 import org.marjoramnotch.model.message.SubmitWorkflowRequest;
 import org.marjoramnotch.model.message.TakeAdviceQuestion;
@@ -43,13 +45,9 @@
      */
     public static final long FENCING_TOKENS = 8;
 
-    /** Interval of checks that iterate over all workflows. */
     private static final long SLOW_TICK_MILLISECONDS = 1_000;
 
-    /**
-     * Interval of periodic scheduling rounds, which detect changes without an event, such as the
-     * end of a quarantine.
-     */
+    /** Interval of rounds that detect changes without an event, as the end of a quarantine. */
     private static final long SCHEDULE_INTERVAL_MILLISECONDS = 150;
 
     private final WorkflowLedger ledger;
@@ -62,7 +60,7 @@
     private final AdviceBroker advice;
     private final RunScheduler scheduler;
     private final FeasibilityCheck feasibilityCheck;
-    private final EndedWorkflowCleaner endedWorkflows;
+    private final SubmissionRoom room;
     private final AppliedRunHandler runs;
     private final RoundPacing roundPacing = new RoundPacing();
     private final Preemption preemption;
@@ -121,9 +119,10 @@
         RemainingWork work =
                 new RemainingWork(ledger, objectives, feasibility, feasibilityCheck, settings);
         LoadMeter load = new LoadMeter(ledger, advice, feasibilityCheck, work);
+        this.room = new SubmissionRoom(settings, ledger, nowMilliseconds);
         this.workflows =
                 new WorkflowRequestHandler(
-                        ledger, configuration, load, feasibility, feasibilityCheck, wallClock);
+                        ledger, configuration, load, feasibilityCheck, room, wallClock);
         this.releases = new WorkerReleaseHandler(settings, ledger, sessions);
         this.workers = new WorkerReportHandler(ledger, sessions, releases);
         ColdZones coldZones =
@@ -150,7 +149,6 @@
                         new StandingTaskMoves(nowMilliseconds),
                         preemption,
                         runMetricsListener);
-        this.endedWorkflows = new EndedWorkflowCleaner(ledger, settings.retentionMilliseconds());
         this.runs =
                 new AppliedRunHandler(
                         ledger,
@@ -202,6 +200,8 @@
         } else if (applied instanceof EnrollWorker enroll) {
             runs.onEnrolled(enroll, result, output);
             advice.onEnrolled(enroll.worker().incarnation());
+        } else if (applied instanceof RecordHeldLimit record) {
+            room.limits().onApplied(record, output);
         }
         workers.onApplied(nowMilliseconds, applied, output);
         workflows.onApplied(applied, result, output);
@@ -222,7 +222,7 @@
         if (nowMilliseconds >= nextSlowTickAt) {
             nextSlowTickAt = nowMilliseconds + SLOW_TICK_MILLISECONDS;
             feasibilityCheck.check(nowMilliseconds, output);
-            endedWorkflows.tick(nowMilliseconds, output);
+            room.tick(nowMilliseconds, output);
             scheduler.logWaiting(nowMilliseconds, output);
             scheduler.moveStandingTasks(nowMilliseconds, output);
         }
@@ -246,12 +246,12 @@
         return new WorkflowMetrics(
                 sessions.all().size(),
                 sessions.countUsable(nowMilliseconds),
-                advice.waitingCount());
+                advice.waitingCount(),
+                ledger.held().totalBytes(),
+                room.limitBytes());
     }
 
-    /**
-     * Returns how many workers the scheduler has examined, counting a worker once for each step.
-     */
+    /** Returns how many workers the scheduler has examined, counted once for each step. */
     long examinedWorkers() {
         return scheduler.examinedWorkers();
     }
@@ -279,6 +279,8 @@
             evacuations.begin(handle, begin, output);
         } else if (request instanceof FinishEvacuationRequest finish) {
             evacuations.finish(handle, finish, output);
+        } else if (request instanceof ReportHeldLimit report) {
+            room.limits().report(nowMilliseconds, handle, report, output);
         } else {
             throw new MarjoramnotchException(
                     ErrorCode.INVALID_REQUEST,
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowEntry.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowEntry.java
@@ -6,15 +6,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.IntStream;
-import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.budget.HeldBytes;
 import org.marjoramnotch.model.fleet.QueueDefinition;
 import org.marjoramnotch.model.identifier.JobId;
 import org.marjoramnotch.model.identifier.ServiceName;
+import org.marjoramnotch.model.identifier.WorkerId;
 import org.marjoramnotch.model.workflow.RunId;
 import org.marjoramnotch.model.workflow.StepId;
-import org.marjoramnotch.model.workflow.TaskRecord;
 import org.marjoramnotch.model.workflow.Workflow;
 import org.marjoramnotch.model.workflow.WorkflowRecord;
 import org.marjoramnotch.model.workflow.WorkflowState;
@@ -25,43 +24,57 @@
     private Workflow workflow;
     private QueueDefinition queue;
     private WorkflowState state;
-    private List<List<StepTasks>> occurrences;
+    private Occurrences occurrences;
     private final List<ServiceName> formerPools = new ArrayList<>();
     private @Nullable String failure;
     private int running;
+    private long definitionBytes;
+
+    /** What the ledger counts for this workflow. */
+    private long countedBytes;
 
     WorkflowEntry(Workflow workflow, QueueDefinition queue) {
         this.workflow = workflow;
         this.queue = queue;
         this.state = WorkflowState.QUEUED;
-        this.occurrences =
-                IntStream.range(0, workflow.occurrences())
-                        .mapToObj(
-                                occurrence ->
-                                        workflow.steps().stream().map(StepTasks::new).toList())
-                        .toList();
+        this.occurrences = new Occurrences(workflow.steps(), workflow.occurrences());
+        this.definitionBytes = HeldBytes.ofDefinition(workflow.payload(), workflow.steps());
     }
 
-    WorkflowEntry(WorkflowRecord stored) {
+    WorkflowEntry(WorkflowRecord stored, QueueDefinition queue) {
         workflow = stored.workflow();
-        queue = stored.queue();
+        this.queue = queue;
         state = stored.state();
         formerPools.addAll(stored.formerPools());
         failure = stored.failure().orElse(null);
-        occurrences = new ArrayList<>();
-        for (List<List<TaskRecord>> steps : stored.tasks()) {
-            List<StepTasks> tasks = new ArrayList<>();
-            for (int step = 0; step < steps.size(); step++) {
-                tasks.add(new StepTasks(workflow.steps().get(step), steps.get(step)));
-            }
-            occurrences.add(tasks);
-        }
-        running =
-                (int)
-                        allSteps()
-                                .flatMap(step -> step.tasks().stream())
-                                .filter(TaskState::isRunning)
-                                .count();
+        occurrences = Occurrences.of(stored);
+        running = running().size();
+        definitionBytes = HeldBytes.ofDefinition(workflow.payload(), workflow.steps());
+    }
+
+    /** Returns what a workflow takes once it is submitted. */
+    static long heldBytes(Workflow workflow) {
+        return HeldBytes.ofWorkflow(
+                HeldBytes.ofDefinition(workflow.payload(), workflow.steps()),
+                new Occurrences(workflow.steps(), workflow.occurrences()).heldTasks(),
+                0);
+    }
+
+    /** Returns by how much the bytes that this workflow takes have changed since the last call. */
+    long takeChangeOfBytes() {
+        boolean over = state.isFinal() && running == 0;
+        long bytes =
+                over
+                        ? HeldBytes.ofEndedWorkflow()
+                        : HeldBytes.ofWorkflow(definitionBytes, occurrences.heldTasks(), running);
+        long change = bytes - countedBytes;
+        countedBytes = bytes;
+        return change;
+    }
+
+    /** Returns the bytes that the ledger counts for this workflow. */
+    long countedBytes() {
+        return countedBytes;
     }
 
     WorkflowRecord snapshot() {
@@ -69,19 +82,11 @@
                 workflow,
                 queue,
                 state,
-                occurrences.stream()
-                        .map(
-                                steps ->
-                                        steps.stream()
-                                                .map(
-                                                        step ->
-                                                                step.tasks().stream()
-                                                                        .map(TaskState::snapshot)
-                                                                        .toList())
-                                                .toList())
-                        .toList(),
+                List.of(),
                 List.copyOf(formerPools),
-                Optional.ofNullable(failure));
+                Optional.ofNullable(failure),
+                occurrences.snapshotStarted(),
+                occurrences.snapshotDone());
     }
 
     Workflow workflow() {
@@ -127,28 +132,39 @@
         return state;
     }
 
-    int occurrenceCount() {
-        return occurrences.size();
+    /** Returns the first occurrence from a given one on that is not done, or -1 if none is. */
+    int nextOpenOccurrence(int from) {
+        return occurrences.nextOpen(from);
     }
 
-    /** Returns the steps of an occurrence. */
+    /** Returns the steps of an occurrence that is not done; callers must not change them. */
     List<StepTasks> steps(int occurrence) {
-        return occurrences.get(occurrence);
+        return occurrences.steps(occurrence);
+    }
+
+    /** Returns the steps of the occurrences of which a task was started and that are not done. */
+    Map<Integer, List<StepTasks>> startedOccurrences() {
+        return occurrences.started();
+    }
+
+    /** Returns whether all tasks of an occurrence are done. */
+    boolean isDone(int occurrence) {
+        return occurrences.isDone(occurrence);
     }
 
     /** Returns whether a task of a step has ever been placed on a worker, in any occurrence. */
     boolean wasPlaced(int step) {
-        return occurrences.stream().anyMatch(steps -> steps.get(step).wasPlaced());
+        return occurrences.wasPlaced(step);
     }
 
+    /** Returns a step of an occurrence that is not done. */
     Optional<StepTasks> step(StepId id) {
-        boolean known =
-                id.occurrence() >= 0
-                        && id.occurrence() < occurrences.size()
-                        && id.step() >= 0
-                        && id.step() < occurrences.get(id.occurrence()).size();
-        return known
-                ? Optional.of(occurrences.get(id.occurrence()).get(id.step()))
+        if (!occurrences.isOpen(id.occurrence())) {
+            return Optional.empty();
+        }
+        List<StepTasks> steps = occurrences.steps(id.occurrence());
+        return id.step() >= 0 && id.step() < steps.size()
+                ? Optional.of(steps.get(id.step()))
                 : Optional.empty();
     }
 
@@ -161,12 +177,15 @@
     /** Returns the running tasks by their runs. */
     Map<RunId, TaskState> running() {
         Map<RunId, TaskState> runs = new LinkedHashMap<>();
-        for (int occurrence = 0; occurrence < occurrences.size(); occurrence++) {
-            for (int step = 0; step < occurrences.get(occurrence).size(); step++) {
-                StepId id = new StepId(id(), occurrence, step);
-                occurrences.get(occurrence).get(step).addRunning(id, runs);
-            }
-        }
+        occurrences
+                .started()
+                .forEach(
+                        (occurrence, steps) -> {
+                            for (int step = 0; step < steps.size(); step++) {
+                                steps.get(step)
+                                        .addRunning(new StepId(id(), occurrence, step), runs);
+                            }
+                        });
         return runs;
     }
 
@@ -176,18 +195,21 @@
      */
     Map<WorkflowTaskId, TaskState> endedUnseen() {
         Map<WorkflowTaskId, TaskState> found = new LinkedHashMap<>();
-        for (int occurrence = 0; occurrence < occurrences.size(); occurrence++) {
-            for (int step = 0; step < occurrences.get(occurrence).size(); step++) {
-                StepId id = new StepId(id(), occurrence, step);
-                occurrences.get(occurrence).get(step).addEndedUnseen(id, found);
-            }
-        }
+        occurrences
+                .started()
+                .forEach(
+                        (occurrence, steps) -> {
+                            for (int step = 0; step < steps.size(); step++) {
+                                StepId id = new StepId(id(), occurrence, step);
+                                steps.get(step).addEndedUnseen(id, found);
+                            }
+                        });
         return found;
     }
 
     /** Returns whether all predecessors of a step are done. */
     boolean isReady(int occurrence, int step) {
-        List<StepTasks> steps = occurrences.get(occurrence);
+        List<StepTasks> steps = occurrences.steps(occurrence);
         for (int earlier : steps.get(step).definition().after()) {
             if (!steps.get(earlier).isDone()) {
                 return false;
@@ -196,7 +218,10 @@
         return true;
     }
 
-    void countStart() {
+    /** Starts a task of an occurrence that is not done. */
+    void start(RunId run, WorkerId worker) {
+        occurrences.begin(run.task().step().occurrence());
+        task(run.task()).orElseThrow().start(run.number(), worker);
         running++;
         if (state == WorkflowState.QUEUED) {
             state = WorkflowState.RUNNING;
@@ -204,9 +229,9 @@
     }
 
     /** Counts the end of a run; drops the tasks of an ended workflow after its last run. */
-    void countEnd() {
+    void countEnd(int occurrence) {
         running--;
-        completeIfDone();
+        completeIfDone(occurrence);
         dropTasksIfOver();
     }
 
@@ -217,16 +242,17 @@
         }
     }
 
-    /** Completes the workflow if all its tasks are done. */
-    void completeIfDone() {
-        if (!state.isFinal() && allSteps().allMatch(StepTasks::isDone)) {
+    /** Completes the workflow if an occurrence whose tasks have changed was the last one. */
+    void completeIfDone(int occurrence) {
+        occurrences.settle(occurrence);
+        if (!state.isFinal() && occurrences.areAllDone()) {
             end(WorkflowState.COMPLETE);
         }
     }
 
     private void dropTasksIfOver() {
         if (state.isFinal() && running == 0) {
-            occurrences = List.of();
+            occurrences = Occurrences.none();
             formerPools.clear();
             workflow =
                     new Workflow(
@@ -239,8 +265,4 @@
                             workflow.submittedEpochMilliseconds());
         }
     }
-
-    private Stream<StepTasks> allSteps() {
-        return occurrences.stream().flatMap(List::stream);
-    }
 }
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowLedger.java
@@ -1,16 +1,14 @@
 package org.marjoramnotch.logic.workflow;
 
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Consumer;
-import org.jspecify.annotations.Nullable;
+import org.marjoramnotch.logic.budget.HeldLimits;
+import org.marjoramnotch.logic.budget.HeldState;
 import org.marjoramnotch.logic.evacuation.Evacuations;
 import org.marjoramnotch.model.command.CancelWorkflow;
 import org.marjoramnotch.model.command.CommandResult;
@@ -19,6 +17,7 @@
 import org.marjoramnotch.model.command.EnrollWorker;
 import org.marjoramnotch.model.command.FailWorkflow;
 import org.marjoramnotch.model.command.ForgetWorkflows;
+import org.marjoramnotch.model.command.RecordHeldLimit;
 import org.marjoramnotch.model.command.ReplaceConfiguration;
 import org.marjoramnotch.model.command.StartRuns;
 import org.marjoramnotch.model.command.SubmitWorkflow;
@@ -45,11 +44,7 @@
 
 /** The replicated state of configuration, workers and workflows. */
 public final class WorkflowLedger {
-    private @Nullable FleetConfiguration configuration;
-    private long configurationProposedEpochMilliseconds;
-    private final Map<QueueName, QueueDefinition> queues = new HashMap<>();
-    private final Map<TeamName, TeamDefinition> teams = new HashMap<>();
-    private final Set<ServiceName> pools = new HashSet<>();
+    private final ConfigurationInForce configuration = new ConfigurationInForce();
     private final EnrolledWorkers workers = new EnrolledWorkers();
     private final Map<JobId, WorkflowEntry> workflows = new LinkedHashMap<>();
     private final Map<JobId, WorkflowEntry> active = new LinkedHashMap<>();
@@ -57,37 +52,45 @@
     private final RunTransitions runs = new RunTransitions(this, consumption);
     private final FleetHistory history = new FleetHistory();
     private final Evacuations evacuations = new Evacuations();
+    private final HeldState held = new HeldState();
+    private final HeldLimits heldLimits = new HeldLimits();
 
     /** Restores the state from a snapshot. */
     public void restore(WorkflowSnapshot snapshot) {
         history.restore(snapshot.history());
-        snapshot.configuration().ifPresent(this::activate);
-        configurationProposedEpochMilliseconds = snapshot.configurationProposedEpochMilliseconds();
+        snapshot.configuration()
+                .ifPresent(
+                        stored ->
+                                activate(
+                                        stored, snapshot.configurationProposedEpochMilliseconds()));
         snapshot.workers().forEach(history::record);
         workers.restore(snapshot);
         evacuations.restore(snapshot.evacuations(), snapshot.workers());
         for (WorkflowRecord stored : snapshot.workflows()) {
-            WorkflowEntry entry = new WorkflowEntry(stored);
+            WorkflowEntry entry = new WorkflowEntry(stored, configuration.shared(stored.queue()));
             workflows.put(entry.id(), entry);
             if (!entry.state().isFinal()) {
                 active.put(entry.id(), entry);
             }
             runs.restore(entry);
+            recount(entry);
         }
+        heldLimits.restore(snapshot.heldLimits());
     }
 
     /** Returns a snapshot of the whole state. */
     public WorkflowSnapshot snapshot() {
         return new WorkflowSnapshot(
-                Optional.ofNullable(configuration),
+                configuration.configuration(),
                 workers.all().stream().map(WorkerEntry::worker).toList(),
                 workflows.values().stream().map(WorkflowEntry::snapshot).toList(),
                 history.snapshot(),
-                configurationProposedEpochMilliseconds,
+                configuration.proposedEpochMilliseconds().orElse(0),
                 workers.followers(),
                 workers.inheritedLeases(),
                 workers.dismissed(),
-                evacuations.snapshot());
+                evacuations.snapshot(),
+                heldLimits.snapshot());
     }
 
     /** Applies a command, with the same result on every replica. */
@@ -111,38 +114,33 @@
             forget.workflows().forEach(this::forget);
         } else if (command instanceof ReplaceConfiguration replace) {
             apply(replace);
+        } else if (command instanceof RecordHeldLimit record) {
+            heldLimits.apply(record);
         }
         return new CommandResult.Accepted();
     }
 
     /** Returns the configuration in force, if there is one. */
     public Optional<FleetConfiguration> configuration() {
-        return Optional.ofNullable(configuration);
+        return configuration.configuration();
     }
 
-    /**
-     * Returns when a leader proposed the configuration in force, in Unix time; empty if this is not
-     * known.
-     */
+    /** Returns when a leader proposed the configuration in force, in Unix time, if known. */
     public OptionalLong configurationProposedEpochMilliseconds() {
-        return configurationProposedEpochMilliseconds == 0
-                ? OptionalLong.empty()
-                : OptionalLong.of(configurationProposedEpochMilliseconds);
+        return configuration.proposedEpochMilliseconds();
     }
 
-    /** Returns a team of the configuration in force. */
     Optional<TeamDefinition> team(TeamName name) {
-        return Optional.ofNullable(teams.get(name));
+        return configuration.team(name);
     }
 
-    /** Returns the teams of the configuration in force. */
     Collection<TeamDefinition> teams() {
-        return teams.values();
+        return configuration.teams();
     }
 
     /** Returns whether the configuration in force has a pool. */
     boolean hasPool(ServiceName name) {
-        return pools.contains(name);
+        return configuration.pools().contains(name);
     }
 
     Collection<WorkerEntry> workers() {
@@ -181,11 +179,24 @@
         return Optional.ofNullable(active.get(id));
     }
 
-    /** Updates the active workflows after the end of a run, which may have ended the workflow. */
-    void onRunEnded(WorkflowEntry entry) {
+    /** Updates what depends on a workflow after the start or end of a run, which may end it. */
+    void onRunChanged(WorkflowEntry entry) {
         if (entry.state().isFinal()) {
             active.remove(entry.id());
         }
+        recount(entry);
+    }
+
+    private void recount(WorkflowEntry entry) {
+        held.change(entry.workflow().team(), entry.takeChangeOfBytes());
+    }
+
+    HeldState held() {
+        return held;
+    }
+
+    HeldLimits heldLimits() {
+        return heldLimits;
     }
 
     /** Returns the kinds of workers and the team limits that the fleet has had. */
@@ -209,48 +220,26 @@
 
     private void apply(ReplaceConfiguration replace) {
         FleetConfiguration proposed = replace.configuration();
-        if (configuration != null && proposed.version() <= configuration.version()) {
+        if (configuration.isAtLeast(proposed.version())) {
             return;
         }
-        if (configuration != null) {
+        Map<QueueName, QueueDefinition> queues = configuration.queues();
+        if (configuration().isPresent()) {
             history.recordMoves(queues, proposed, replace.proposedEpochMilliseconds());
         }
-        activate(proposed);
-        configurationProposedEpochMilliseconds = replace.proposedEpochMilliseconds();
+        activate(proposed, replace.proposedEpochMilliseconds());
         for (WorkflowEntry entry : active.values()) {
             // A removed queue still applies to the workflows that it had accepted.
             entry.updateQueue(queues.getOrDefault(entry.queue().name(), entry.queue()));
         }
-        history.retain(poolsInUse(), teamsInUse());
-    }
-
-    private Set<ServiceName> poolsInUse() {
-        Set<ServiceName> inUse = new HashSet<>(pools);
-        workers.all().forEach(entry -> inUse.add(entry.worker().pool()));
-        active.values()
-                .forEach(
-                        entry -> {
-                            inUse.add(entry.queue().pool());
-                            inUse.addAll(entry.formerPools());
-                        });
-        return inUse;
-    }
-
-    private Set<TeamName> teamsInUse() {
-        Set<TeamName> names = new HashSet<>(teams.keySet());
-        active.values().forEach(entry -> entry.workflow().team().ifPresent(names::add));
-        return names;
+        history.retain(
+                configuration.poolsInUse(workers.all(), active.values()),
+                configuration.teamsInUse(active.values()));
     }
 
-    private void activate(FleetConfiguration newConfiguration) {
-        configuration = newConfiguration;
+    private void activate(FleetConfiguration newConfiguration, long proposedEpochMilliseconds) {
+        configuration.activate(newConfiguration, proposedEpochMilliseconds);
         history.record(newConfiguration);
-        queues.clear();
-        teams.clear();
-        pools.clear();
-        newConfiguration.queues().forEach(queue -> queues.put(queue.name(), queue));
-        newConfiguration.teams().forEach(team -> teams.put(team.name(), team));
-        newConfiguration.pools().forEach(pool -> pools.add(pool.name()));
     }
 
     private CommandResult apply(SubmitWorkflow submit) {
@@ -258,16 +247,24 @@
         if (workflows.containsKey(workflow.id())) {
             return new CommandResult.Accepted();
         }
-        QueueDefinition queue = queues.get(workflow.queue());
+        QueueDefinition queue = configuration.queues().get(workflow.queue());
         if (queue == null) {
             return new CommandResult.Rejected(
                     Refusal.notRun(
                             ErrorCode.UNKNOWN_QUEUE,
                             "Queue " + workflow.queue() + " was removed; name another queue."));
         }
+        long limit = submit.mostHeldBytes();
+        if (limit > 0 && held.totalBytes() + WorkflowEntry.heldBytes(workflow) > limit) {
+            return new CommandResult.Rejected(
+                    Refusal.notRun(
+                            ErrorCode.OVERLOADED,
+                            "The cell holds as many workflows as it can; submit it again later."));
+        }
         WorkflowEntry entry = new WorkflowEntry(workflow, queue);
         workflows.put(workflow.id(), entry);
         active.put(workflow.id(), entry);
+        recount(entry);
         return new CommandResult.Accepted();
     }
 
@@ -276,12 +273,14 @@
         if (entry != null) {
             end.accept(entry);
             active.remove(id);
+            recount(entry);
         }
     }
 
     private void forget(JobId id) {
-        if (!active.containsKey(id)) {
-            workflows.remove(id);
+        WorkflowEntry entry = active.containsKey(id) ? null : workflows.remove(id);
+        if (entry != null) {
+            held.change(entry.workflow().team(), -entry.countedBytes());
         }
     }
 
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowRequestHandler.java
@@ -36,8 +36,8 @@
     private final WorkflowLedger ledger;
     private final ConfigurationRequestHandler configuration;
     private final LoadMeter load;
-    private final Feasibility feasibility;
     private final FeasibilityCheck feasibilityCheck;
+    private final SubmissionRoom room;
     private final Clock wallClock;
     private final AdmissionPolicy admission = new AdmissionPolicy();
     private final PendingReplies<JobId> pendingSubmissions = new PendingReplies<>();
@@ -47,14 +47,14 @@
             WorkflowLedger ledger,
             ConfigurationRequestHandler configuration,
             LoadMeter load,
-            Feasibility feasibility,
             FeasibilityCheck feasibilityCheck,
+            SubmissionRoom room,
             Clock wallClock) {
         this.ledger = ledger;
         this.configuration = configuration;
         this.load = load;
-        this.feasibility = feasibility;
         this.feasibilityCheck = feasibilityCheck;
+        this.room = room;
         this.wallClock = wallClock;
     }
 
@@ -83,9 +83,10 @@
                         draft.steps(),
                         draft.recurrence(),
                         wallClock.nowMilliseconds());
+        room.require(nowMilliseconds, workflow, output);
         requireAdmission(nowMilliseconds, workflow, route.queue(), output);
         pendingSubmissions.add(id, handle);
-        output.propose(new SubmitWorkflow(workflow));
+        output.propose(room.reserve(workflow));
     }
 
     /**
@@ -98,7 +99,7 @@
         boolean standing = workflow.steps().stream().anyMatch(StepDefinition::standing);
         if (standing
                 || workflow.recurrence().isPresent()
-                || feasibility.findObstacle(workflow, queue).isPresent()) {
+                || !feasibilityCheck.canBeDone(workflow, queue)) {
             return;
         }
         Submission submission = SubmissionEstimate.of(workflow, queue, load.ratio(queue));
@@ -168,11 +169,13 @@
                 && result instanceof CommandResult.Rejected rejected) {
             JobId id = submit.workflow().id();
             admission.onRefused(id);
+            room.onSettled(id);
             configuration.log().logRefusal(submit.workflow(), rejected.refusal().code(), output);
             pendingSubmissions.answer(id, new Refused(rejected.refusal()), output);
         } else if (command instanceof SubmitWorkflow submit) {
             Workflow workflow = submit.workflow();
             admission.onSettled(workflow.id());
+            room.onSettled(workflow.id());
             output.logDecision(
                     DecisionLogEntry.of(
                             "workflow_accepted",
--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkflowSettings.java
@@ -15,6 +15,7 @@
  * @param retentionMilliseconds how long the state of an ended workflow is kept
  * @param drainMilliseconds how long a worker continues after its report that it drains is
  *     confirmed; 0 if this is not known
+ * @param mostHeldBytes how many bytes all workflows may take in this process; 0 for no limit
  * @param feasibilityDelayMilliseconds how long a workflow must be infeasible before it fails
  * @param availabilityZones the availability zones of the workers; may be empty
  * @param preemption whether runs are stopped for urgent work of queues with priority 0
@@ -30,6 +31,7 @@
         long reportTimeoutMilliseconds,
         long retentionMilliseconds,
         long drainMilliseconds,
+        long mostHeldBytes,
         long feasibilityDelayMilliseconds,
         List<AvailabilityZone> availabilityZones,
         boolean preemption,
@@ -72,6 +74,7 @@
         private long reportTimeoutMilliseconds = 3_500;
         private long retentionMilliseconds = 130_000;
         private long drainMilliseconds;
+        private long mostHeldBytes;
         // Workers report every 1.5 s; all workers of a new fleet are known after two reports.
         private long feasibilityDelayMilliseconds = 3_000;
         private List<AvailabilityZone> availabilityZones = List.of();
@@ -110,6 +113,12 @@
             return this;
         }
 
+        /** Sets how many bytes all workflows may take in this process. */
+        public Builder mostHeldBytes(long value) {
+            mostHeldBytes = value;
+            return this;
+        }
+
         /** Sets the availability zones of the workers. */
         public Builder availabilityZones(List<AvailabilityZone> value) {
             availabilityZones = value;
@@ -139,6 +148,7 @@
                     reportTimeoutMilliseconds,
                     retentionMilliseconds,
                     drainMilliseconds,
+                    mostHeldBytes,
                     feasibilityDelayMilliseconds,
                     availabilityZones,
                     preemption,
--- a/library/src/main/java/org/marjoramnotch/model/command/WorkflowCommand.java
+++ b/library/src/main/java/org/marjoramnotch/model/command/WorkflowCommand.java
@@ -16,7 +16,8 @@
     @JsonSubTypes.Type(value = StartRuns.class, name = "start-runs"),
     @JsonSubTypes.Type(value = EndRuns.class, name = "end-runs"),
     @JsonSubTypes.Type(value = BeginEvacuation.class, name = "begin-evacuation"),
-    @JsonSubTypes.Type(value = FinishEvacuation.class, name = "finish-evacuation")
+    @JsonSubTypes.Type(value = FinishEvacuation.class, name = "finish-evacuation"),
+    @JsonSubTypes.Type(value = RecordHeldLimit.class, name = "record-held-limit")
 })
 public sealed interface WorkflowCommand extends Command
         permits ReplaceConfiguration,
@@ -29,4 +30,5 @@
                 StartRuns,
                 EndRuns,
                 BeginEvacuation,
-                FinishEvacuation {}
+                FinishEvacuation,
+                RecordHeldLimit {}
--- a/library/src/main/java/org/marjoramnotch/model/message/WorkflowRequest.java
+++ b/library/src/main/java/org/marjoramnotch/model/message/WorkflowRequest.java
@@ -17,7 +17,8 @@
     @JsonSubTypes.Type(value = ReleaseWorker.class, name = "release-worker"),
     @JsonSubTypes.Type(value = TakeAdviceQuestion.class, name = "take-advice-question"),
     @JsonSubTypes.Type(value = BeginEvacuationRequest.class, name = "begin-evacuation-request"),
-    @JsonSubTypes.Type(value = FinishEvacuationRequest.class, name = "finish-evacuation-request")
+    @JsonSubTypes.Type(value = FinishEvacuationRequest.class, name = "finish-evacuation-request"),
+    @JsonSubTypes.Type(value = ReportHeldLimit.class, name = "report-held-limit")
 })
 public sealed interface WorkflowRequest extends CellRequest
         permits SubmitWorkflowRequest,
@@ -29,4 +30,5 @@
                 ReleaseWorker,
                 TakeAdviceQuestion,
                 BeginEvacuationRequest,
-                FinishEvacuationRequest {}
+                FinishEvacuationRequest,
+                ReportHeldLimit {}
--- a/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowRecord.java
+++ b/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowRecord.java
@@ -13,10 +13,15 @@
  *     left
  * @param queue the last known definition of its queue
  * @param state the state of the workflow
- * @param tasks its tasks by occurrence, step and index; empty if the workflow no longer has steps
+ * @param tasks all its tasks by occurrence, step and index, as in snapshots of earlier releases;
+ *     empty in those of this release
  * @param formerPools the other pools that its queue was sent to since its acceptance, oldest first;
  *     absent in snapshots of earlier releases
  * @param failure why it was given up, if it was; absent in snapshots of earlier releases
+ * @param startedOccurrences the occurrences of which a task has been started and not all tasks are
+ *     done; absent in snapshots of earlier releases
+ * @param doneOccurrences the occurrences of which all tasks are done, as a bit set of 64 in each
+ *     number, lowest first; absent in snapshots of earlier releases
  */
 public record WorkflowRecord(
         Workflow workflow,
@@ -24,10 +29,15 @@
         WorkflowState state,
         List<List<List<TaskRecord>>> tasks,
         List<ServiceName> formerPools,
-        Optional<String> failure) {
+        Optional<String> failure,
+        List<OccurrenceRecord> startedOccurrences,
+        List<Long> doneOccurrences) {
     /** Replaces what is absent in a snapshot of an earlier release by empty values. */
     public WorkflowRecord {
         formerPools = Objects.requireNonNullElse(formerPools, List.of());
         failure = Objects.requireNonNullElse(failure, Optional.empty());
+        tasks = Objects.requireNonNullElse(tasks, List.of());
+        startedOccurrences = Objects.requireNonNullElse(startedOccurrences, List.of());
+        doneOccurrences = Objects.requireNonNullElse(doneOccurrences, List.of());
     }
 }
--- a/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowSnapshot.java
+++ b/library/src/main/java/org/marjoramnotch/model/workflow/WorkflowSnapshot.java
@@ -26,6 +26,7 @@
  * @param dismissedWorkers names of the workers dismissed last whose next life may get an inherited
  *     lease, oldest first; absent in snapshots of earlier releases
  * @param evacuations the evacuations of availability zones; absent in snapshots of earlier releases
+ * @param heldLimits how much state each replica can hold; absent in snapshots of earlier releases
  */
 public record WorkflowSnapshot(
         Optional<FleetConfiguration> configuration,
@@ -36,7 +37,8 @@
         List<WorkerIncarnation> followers,
         List<InheritedLease> inheritedLeases,
         List<WorkerId> dismissedWorkers,
-        EvacuationRecord evacuations) {
+        EvacuationRecord evacuations,
+        List<HeldLimit> heldLimits) {
     /** The state before the first command. */
     public static final WorkflowSnapshot EMPTY =
             new WorkflowSnapshot(
@@ -48,7 +50,8 @@
                     List.of(),
                     List.of(),
                     List.of(),
-                    EvacuationRecord.EMPTY);
+                    EvacuationRecord.EMPTY,
+                    List.of());
 
     /** Replaces what is absent in a snapshot of an earlier release by empty values. */
     public WorkflowSnapshot {
@@ -57,5 +60,6 @@
         inheritedLeases = Objects.requireNonNullElse(inheritedLeases, List.of());
         dismissedWorkers = Objects.requireNonNullElse(dismissedWorkers, List.of());
         evacuations = Objects.requireNonNullElse(evacuations, EvacuationRecord.EMPTY);
+        heldLimits = Objects.requireNonNullElse(heldLimits, List.of());
     }
 }
--- a/wire/src/test/java/org/marjoramnotch/wire/WorkflowExamples.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/WorkflowExamples.java
@@ -13,6 +13,7 @@
 import org.marjoramnotch.model.command.FailWorkflow;
 import org.marjoramnotch.model.command.FinishEvacuation;
 import org.marjoramnotch.model.command.ForgetWorkflows;
+import org.marjoramnotch.model.command.RecordHeldLimit;
 import org.marjoramnotch.model.command.ReplaceConfiguration;
 import org.marjoramnotch.model.command.StartRuns;
 import org.marjoramnotch.model.command.SubmitWorkflow;
@@ -45,6 +46,7 @@
 import org.marjoramnotch.model.message.ReadConfiguration;
 import org.marjoramnotch.model.message.ReadWorkflow;
 import org.marjoramnotch.model.message.ReleaseWorker;
+import org.marjoramnotch.model.message.ReportHeldLimit;
 import org.marjoramnotch.model.message.ReportWorker;
 import org.marjoramnotch.model.message.SubmitWorkflowRequest;
 import org.marjoramnotch.model.message.TakeAdviceQuestion;
@@ -120,7 +122,7 @@
                     new ServiceName("pool"),
                     "10.0.0.1:80",
                     ZONE,
-                    new Resources(64_000, 64_000, 0),
+                    new Resources(64_000, 64_000, 1),
                     List.of("a", "r1-3"),
                     false);
     private static final StepId STEP_ID = new StepId(ID, 0, 0);
@@ -137,7 +139,7 @@
                                             List.of(RUN.task()), List.of(RUN.task()), true)),
                             Optional.of(new InheritedLease(INCARNATION, 10_300, 10_000)),
                             true),
-                    new SubmitWorkflow(WORKFLOW),
+                    new SubmitWorkflow(WORKFLOW, 14_000_000),
                     new StartRuns(List.of(new RunPlacement(RUN, INCARNATION, "checkpoint"))),
                     new EndRuns(INCARNATION, List.of(new RunEnd(RUN, RunOutcome.FAILED, "saved"))),
                     new CancelWorkflow(new JobId("fedcba9876543210")),
@@ -150,7 +152,8 @@
                                             List.of(RUN.task()), List.of(RUN.task()), true))),
                     new BeginEvacuation(ZONE, 1_700_000_000_001L),
                     new FinishEvacuation(ZONE, 1_700_000_000_002L),
-                    new BeginEvacuation(new AvailabilityZone("zone-b"), 1_700_000_000_003L));
+                    new BeginEvacuation(new AvailabilityZone("zone-b"), 1_700_000_000_003L),
+                    new RecordHeldLimit(new VmId("vm"), 14_000_000));
 
     static final List<CellRequest> REQUESTS =
             List.of(
@@ -171,7 +174,8 @@
                                             2_500)),
                             2_000),
                     new BeginEvacuationRequest(ZONE),
-                    new FinishEvacuationRequest(ZONE));
+                    new FinishEvacuationRequest(ZONE),
+                    new ReportHeldLimit(new VmId("vm"), 14_000_000));
 
     static final List<CellReply> REPLIES =
             List.of(
--- a/wire/src/test/java/org/marjoramnotch/wire/WorkflowSnapshotTest.java
+++ b/wire/src/test/java/org/marjoramnotch/wire/WorkflowSnapshotTest.java
@@ -90,7 +90,14 @@
         assertThat(((ObjectNode) tree).remove("inheritedLeases")).isNotNull();
         assertThat(((ObjectNode) tree).remove("dismissedWorkers")).isNotNull();
         ObjectNode task =
-                (ObjectNode) tree.path("workflows").get(0).path("tasks").get(0).get(0).get(0);
+                (ObjectNode)
+                        tree.path("workflows")
+                                .get(0)
+                                .path("startedOccurrences")
+                                .get(0)
+                                .path("tasks")
+                                .get(0)
+                                .get(0);
         assertThat(task.remove("startedByNextLife")).isNotNull();
         assertThat(task.remove("unlistedRuns")).isNotNull();
 
@@ -158,7 +165,9 @@
                         example.state(),
                         example.tasks(),
                         List.of(new ServiceName("former")),
-                        Optional.of("reason"));
+                        Optional.of("reason"),
+                        example.startedOccurrences(),
+                        List.of(5L));
         assertThat(mapper.read(WorkflowRecord.class, mapper.write(WorkflowRecord.class, moved)))
                 .isEqualTo(moved);
     }
