Consider started occurrences behind many due ones that have not begun

Callers would see: a workflow with more than 64 due occurrences of which a later one has begun gets nothing more for that one until the earlier ones have begun. Found by reading before the landing; no run showed it. Cause: forEachDue ended its walk at the 65th occurrence without a start, also for started ones behind it. Change: those beyond 64 are passed over one by one; started ones always count. Measured: LatencyObjectivesTest 6 of 6.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/LatencyObjectives.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/LatencyObjectives.java
@@ -66,13 +66,12 @@
                 occurrence >= 0;
                 occurrence = entry.nextOpenOccurrence(occurrence + 1)) {
             boolean due = !scheduled || nowMilliseconds >= dueAt(workflow, occurrence);
-            if (due && !entry.startedOccurrences().containsKey(occurrence)) {
-                unstarted++;
-            }
-            if (unstarted > MAXIMUM_UNSTARTED_OCCURRENCES || !due && ascending) {
+            if (!due && ascending) {
                 return;
             }
-            if (due) {
+            boolean started = entry.startedOccurrences().containsKey(occurrence);
+            if (due && (started || unstarted < MAXIMUM_UNSTARTED_OCCURRENCES)) {
+                unstarted += started ? 0 : 1;
                 action.accept(occurrence);
             }
         }
