Give the session after a dismissed one a token of its own

Callers would see: a worker that left and started again refuses all orders (FENCED) until the leader changes, and what only it can run waits. Cause: a session fences the next life of its worker when that answers one of its calls, with the token of the next session. A session that was dismissed without having seen its next life did not count as one that another follows, so that the next session had the same token as it; a late answer then let the dismissed session fence the life that the next one leads. Change: each dismissed session counts. Why it works: the next session's token is the one that the dismissed session fences with.

--- a/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
+++ b/library/src/main/java/org/marjoramnotch/logic/workflow/WorkerSessions.java
@@ -26,7 +26,7 @@
     private final Map<WorkerId, WorkerSession> sessions = new TreeMap<>();
     private final Map<WorkerId, BlockedTasks> blockedTasks = new HashMap<>();
 
-    /** How many lives of a worker have followed others during the duties of this leader. */
+    /** How many sessions of a worker have ended during the duties of this leader. */
     private final Map<WorkerId, Long> laterLives = new HashMap<>();
 
     /**
@@ -143,9 +143,10 @@
             return;
         }
         sessions.remove(incarnation.worker());
+        // A late answer may let the ended session fence the next life with the token of that.
+        laterLives.merge(incarnation.worker(), 1L, Long::sum);
         if (session.isReplaced()) {
             blockTasks(nowMilliseconds, session);
-            laterLives.merge(incarnation.worker(), 1L, Long::sum);
         }
     }
 
--- a/library/src/test/java/org/marjoramnotch/logic/cell/FleetRandomisedTest.java
+++ b/library/src/test/java/org/marjoramnotch/logic/cell/FleetRandomisedTest.java
@@ -66,6 +66,20 @@
         assertThat(cell.checker.violations()).isEmpty();
     }
 
+    /**
+     * The session of a dismissed life learns late that the next one answers, and fences it: guards
+     * against a worker that refuses all orders of the leader that has enrolled it.
+     */
+    @ParameterizedTest(name = "seed {0}")
+    @ValueSource(longs = {2083, 2713})
+    void lateAnswerToDismissedLifeLeavesTheNextAtWork(long seed) {
+        FleetSimulationRun run =
+                new FleetSimulationRun(seed, FleetSimulationRun.Scenario.DEPARTURES, false);
+        FleetSimulation cell = run.run();
+        assertThat(run.findIdleWorkers()).isEmpty();
+        assertThat(cell.checker.violations()).isEmpty();
+    }
+
     /** A list overtakes the start of a run and is judged to be later within one millisecond. */
     @ParameterizedTest(name = "seed {0}")
     @ValueSource(longs = {1026, 2174, 2661, 3323})
