End the process when the watch of its memory fails for want of memory

Callers would see: a process without memory goes on collecting garbage if the watch itself runs out of it. Cause: asking the collectors for the first time loads classes; without memory that fails with an Error that is no OutOfMemoryError, or again while the first one is handled, and the thread ended. DaemonRunner's handler of failed threads ends the process then, the watch by itself did not. Change: any failure of the watch ends the process; a reserve is freed first.

--- a/daemon/src/main/java/org/marjoramnotch/daemon/MemoryWatch.java
+++ b/daemon/src/main/java/org/marjoramnotch/daemon/MemoryWatch.java
@@ -4,6 +4,7 @@
 import java.lang.management.ManagementFactory;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
 import org.marjoramnotch.daemon.log.LogEvent;
 import org.marjoramnotch.daemon.log.ProcessOutput;
 import org.marjoramnotch.daemon.metrics.HeapUse;
@@ -22,7 +23,14 @@
     /** The collectors are asked only below this share of free heap, which a collection restores. */
     private static final double SHORT_SHARE = 0.15;
 
+    /** More than it takes to end the process. */
+    private static final int RESERVE_BYTES = 128 * 1024;
+
     private final CollectionShare share = new CollectionShare();
+
+    /** Freed before the process is ended for want of memory. */
+    private volatile byte @Nullable [] reserve = new byte[RESERVE_BYTES];
+
     private final Clock clock;
     private final Consumer<Throwable> failure;
 
@@ -47,8 +55,11 @@
             }
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
-        } catch (OutOfMemoryError exhausted) {
-            failure.accept(exhausted);
+        } catch (RuntimeException | Error failed) {
+            // Without memory the collectors can't be asked; even the first call of a method takes
+            // some.
+            reserve = null;
+            failure.accept(failed);
         }
     }
 
